--- /dev/null
+++ b/src/base/Clock.cpp
@@ -0,0 +1,19 @@
+#include "include/base/Clock.h"
+
+namespace arbutus::base {
+
+TimePoint SystemClock::onNow() const { return std::chrono::steady_clock::now(); }
+
+WallTime SystemClock::onWallNow() const
+{
+    return std::chrono::time_point_cast<std::chrono::microseconds>(std::chrono::system_clock::now());
+}
+
+TimePoint VirtualClock::onNow() const { return TimePoint(elapsed_); }
+
+WallTime VirtualClock::onWallNow() const
+{
+    return WallTime(std::chrono::duration_cast<std::chrono::microseconds>(elapsed_));
+}
+
+} // namespace arbutus::base
--- /dev/null
+++ b/tests/BaseTest.cpp
@@ -0,0 +1,61 @@
+#include "include/base/Digest.h"
+#include "include/base/Error.h"
+#include "include/base/Settings.h"
+#include "include/base/Timeline.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace arbutus::base;
+
+// Guards against an event that looks older than the message that caused it.
+BOOST_AUTO_TEST_CASE(EffectSortsAfterCauseWhenClocksDisagree)
+{
+    VirtualClock ahead;
+    VirtualClock behind;
+    ahead.advance(std::chrono::seconds(5));
+    Timeline sender(ahead, "sender", 8);
+    Timeline receiver(behind, "receiver", 8);
+    HybridTime cause = sender.record("sent", {});
+    receiver.observe(hybridTimeFromString(toString(cause)));
+    BOOST_TEST((cause < receiver.record("received", {})));
+}
+
+// Guards against unbounded memory and against a silent loss of events.
+BOOST_AUTO_TEST_CASE(TimelineCountsWhatItDrops)
+{
+    VirtualClock clock;
+    Timeline timeline(clock, "vm", 2);
+    for (int i = 0; i < 5; ++i)
+        timeline.record("event", { { "request", std::to_string(i) } });
+    BOOST_TEST(timeline.events().size() == 2U);
+    BOOST_TEST(timeline.droppedCount() == 3U);
+    BOOST_TEST(timeline.events("request", "4").size() == 1U);
+}
+
+// Guards against a start with a missing or unreadable setting.
+BOOST_AUTO_TEST_CASE(SettingsNameWhatIsMissingOrBad)
+{
+    std::vector<SettingSpec> specs { { "listen-address", "address", std::nullopt }, { "port", "port", "80" } };
+    const char* none[] = { "program" };
+    auto missing = Settings::Make(1, none, specs);
+    BOOST_REQUIRE(missing.has_error());
+    BOOST_TEST(missing.error().detail.find("--listen-address") != std::string::npos);
+
+    const char* bad[] = { "program", "--listen-address=127.0.0.1", "--port=8x" };
+    auto settings = Settings::Make(3, bad, specs);
+    BOOST_REQUIRE(settings.has_value());
+    BOOST_TEST(settings.value().integer("port", 1, 65535).has_error());
+}
+
+// Guards against an answer that states "not run" for a kind which may have run.
+BOOST_AUTO_TEST_CASE(KindsThatMayHaveRunDoNotStateNotRun)
+{
+    for (auto kind : { ErrorKind::UpstreamFailed, ErrorKind::RequestTimeout, ErrorKind::OrderOutcomeUnknown, ErrorKind::OrderInProgress, ErrorKind::StreamFailed, ErrorKind::CrashSuspect, ErrorKind::Internal })
+        BOOST_TEST(notRunText(errorRule(kind).statement) != "true");
+}
+
+// Guards against a wrong key or digest primitive, by a published vector (RFC 4231, case 2).
+BOOST_AUTO_TEST_CASE(HmacMatchesPublishedVector)
+{
+    BOOST_TEST(toHex(hmacSha256("Jefe", "what do ya want for nothing?")) == "5bdcc146bf60754e6a042426089575c75a003f089d2739839dec58b964ec3843");
+}
--- /dev/null
+++ b/tools/build.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Configures and builds everything into build/; programs land in build/bin/.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+bash tools/install.sh
+cmake -S . -B build -G Ninja >/dev/null
+cmake --build build
--- /dev/null
+++ b/tools/test.sh
@@ -0,0 +1,22 @@
+#!/usr/bin/env bash
+# Installs, builds and runs every test. A test listed in KNOWN-RED.txt runs too,
+# its result is printed, and it alone does not fail the run.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+bash tools/build.sh || exit 1
+
+known=$(grep -oE '^test: *[A-Za-z0-9_]+' KNOWN-RED.txt 2>/dev/null | sed 's/^test: *//' | paste -sd'|')
+if [ -n "$known" ]; then
+    ctest --test-dir build --output-on-failure -j 6 -E "^($known)\$"
+else
+    ctest --test-dir build --output-on-failure -j 6
+fi
+result=$?
+for name in ${known//|/ }; do
+    if ctest --test-dir build -R "^$name\$" >/dev/null; then
+        echo "KNOWN-RED: $name passes now; remove its entry from KNOWN-RED.txt."
+    else
+        echo "KNOWN-RED: $name still fails, as listed."
+    fi
+done
+exit $result
