Add stream sessions and order execution as pure decisions

Cause: answers and orders need rules that can be tested without sockets.

Change: StreamSession waits for exactly one named result and resumes at the next unseen token; OrderExecutor claims, sends and records in this order and keeps writes that could not be committed.

Figures: 13 test cases; a stage death is tested at 5 positions and 2 stages.

Conclusion: the HTTP side can be assembled around these two.

--- /dev/null
+++ b/src/orders/OrderExecutor.cpp
@@ -0,0 +1,114 @@
+#include "include/orders/OrderExecutor.h"
+
+#include "include/base/Digest.h"
+
+#include <array>
+
+namespace arbutus::orders {
+
+using base::Error;
+using base::ErrorKind;
+using base::makeError;
+using base::Result;
+using base::TimePoint;
+
+// How long one write to the ledger may hold up the answer to the caller.
+static constexpr std::chrono::milliseconds recordPatience(1000);
+
+std::string OrderRequest::digest() const
+{
+    // The lengths keep ("ab", "c") and ("a", "bc") apart.
+    std::string text;
+    for (const auto* part : { &method, &path, &contentType, &body })
+        text += std::to_string(part->size()) + ':' + *part;
+    return base::sha256Hex(text);
+}
+
+OrderExecutor::OrderExecutor(const base::Clock& clock, OrderLedger& ledger, OrderUpstreams& upstreams, std::function<std::uint64_t()> nextClaimNumber, Keep keepPending)
+    : clock_(clock)
+    , ledger_(ledger)
+    , upstreams_(upstreams)
+    , nextClaimNumber_(std::move(nextClaimNumber))
+    , keepPending_(std::move(keepPending))
+{
+}
+
+struct ClaimAnswer {
+    ClaimState state;
+    ErrorKind kind;
+    const char* detail;
+};
+
+static constexpr std::array claimAnswers {
+    ClaimAnswer { ClaimState::InProgress, ErrorKind::OrderInProgress, "an order with this key is running" },
+    ClaimAnswer { ClaimState::OutcomeUnknown, ErrorKind::OrderOutcomeUnknown, "the outcome of the order with this key is unknown" },
+    ClaimAnswer { ClaimState::KeyConflict, ErrorKind::KeyConflict, "the key belongs to an order with another method, path or body" },
+};
+
+static Error claimError(ClaimState state)
+{
+    for (const auto& answer : claimAnswers) {
+        if (answer.state == state)
+            return makeError(answer.kind, answer.detail);
+    }
+    return makeError(ErrorKind::Internal, "the ledger gave an unexpected claim state");
+}
+
+Result<OrderAnswer> OrderExecutor::execute(const OrderRequest& request)
+{
+    if (request.key.empty())
+        return makeError(ErrorKind::KeyRequired, "the header Idempotency-Key is missing");
+    Claim claim { request.team, request.service, request.key, request.digest(), nextClaimNumber_() };
+
+    auto reply = ledger_.claim(claim, request.deadline);
+    if (!reply) {
+        // Nothing has been sent, but the claim may be committed later; closing
+        // it lets the caller's resend make a new one.
+        if (reply.error().kind == ErrorKind::ClaimUnconfirmed)
+            keepPending_({ claim, true, std::nullopt });
+        return reply.error();
+    }
+    if (reply.value().state == ClaimState::Granted)
+        return sendClaimed(claim, request);
+    if (reply.value().state == ClaimState::Completed && reply.value().outcome)
+        return *reply.value().outcome;
+    return claimError(reply.value().state);
+}
+
+Result<OrderAnswer> OrderExecutor::sendClaimed(const Claim& claim, const OrderRequest& request)
+{
+    if (clock_.now() >= request.deadline) {
+        writeOrKeep({ claim, true, std::nullopt });
+        return makeError(ErrorKind::DeadlineUnreachable, "the deadline passed before the order was sent");
+    }
+    SendResult result = upstreams_.send(request);
+    if (const auto* answer = std::get_if<OrderAnswer>(&result)) {
+        writeOrKeep({ claim, false, *answer });
+        return *answer;
+    }
+    if (std::holds_alternative<NotSent>(result)) {
+        writeOrKeep({ claim, true, std::nullopt });
+        return makeError(ErrorKind::NoUpstream, "no upstream of the service accepted a connection");
+    }
+    writeOrKeep({ claim, false, std::nullopt });
+    return makeError(ErrorKind::UpstreamFailed, "the upstream did not answer after the order was sent");
+}
+
+bool OrderExecutor::retry(const PendingWrite& write, TimePoint deadline)
+{
+    auto result = write.isClose ? ledger_.close(write.claim, deadline) : ledger_.recordOutcome(write.claim, write.answer, deadline);
+    if (result)
+        return true;
+    // The ledger has decided otherwise, for example an operator resolved the
+    // order in the meantime; repeating the write cannot change that.
+    return result.error().kind == ErrorKind::KeyConflict || result.error().kind == ErrorKind::NotFound;
+}
+
+void OrderExecutor::writeOrKeep(PendingWrite write)
+{
+    // The caller's answer is true whether or not the record is committed now.
+    if (!retry(write, clock_.now() + recordPatience))
+        keepPending_(std::move(write));
+}
+
+} // namespace arbutus::orders
--- /dev/null
+++ b/tests/OrderExecutorTest.cpp
@@ -0,0 +1,190 @@
+#include "include/orders/OrderExecutor.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+
+using namespace arbutus;
+using namespace arbutus::orders;
+using base::ErrorKind;
+
+namespace {
+
+// A ledger in memory with switches for what can be lost around each write.
+class FakeLedger final : public OrderLedger {
+public:
+    enum class Loss {
+        None,
+        // The write is refused before it is proposed.
+        NotProposed,
+        // The write is committed, but its confirmation is lost.
+        ConfirmationLost,
+    };
+
+    Loss claimLoss = Loss::None;
+    Loss recordLoss = Loss::None;
+    Loss closeLoss = Loss::None;
+
+    struct Entry {
+        Claim claim;
+        bool isClosed = false;
+        bool isUnknown = false;
+        std::optional<OrderAnswer> answer;
+    };
+    std::map<std::string, Entry> entries;
+
+private:
+    base::Result<ClaimReply> onClaim(const Claim& claim, base::TimePoint) override
+    {
+        if (claimLoss == Loss::NotProposed)
+            return base::makeError(ErrorKind::NoQuorum, "no quorum");
+        auto [it, inserted] = entries.emplace(claim.key, Entry { claim, false, false, std::nullopt });
+        if (!inserted && it->second.isClosed) {
+            it->second = Entry { claim, false, false, std::nullopt };
+            inserted = true;
+        }
+        if (claimLoss == Loss::ConfirmationLost)
+            return base::makeError(ErrorKind::ClaimUnconfirmed, "no confirmation");
+        if (inserted)
+            return ClaimReply { ClaimState::Granted, std::nullopt };
+        if (it->second.claim.digest != claim.digest)
+            return ClaimReply { ClaimState::KeyConflict, std::nullopt };
+        if (it->second.answer)
+            return ClaimReply { ClaimState::Completed, it->second.answer };
+        return ClaimReply { it->second.isUnknown ? ClaimState::OutcomeUnknown : ClaimState::InProgress, std::nullopt };
+    }
+
+    base::Result<void> onRecordOutcome(const Claim& claim, const std::optional<OrderAnswer>& answer, base::TimePoint) override
+    {
+        if (recordLoss == Loss::NotProposed)
+            return base::makeError(ErrorKind::NoQuorum, "no quorum");
+        entries.at(claim.key).answer = answer;
+        entries.at(claim.key).isUnknown = !answer;
+        if (recordLoss == Loss::ConfirmationLost)
+            return base::makeError(ErrorKind::ClaimUnconfirmed, "no confirmation");
+        return base::outcome::success();
+    }
+
+    base::Result<void> onClose(const Claim& claim, base::TimePoint) override
+    {
+        if (closeLoss == Loss::NotProposed)
+            return base::makeError(ErrorKind::NoQuorum, "no quorum");
+        entries.at(claim.key).isClosed = true;
+        return base::outcome::success();
+    }
+};
+
+class FakeUpstreams final : public OrderUpstreams {
+public:
+    SendResult result = OrderAnswer { 201, "application/json", "{\"reel\":1}" };
+    int executions = 0;
+
+private:
+    SendResult onSend(const OrderRequest&) override
+    {
+        if (!std::holds_alternative<NotSent>(result))
+            ++executions;
+        return result;
+    }
+};
+
+struct Fixture {
+    base::VirtualClock clock;
+    FakeLedger ledger;
+    FakeUpstreams upstreams;
+    std::vector<PendingWrite> kept;
+    std::uint64_t claims = 0;
+    OrderExecutor executor { clock, ledger, upstreams, [this] { return ++claims; }, [this](PendingWrite write) { kept.push_back(write); } };
+
+    OrderRequest request(const std::string& body = "one reel") const
+    {
+        return { "catania-desk", "magazzino", "k1", "POST", "/reorders", "text/plain", body, clock.now() + std::chrono::seconds(5) };
+    }
+};
+
+} // namespace
+
+// Guards against an order without a key, which could not be told from a resend.
+BOOST_FIXTURE_TEST_CASE(RefusesWithoutKeyBeforeAnythingIsClaimed, Fixture)
+{
+    auto bare = request();
+    bare.key.clear();
+    BOOST_TEST((executor.execute(bare).error().kind == ErrorKind::KeyRequired));
+    BOOST_TEST(ledger.entries.empty());
+    BOOST_TEST(upstreams.executions == 0);
+}
+
+// Guards against a second execution on a resend, and against another body under the same key.
+BOOST_FIXTURE_TEST_CASE(ResendGetsRecordedAnswer, Fixture)
+{
+    auto first = executor.execute(request()).value();
+    auto second = executor.execute(request()).value();
+    BOOST_TEST(first.body == second.body);
+    BOOST_TEST((executor.execute(request("two reels")).error().kind == ErrorKind::KeyConflict));
+    BOOST_TEST(upstreams.executions == 1);
+}
+
+// Guards against "not run" for an order that ran, and against a send without a
+// confirmed claim: the confirmation of the claim is lost at every place.
+BOOST_FIXTURE_TEST_CASE(NothingIsSentWithoutConfirmedClaim, Fixture)
+{
+    ledger.claimLoss = FakeLedger::Loss::NotProposed;
+    BOOST_TEST((executor.execute(request()).error().kind == ErrorKind::NoQuorum));
+    BOOST_TEST(kept.empty());
+
+    ledger.claimLoss = FakeLedger::Loss::ConfirmationLost;
+    BOOST_TEST((executor.execute(request()).error().kind == ErrorKind::ClaimUnconfirmed));
+    BOOST_TEST(upstreams.executions == 0);
+    BOOST_REQUIRE(kept.size() == 1U);
+    BOOST_TEST(kept[0].isClose);
+
+    ledger.claimLoss = FakeLedger::Loss::None;
+    BOOST_TEST((executor.execute(request()).error().kind == ErrorKind::OrderInProgress));
+    BOOST_TEST(executor.retry(kept[0], clock.now()));
+    BOOST_TEST(executor.execute(request()).has_value());
+    BOOST_TEST(upstreams.executions == 1);
+}
+
+// Guards against a resend by the system itself when the upstream's answer is lost.
+BOOST_FIXTURE_TEST_CASE(UnknownOutcomeIsNeverSentAgain, Fixture)
+{
+    upstreams.result = OutcomeUnknown {};
+    BOOST_TEST((executor.execute(request()).error().kind == ErrorKind::UpstreamFailed));
+    upstreams.result = OrderAnswer { 201, "", "" };
+    BOOST_TEST((executor.execute(request()).error().kind == ErrorKind::OrderOutcomeUnknown));
+    BOOST_TEST(upstreams.executions == 1);
+}
+
+// Guards against an order that stays claimed for ever although no byte had left.
+BOOST_FIXTURE_TEST_CASE(UnsentOrderIsClosedAndMayBeResent, Fixture)
+{
+    upstreams.result = NotSent {};
+    BOOST_TEST((executor.execute(request()).error().kind == ErrorKind::NoUpstream));
+    upstreams.result = OrderAnswer { 201, "", "" };
+    BOOST_TEST(executor.execute(request()).has_value());
+    BOOST_TEST(upstreams.executions == 1);
+}
+
+// Guards against an answer that is lost, or an outcome that is never recorded,
+// when the quorum goes away between send and record.
+BOOST_FIXTURE_TEST_CASE(AnswerIsGivenAndRecordedLaterWithoutQuorum, Fixture)
+{
+    ledger.recordLoss = FakeLedger::Loss::NotProposed;
+    BOOST_TEST(executor.execute(request()).has_value());
+    BOOST_REQUIRE(kept.size() == 1U);
+    BOOST_TEST((executor.execute(request()).error().kind == ErrorKind::OrderInProgress));
+    ledger.recordLoss = FakeLedger::Loss::None;
+    BOOST_TEST(executor.retry(kept[0], clock.now()));
+    BOOST_TEST(executor.execute(request()).value().body == "{\"reel\":1}");
+    BOOST_TEST(upstreams.executions == 1);
+}
+
+// Guards against a send after the caller's deadline, while the claim took long.
+BOOST_FIXTURE_TEST_CASE(PastDeadlineIsNotSent, Fixture)
+{
+    auto late = request();
+    late.deadline = clock.now();
+    BOOST_TEST((executor.execute(late).error().kind == ErrorKind::DeadlineUnreachable));
+    BOOST_TEST(upstreams.executions == 0);
+    BOOST_TEST(ledger.entries.at("k1").isClosed);
+}
--- /dev/null
+++ b/tests/StreamSessionTest.cpp
@@ -0,0 +1,156 @@
+#include "include/streams/StreamSession.h"
+#include "include/streams/ChannelCodec.h"
+
+#include "include/base/Random.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace arbutus;
+using namespace arbutus::streams;
+
+static const base::TimePoint later(std::chrono::hours(2));
+
+static StreamSession makeSession(std::uint32_t maxTokens)
+{
+    StreamSpec spec;
+    spec.stream = "s1";
+    spec.model = "scriba";
+    spec.version = "1";
+    spec.prompt = "badge";
+    spec.maxTokens = maxTokens;
+    spec.layerCount = 4;
+    return StreamSession::Make(spec).value();
+}
+
+static Pipeline twoStages(const std::string& first, const std::string& second)
+{
+    return { { first, 0, 1 }, { second, 2, 3 } };
+}
+
+static StageResult resultFor(const Dispatch& dispatch)
+{
+    StageResult result;
+    result.name = dispatch.step.name;
+    result.activation = "a";
+    if (dispatch.step.name.lastLayer == 3)
+        result.token = Token { dispatch.step.name.position + dispatch.step.name.count, "t" };
+    return result;
+}
+
+// Guards against a pipeline that skips, doubles or reorders layers.
+BOOST_AUTO_TEST_CASE(RefusesPipelinesThatDoNotCoverLayersOnce)
+{
+    auto session = makeSession(2);
+    BOOST_TEST(session.startAttempt({ { "a", 0, 1 } }, later).has_error());
+    BOOST_TEST(session.startAttempt({ { "a", 0, 1 }, { "b", 3, 3 } }, later).has_error());
+    BOOST_TEST(session.startAttempt({ { "a", 0, 2 }, { "b", 2, 3 } }, later).has_error());
+    BOOST_TEST(session.startAttempt({ { "b", 2, 3 }, { "a", 0, 1 } }, later).has_error());
+    BOOST_TEST(session.startAttempt(twoStages("a", "b"), later).has_value());
+}
+
+// Guards against a repeated, late or foreign result that reaches the caller.
+BOOST_AUTO_TEST_CASE(DropsEveryResultButTheAwaitedOne)
+{
+    auto session = makeSession(3);
+    auto first = session.startAttempt(twoStages("a", "b"), later).value();
+    auto progress = session.receive(resultFor(first), later);
+    BOOST_REQUIRE(progress.dispatch);
+    BOOST_TEST(session.receive(resultFor(first), later).wasDropped);
+
+    auto foreign = resultFor(*progress.dispatch);
+    foreign.name.stream = "s2";
+    BOOST_TEST(session.receive(foreign, later).wasDropped);
+    auto otherAttempt = resultFor(*progress.dispatch);
+    otherAttempt.name.attempt = 7;
+    BOOST_TEST(session.receive(otherAttempt, later).wasDropped);
+
+    auto token = session.receive(resultFor(*progress.dispatch), later);
+    BOOST_TEST(token.token.has_value());
+    BOOST_TEST(session.receive(resultFor(*progress.dispatch), later).wasDropped);
+    BOOST_TEST(session.tokens().size() == 1U);
+    BOOST_TEST(session.droppedCount() == 4U);
+}
+
+// Guards against a gap, a repeat or a token of an abandoned attempt when a stage
+// dies: every position, every stage, before and after its result.
+BOOST_AUTO_TEST_CASE(ResumesAtEveryPositionAndStage)
+{
+    for (std::uint32_t deathToken = 0; deathToken < 5; ++deathToken) {
+        for (const std::string dead : { "a", "b" }) {
+            auto session = makeSession(6);
+            std::optional<Dispatch> next = session.startAttempt(twoStages("a", "b"), later).value();
+            std::vector<std::uint32_t> seen;
+            bool didDie = false;
+            while (!session.isFinished()) {
+                if (!didDie && seen.size() == deathToken && next->engine == dead) {
+                    didDie = true;
+                    auto stale = resultFor(*next);
+                    BOOST_TEST(session.loseEngine(dead));
+                    next = session.startAttempt(dead == "a" ? twoStages("c", "b") : twoStages("a", "c"), later).value();
+                    BOOST_TEST(next->step.tokens.size() == seen.size());
+                    BOOST_TEST(next->step.isPrefill);
+                    BOOST_TEST(session.receive(stale, later).wasDropped);
+                }
+                auto progress = session.receive(resultFor(*next), later);
+                if (progress.token)
+                    seen.push_back(progress.token->id);
+                next = progress.dispatch;
+            }
+            BOOST_TEST(didDie);
+            BOOST_TEST(seen == (std::vector<std::uint32_t> { 0, 1, 2, 3, 4, 5 }), boost::test_tools::per_element());
+        }
+    }
+}
+
+// Guards against an engine that keeps the state of an attempt nobody waits for.
+BOOST_AUTO_TEST_CASE(CancelsEveryStageOfAnEndedAttempt)
+{
+    auto session = makeSession(2);
+    auto first = session.startAttempt(twoStages("a", "b"), base::TimePoint(std::chrono::seconds(1)));
+    BOOST_TEST(!session.expire(base::TimePoint(std::chrono::milliseconds(999))));
+    BOOST_TEST(session.expire(base::TimePoint(std::chrono::seconds(1))).value_or("") == "a");
+    BOOST_TEST(session.takeCancellations().size() == 2U);
+    BOOST_TEST(session.takeCancellations().empty());
+}
+
+// Guards against a decoder that crashes or loops on what a faulty engine sends.
+BOOST_AUTO_TEST_CASE(DecoderSurvivesRandomBytes)
+{
+    base::Random random(20261204);
+    for (int round = 0; round < 2000; ++round) {
+        ChannelDecoder decoder(1 << 16);
+        std::string bytes;
+        if (round % 2)
+            bytes = encodeChannelMessage(StageResult {});
+        for (auto i = random.below(64); i > 0; --i)
+            bytes.push_back(static_cast<char>(random.next()));
+        if (!bytes.empty())
+            bytes[random.below(bytes.size())] ^= static_cast<char>(1 << random.below(8));
+        decoder.feed(bytes);
+        for (int i = 0; i < 100; ++i) {
+            auto message = decoder.next();
+            if (!message || !message.value())
+                break;
+        }
+    }
+    BOOST_TEST(true);
+}
+
+// Guards against messages lost or merged when a chunk ends inside one.
+BOOST_AUTO_TEST_CASE(DecoderJoinsMessagesAcrossChunks)
+{
+    StageResult result;
+    result.name.stream = "s1";
+    result.token = Token { 7, "seven" };
+    std::string bytes = encodeChannelMessage(result) + encodeChannelMessage(CancelStream { "s2", 3 });
+    ChannelDecoder decoder(1 << 16);
+    std::vector<ChannelMessage> messages;
+    for (char byte : bytes) {
+        decoder.feed(std::string_view(&byte, 1));
+        while (auto message = decoder.next().value())
+            messages.push_back(*message);
+    }
+    BOOST_REQUIRE(messages.size() == 2U);
+    BOOST_TEST(std::get<StageResult>(messages[0]).token->text == "seven");
+    BOOST_TEST(std::get<CancelStream>(messages[1]).stream == "s2");
+}
