Add the HTTP layer, JSON-RPC and stand-in engines and order services

Cause: the thin path needs sockets and something to talk to.

Change: HttpServer, EngineChannel (one long call each way for an engine), server-sent events, problem+json, JSON-RPC over signed HTTP; fake-engine and fake-orders. Calls that may not be repeated use a connection of their own, because cpprestsdk resends a request when a reused connection closes early.

--- /dev/null
+++ b/include/base/StopSignal.h
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace arbutus::base {
+
+// Blocks SIGINT and SIGTERM in this thread and in those that it starts later,
+// and ignores SIGPIPE. Call it first in main.
+void blockStopSignals();
+
+// Waits for SIGINT or SIGTERM and returns its number.
+int waitForStopSignal();
+
+} // namespace arbutus::base
--- /dev/null
+++ b/include/http/BodyWriter.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <cpprest/producerconsumerstream.h>
+#include <cpprest/streams.h>
+
+#include <memory>
+#include <mutex>
+#include <string_view>
+
+namespace arbutus::http {
+
+// The writing end of a chunked body. What is written while the connection is
+// busy goes out together in the next chunk. Safe to use from several threads.
+class BodyWriter {
+public:
+    BodyWriter();
+
+    concurrency::streams::istream stream() const { return buffer_.create_istream(); }
+
+    // Returns false when the body is closed or more than `maximumPending` bytes wait.
+    bool write(std::string_view bytes, std::size_t maximumPending);
+
+    void close();
+
+    std::size_t pendingBytes() const { return buffer_.in_avail(); }
+
+private:
+    mutable concurrency::streams::producer_consumer_buffer<std::uint8_t> buffer_;
+    std::mutex mutex_;
+    bool isClosed_ = false;
+};
+
+} // namespace arbutus::http
--- /dev/null
+++ b/include/http/PlainClient.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "include/base/Time.h"
+
+#include <cpprest/http_client.h>
+
+#include <string>
+#include <variant>
+
+namespace arbutus::http {
+
+struct PlainResponse {
+    int status = 0;
+    std::string contentType;
+    std::string body;
+};
+
+// The connection was refused; no byte of the request left this process.
+struct ConnectionRefused {
+};
+// The exchange broke off after it may have begun.
+struct ExchangeBroken {
+    std::string reason;
+};
+using PlainResult = std::variant<PlainResponse, ConnectionRefused, ExchangeBroken>;
+
+// Sends `request` over a connection of its own and waits for the answer until
+// `deadline` at the latest. A fresh connection is needed because cpprestsdk
+// sends a request a second time, on its own account, when a reused connection
+// closes before the answer.
+PlainResult exchangeOnce(const std::string& url, web::http::http_request request, base::TimePoint deadline);
+
+} // namespace arbutus::http
--- /dev/null
+++ b/src/http/PlainClient.cpp
@@ -0,0 +1,46 @@
+#include "include/http/PlainClient.h"
+
+#include <chrono>
+#include <cstring>
+#include <system_error>
+
+namespace arbutus::http {
+
+using web::http::client::http_client;
+using web::http::client::http_client_config;
+
+// The library reports a refused connection with the same code as a broken pipe
+// while the header is written; only the text tells them apart.
+static bool isRefusedConnection(const web::http::http_exception& exception)
+{
+    return std::strstr(exception.what(), "Failed to connect to any resolved endpoint") != nullptr
+        && exception.error_code() == std::errc::host_unreachable;
+}
+
+PlainResult exchangeOnce(const std::string& url, web::http::http_request request, base::TimePoint deadline)
+{
+    auto patience = deadline - std::chrono::steady_clock::now();
+    if (patience <= std::chrono::nanoseconds(0))
+        return ExchangeBroken { "the deadline has passed" };
+    http_client_config config;
+    config.set_timeout(std::chrono::duration_cast<std::chrono::microseconds>(patience));
+    try {
+        http_client client(url, config);
+        request.headers().add("Connection", "close");
+        auto response = client.request(request).get();
+        PlainResponse result;
+        result.status = response.status_code();
+        result.contentType = response.headers().content_type();
+        auto bytes = response.extract_vector().get();
+        result.body.assign(bytes.begin(), bytes.end());
+        return result;
+    } catch (const web::http::http_exception& exception) {
+        if (isRefusedConnection(exception))
+            return ConnectionRefused {};
+        return ExchangeBroken { exception.what() };
+    } catch (const std::exception& exception) {
+        return ExchangeBroken { exception.what() };
+    }
+}
+
+} // namespace arbutus::http
--- /dev/null
+++ b/tests/JsonRpcTest.cpp
@@ -0,0 +1,37 @@
+#include "include/rpc/JsonRpc.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace arbutus::rpc;
+
+// Guards against lost parameters and against errors that arrive as results.
+BOOST_AUTO_TEST_CASE(CallsReturnResultsAndErrors)
+{
+    RpcDispatcher dispatcher;
+    dispatcher.add("claim", [](const Parameters& parameters) {
+        if (parameters.at("key") == "bad")
+            throw RpcFailure(-31001, "no quorum");
+        return Parameters { { "state", "granted" }, { "key", parameters.at("key") } };
+    });
+    RpcCaller caller([&](const std::string& request) { return dispatcher.handle(request); });
+    BOOST_TEST(caller.call("claim", { { "key", "k\"1\n" } }).at("key") == "k\"1\n");
+    BOOST_CHECK_EXCEPTION(caller.call("claim", { { "key", "bad" } }), RpcFailure, [](const RpcFailure& failure) { return failure.code() == -31001 && failure.what() == std::string("no quorum"); });
+    BOOST_CHECK_THROW(caller.call("missing", {}), RpcFailure);
+}
+
+// Guards against a lost connection that looks like an answer of the peer.
+BOOST_AUTO_TEST_CASE(TransportFailurePassesThrough)
+{
+    struct ConnectionLost : std::exception {
+    };
+    RpcCaller caller([](const std::string&) -> std::string { throw ConnectionLost(); });
+    BOOST_CHECK_THROW(caller.call("claim", {}), ConnectionLost);
+}
+
+// Guards against a crash on a request that is not JSON-RPC.
+BOOST_AUTO_TEST_CASE(MalformedRequestsGetAnErrorObject)
+{
+    RpcDispatcher dispatcher;
+    for (const std::string request : { "", "{", "[]", "{\"jsonrpc\":\"2.0\"}", "\xff\xfe" })
+        BOOST_TEST(dispatcher.handle(request).find("error") != std::string::npos);
+}
--- /dev/null
+++ b/tools/fakes/common/Announcer.cpp
@@ -0,0 +1,73 @@
+#include "tools/fakes/common/Announcer.h"
+
+#include "include/http/PlainClient.h"
+
+namespace arbutus::fakes {
+
+static constexpr std::chrono::milliseconds announceInterval(1000);
+static constexpr std::chrono::milliseconds announcePatience(900);
+
+Announcer::Announcer(std::vector<std::string> entryUrls, Facts facts)
+    : entryUrls_(std::move(entryUrls))
+    , facts_(std::move(facts))
+    , thread_([this] { run(); })
+{
+}
+
+Announcer::~Announcer()
+{
+    {
+        std::lock_guard lock(mutex_);
+        isStopping_ = true;
+    }
+    wake_.notify_all();
+    thread_.join();
+}
+
+void Announcer::announceNow()
+{
+    std::lock_guard lock(mutex_);
+    isDue_ = true;
+    wake_.notify_all();
+}
+
+void Announcer::run()
+{
+    std::unique_lock lock(mutex_);
+    while (!isStopping_) {
+        isDue_ = false;
+        lock.unlock();
+        announce();
+        lock.lock();
+        wake_.wait_for(lock, announceInterval, [this] { return isStopping_ || isDue_; });
+    }
+}
+
+void Announcer::announce()
+{
+    auto targets = registrars_.empty() ? entryUrls_ : registrars_;
+    std::string body = facts_().serialize();
+    std::vector<std::string> registrars;
+    for (const auto& url : targets) {
+        web::http::http_request request(web::http::methods::POST);
+        request.set_request_uri("/v1/announce");
+        request.set_body(body, "application/json");
+        auto result = http::exchangeOnce(url, request, std::chrono::steady_clock::now() + announcePatience);
+        const auto* response = std::get_if<http::PlainResponse>(&result);
+        if (!response || response->status != web::http::status_codes::OK)
+            continue;
+        std::error_code error;
+        auto reply = web::json::value::parse(response->body, error);
+        if (error || !reply.has_array_field("registrars"))
+            continue;
+        registrars.clear();
+        for (const auto& registrar : reply.at("registrars").as_array())
+            registrars.push_back(registrar.as_string());
+        // One answering entry VM is enough to learn the registrars.
+        if (registrars_.empty())
+            break;
+    }
+    registrars_ = registrars;
+}
+
+} // namespace arbutus::fakes
--- /dev/null
+++ b/tools/fakes/engine/EngineServer.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "include/base/Error.h"
+#include "include/base/Settings.h"
+#include "include/http/BodyWriter.h"
+#include "include/http/HttpServer.h"
+#include "include/streams/ChannelCodec.h"
+#include "tools/fakes/common/Announcer.h"
+#include "tools/fakes/engine/EngineCore.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+namespace arbutus::fakes {
+
+// The engine's HTTP side: channels, commands, faults, announcements.
+class EngineServer {
+public:
+    static base::Result<std::unique_ptr<EngineServer>> Make(const base::Settings&);
+    ~EngineServer();
+
+    // Announces that the engine is leaving; running streams go on.
+    void leave();
+    bool hasWork() const;
+
+private:
+    // One entry VM's pair of calls.
+    struct Channel {
+        http::BodyWriter results;
+        streams::ChannelDecoder decoder { 16 * 1024 * 1024 };
+    };
+    using ChannelPointer = std::shared_ptr<Channel>;
+
+    explicit EngineServer(EngineSpec spec)
+        : core_(std::move(spec))
+    {
+    }
+
+    base::Result<void> start(const base::Settings&);
+    void handle(web::http::http_request);
+    void openResults(web::http::http_request, const std::string& name);
+    void openSteps(web::http::http_request, const std::string& name);
+    void handleCommand(web::http::http_request);
+    void loadWeights(const std::string& model, const std::string& version);
+    void handleFault(web::http::http_request);
+    ChannelPointer channel(const std::string& name);
+    void closeChannel(const std::string& name);
+    bool receive(const std::string& name, const ChannelPointer&, std::string_view bytes);
+    void runBatches();
+    void reportLoad();
+    streams::EngineLoad load() const;
+    web::json::value facts() const;
+    web::json::value state() const;
+
+    mutable std::mutex mutex_;
+    std::condition_variable wake_;
+    EngineCore core_;
+    std::map<std::string, ChannelPointer> channels_;
+    streams::EngineLoad reportedLoad_;
+    std::string id_;
+    std::string address_;
+    std::string dataCentre_;
+    std::string accelerator_;
+    std::string weightStore_;
+    std::uint32_t firstLayer_ = 0;
+    std::uint32_t lastLayer_ = 0;
+    std::uint32_t layerCount_ = 0;
+    std::uint32_t maximumBatch_ = 0;
+    std::uint64_t incarnation_ = 0;
+    std::uint64_t version_ = 1;
+    bool isLeaving_ = false;
+    bool isStalled_ = false;
+    bool honoursFencing_ = true;
+    std::uint64_t highestFencingNumber_ = 0;
+    std::uint64_t newStreamsWhenLeaving_ = 0;
+    // The process ends without warning after this many more batches.
+    std::optional<std::uint64_t> batchesToDeath_;
+    // Factor on every step time, to imitate a degraded accelerator.
+    double slowness_ = 1.0;
+    std::atomic<bool> isStopping_ { false };
+    std::unique_ptr<http::HttpServer> server_;
+    std::unique_ptr<Announcer> announcer_;
+    std::thread batchThread_;
+    std::thread reportThread_;
+};
+
+} // namespace arbutus::fakes
