--- /dev/null
+++ b/include/consensus/Messages.h
@@ -0,0 +1,186 @@
+#pragma once
+
+#include "include/base/Error.h"
+
+#include <msgpack.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <variant>
+#include <vector>
+
+namespace arbutus::consensus {
+
+using Term = std::uint64_t;
+using Index = std::uint64_t;
+
+enum class EntryKind : std::uint8_t {
+    NoOp,
+    Command,
+    Configuration,
+};
+
+} // namespace arbutus::consensus
+
+MSGPACK_ADD_ENUM(arbutus::consensus::EntryKind)
+
+namespace arbutus::consensus {
+
+// Names one data folder of one replica. A wiped disk gets a new disk number and
+// is therefore another member: promises of the old disk are not expected of it.
+struct ReplicaKey {
+    std::uint64_t replica = 0;
+    std::uint64_t disk = 0;
+    MSGPACK_DEFINE(replica, disk)
+
+    friend bool operator==(const ReplicaKey& left, const ReplicaKey& right) { return left.replica == right.replica && left.disk == right.disk; }
+    friend bool operator!=(const ReplicaKey& left, const ReplicaKey& right) { return !(left == right); }
+    friend bool operator<(const ReplicaKey& left, const ReplicaKey& right) { return std::tie(left.replica, left.disk) < std::tie(right.replica, right.disk); }
+};
+
+struct Configuration {
+    std::vector<ReplicaKey> voters;
+    std::vector<ReplicaKey> learners;
+    MSGPACK_DEFINE(voters, learners)
+
+    bool isVoter(const ReplicaKey&) const;
+    bool isLearner(const ReplicaKey&) const;
+    std::size_t majority() const { return voters.size() / 2 + 1; }
+
+    friend bool operator==(const Configuration& left, const Configuration& right) { return left.voters == right.voters && left.learners == right.learners; }
+};
+
+struct Entry {
+    Term term = 0;
+    Index index = 0;
+    EntryKind kind = EntryKind::NoOp;
+    // Opaque for a command; an encoded Configuration for a configuration.
+    std::string data;
+    MSGPACK_DEFINE(term, index, kind, data)
+
+    friend bool operator==(const Entry& left, const Entry& right) { return std::tie(left.term, left.index, left.kind, left.data) == std::tie(right.term, right.index, right.kind, right.data); }
+};
+
+struct HardState {
+    Term term = 0;
+    std::optional<ReplicaKey> vote;
+    MSGPACK_DEFINE(term, vote)
+
+    friend bool operator==(const HardState& left, const HardState& right) { return left.term == right.term && left.vote == right.vote; }
+};
+
+// Describes the state after the entry at `index`.
+struct SnapshotMeta {
+    Index index = 0;
+    Term term = 0;
+    Configuration configuration;
+    MSGPACK_DEFINE(index, term, configuration)
+};
+
+struct Snapshot {
+    SnapshotMeta meta;
+    // Shared because the core keeps it for lagging followers while the caller stores it.
+    std::shared_ptr<const std::string> data;
+};
+
+// A pre-vote asks about `Message::term` without anybody entering that term.
+struct VoteRequest {
+    bool isPreVote = false;
+    Index lastIndex = 0;
+    Term lastTerm = 0;
+    MSGPACK_DEFINE(isPreVote, lastIndex, lastTerm)
+};
+
+struct VoteResponse {
+    bool isPreVote = false;
+    bool isGranted = false;
+    // The term that was asked about; Message::term is the responder's own.
+    Term requestedTerm = 0;
+    MSGPACK_DEFINE(isPreVote, isGranted, requestedTerm)
+};
+
+struct AppendRequest {
+    Index previousIndex = 0;
+    Term previousTerm = 0;
+    Index commit = 0;
+    std::vector<Entry> entries;
+    MSGPACK_DEFINE(previousIndex, previousTerm, commit, entries)
+};
+
+struct AppendResponse {
+    bool isAccepted = false;
+    // Accepted: the log equals the leader's and is synced up to here.
+    // Rejected: the previous index that did not match.
+    Index index = 0;
+    // Rejected: the last entry at or before `index` that could match.
+    Index hintIndex = 0;
+    Term hintTerm = 0;
+    MSGPACK_DEFINE(isAccepted, index, hintIndex, hintTerm)
+};
+
+struct Heartbeat {
+    std::uint64_t round = 0;
+    // At most the index that the receiver is known to share with the leader.
+    Index commit = 0;
+    MSGPACK_DEFINE(round, commit)
+};
+
+struct HeartbeatResponse {
+    std::uint64_t round = 0;
+    MSGPACK_DEFINE(round)
+};
+
+struct SnapshotChunk {
+    SnapshotMeta meta;
+    std::uint64_t totalSize = 0;
+    std::uint64_t offset = 0;
+    std::string data;
+    MSGPACK_DEFINE(meta, totalSize, offset, data)
+};
+
+// A completed snapshot is confirmed by an AppendResponse once it is synced.
+struct SnapshotResponse {
+    Index index = 0;
+    std::uint64_t nextOffset = 0;
+    MSGPACK_DEFINE(index, nextOffset)
+};
+
+using MessageBody = std::variant<VoteRequest, VoteResponse, AppendRequest, AppendResponse, Heartbeat, HeartbeatResponse, SnapshotChunk, SnapshotResponse>;
+
+// On the wire: [from, to, term, kind, body], where kind is the variant's index.
+struct Message {
+    ReplicaKey from;
+    ReplicaKey to;
+    Term term = 0;
+    MessageBody body;
+
+    template <typename Packer>
+    void msgpack_pack(Packer& packer) const // NOLINT(readability-identifier-naming)
+    {
+        packer.pack_array(5);
+        packer.pack(from);
+        packer.pack(to);
+        packer.pack(term);
+        packer.pack(static_cast<std::uint64_t>(body.index()));
+        std::visit([&packer](const auto& content) { packer.pack(content); }, body);
+    }
+    // Throws msgpack::type_error for another shape or an unknown kind.
+    void msgpack_unpack(const msgpack::object&); // NOLINT(readability-identifier-naming)
+};
+
+// Decoding bounds. The core never produces a message above them.
+constexpr std::size_t maxDecodedArrayLength = 4096;
+constexpr std::size_t maxDecodedBytes = std::size_t { 4 } << 20;
+
+// Both are defined for Message, Entry, Configuration, HardState and SnapshotMeta.
+template <typename T>
+std::string encode(const T&);
+// Fails with MalformedFrame on any bytes that are not exactly one encoded value.
+template <typename T>
+base::Result<T> decode(std::string_view bytes);
+
+} // namespace arbutus::consensus
