Add the replication core as a pure transition

Cause: the durable state needs agreement that never loses an accepted entry and that elects a new leader within 2 s. The core keeps messages that depend on a write until the write number is reported as persisted, so heartbeats never wait for a sync. Write numbers are used instead of "persisted up to index" because an index is ambiguous after a truncation.

--- /dev/null
+++ b/src/consensus/ReplicaCore.cpp
@@ -0,0 +1,515 @@
+#include "include/consensus/ReplicaCore.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cassert>
+
+namespace arbutus::consensus {
+
+// An unanswered pre-vote changes nothing at the other replicas, so it is repeated
+// quickly: a full election timeout for a second attempt would exceed the 2 s in
+// which a new leader must exist.
+constexpr std::chrono::milliseconds preVoteRetryMin(50);
+constexpr std::chrono::milliseconds preVoteRetryMax(150);
+// A vote waits for a sync on each voter; the spread resolves a split vote.
+constexpr std::chrono::milliseconds voteRetryMin(200);
+constexpr std::chrono::milliseconds voteRetryMax(500);
+
+static base::Result<void> checkSettings(const ReplicaSettings& settings)
+{
+    // An envelope and a configuration in a snapshot chunk fit into this margin.
+    constexpr std::size_t messageMargin = std::size_t { 256 } << 10;
+    const bool areTimesValid = settings.heartbeatInterval.count() > 0 && settings.electionTimeoutMin >= 3 * settings.heartbeatInterval
+        && settings.electionTimeoutMax > settings.electionTimeoutMin;
+    if (!areTimesValid)
+        return base::makeError(base::ErrorKind::InvalidSetting, "consensus: the shortest election timeout must be at least three heartbeats and below the longest");
+    const bool areLimitsValid = settings.maxEntryBytes + 64 <= settings.maxBatchBytes && settings.maxBatchBytes + messageMargin <= maxDecodedBytes
+        && settings.maxBatchEntries > 0 && settings.maxBatchEntries <= maxDecodedArrayLength && settings.maxInflightBatches > 0;
+    if (!areLimitsValid)
+        return base::makeError(base::ErrorKind::InvalidSetting, "consensus: an entry must fit into a batch and a batch into a message");
+    return base::outcome::success();
+}
+
+base::Result<ReplicaCore> ReplicaCore::Make(const ReplicaSettings& settings, DurableState state, base::Random random, base::TimePoint now)
+{
+    if (auto checked = checkSettings(settings); checked.has_error())
+        return checked.error();
+    const SnapshotMeta start = state.snapshot ? state.snapshot->meta : SnapshotMeta { 0, 0, state.bootstrap };
+    auto corrupt = [](std::string_view reason) { return base::makeError(base::ErrorKind::StorageCorrupt, fmt::format("consensus: {}", reason)); };
+    if (state.snapshot && !state.snapshot->data)
+        return corrupt("snapshot without data");
+    if (!state.entries.empty() && state.entries.front().index > start.index + 1)
+        return corrupt("log begins after the snapshot");
+    Term previousTerm = 0;
+    for (std::size_t i = 0; i < state.entries.size(); ++i) {
+        const Entry& entry = state.entries[i];
+        if (entry.index != state.entries.front().index + i || entry.term < previousTerm || entry.term > state.hardState.term)
+            return corrupt(fmt::format("log entry {} is out of order", entry.index));
+        if (entry.kind == EntryKind::Configuration && decode<Configuration>(entry.data).has_error())
+            return corrupt(fmt::format("configuration entry {} cannot be decoded", entry.index));
+        previousTerm = entry.term;
+    }
+    // A crash between storing a received snapshot and dropping the log leaves a log
+    // that disagrees with the snapshot; all of it is then superseded.
+    auto& entries = state.entries;
+    const bool reachesSnapshot = !entries.empty() && entries.back().index >= start.index;
+    const bool agrees = reachesSnapshot && (entries.front().index > start.index || entries[start.index - entries.front().index].term == start.term);
+    if (agrees)
+        entries.erase(entries.begin(), entries.begin() + static_cast<std::ptrdiff_t>(start.index + 1 - entries.front().index));
+    else
+        entries.clear();
+    return ReplicaCore(settings, std::move(state), random, now);
+}
+
+ReplicaCore::ReplicaCore(const ReplicaSettings& settings, DurableState state, base::Random random, base::TimePoint now)
+    : settings_(settings)
+    , random_(random)
+    , now_(now)
+    , term_(state.hardState.term)
+    , vote_(state.hardState.vote)
+    , log_(state.snapshot ? state.snapshot->meta : SnapshotMeta { 0, 0, std::move(state.bootstrap) })
+    , snapshot_(std::move(state.snapshot))
+    , persistedHardState_(state.hardState)
+    // The promise not to vote while a leader is alive is not on disk, so a restarted
+    // replica behaves as if it had just heard from one.
+    , heardLeaderAt_(now)
+{
+    for (Entry& entry : state.entries)
+        log_.append(std::move(entry));
+    persistedIndex_ = log_.lastIndex();
+    commit_ = applied_ = log_.compactedIndex();
+    electionDeadline_ = now + randomBetween(settings_.electionTimeoutMin, settings_.electionTimeoutMax);
+}
+
+Output ReplicaCore::step(const Input& input, base::TimePoint now)
+{
+    now_ = std::max(now_, now);
+    output_ = Output();
+    if (role_ == Role::Leader && now_ >= std::max(leaseEnd(), leaderSince_ + leaseDuration()))
+        becomeFollower(term_, std::nullopt);
+    std::visit([this](const auto& content) { onInput(content); }, input);
+    emitCommitted();
+    completeReads();
+    finishWrites();
+    return std::move(output_);
+}
+
+base::TimePoint ReplicaCore::nextDeadline() const
+{
+    if (role_ == Role::Leader)
+        return std::min(heartbeatDue_, std::max(leaseEnd(), leaderSince_ + leaseDuration()));
+    return electionDeadline_;
+}
+
+base::Result<SnapshotMeta> ReplicaCore::describeSnapshot(Index index) const
+{
+    const auto term = log_.termAt(index);
+    if (!term || index > applied_)
+        return base::makeError(base::ErrorKind::InvalidRequest, fmt::format("consensus: no snapshot can be taken at index {}", index));
+    return SnapshotMeta { index, *term, log_.configurationAt(index) };
+}
+
+void ReplicaCore::onInput(const Tick&)
+{
+    if (role_ == Role::Leader) {
+        if (now_ >= heartbeatDue_) {
+            sendHeartbeats();
+            resendStalled();
+        }
+        return;
+    }
+    if (now_ < electionDeadline_)
+        return;
+    // A replica whose removal is not committed may hold entries that no other voter
+    // can be elected without, so it still stands for election.
+    if (log_.hasVoterSince(commit_, settings_.self))
+        startPreVote();
+    else
+        electionDeadline_ = now_ + settings_.electionTimeoutMax;
+}
+
+void ReplicaCore::onInput(const Receive& input)
+{
+    const Message& message = input.message;
+    if (message.to != settings_.self || message.from == settings_.self)
+        return;
+    std::visit([this, &message](const auto& body) { onMessage(message, body); }, message.body);
+}
+
+void ReplicaCore::onInput(const Persisted& input)
+{
+    while (!pendingWrites_.empty() && pendingWrites_.front().number <= input.writeNumber) {
+        const PendingWrite& write = pendingWrites_.front();
+        persistedIndex_ = std::max(persistedIndex_, write.lastIndex);
+        persistedHardState_ = write.hardState;
+        confirmedWriteNumber_ = write.number;
+        pendingWrites_.pop_front();
+    }
+    releaseHeldMessages();
+    if (role_ == Role::Candidate)
+        countVotes();
+    else if (role_ == Role::Leader)
+        advanceCommit();
+    else if (leader_ && matched_ > 0)
+        acknowledge();
+}
+
+void ReplicaCore::onInput(const SnapshotTaken& input)
+{
+    const Snapshot& snapshot = input.snapshot;
+    const Index index = snapshot.meta.index;
+    const bool isNewer = !snapshot_ || index > snapshot_->meta.index;
+    if (!snapshot.data || !isNewer || index > applied_ || index < log_.compactedIndex())
+        return;
+    assert(log_.termAt(index) == snapshot.meta.term);
+    snapshot_ = snapshot;
+    if (index <= log_.compactedIndex() + settings_.trailingEntries)
+        return;
+    log_.compactTo(index - settings_.trailingEntries);
+    output_.compactTo = log_.compactedIndex();
+}
+
+// Elections
+
+std::chrono::nanoseconds ReplicaCore::randomBetween(std::chrono::nanoseconds low, std::chrono::nanoseconds high)
+{
+    return low + std::chrono::nanoseconds(random_.below(static_cast<std::uint64_t>((high - low).count())));
+}
+
+bool ReplicaCore::hasRecentLeader() const
+{
+    return role_ == Role::Leader || now_ - heardLeaderAt_ < settings_.electionTimeoutMin;
+}
+
+void ReplicaCore::setTerm(Term term, std::optional<ReplicaKey> vote)
+{
+    if (term != term_)
+        matched_ = 0;
+    if (term == term_ && vote == vote_)
+        return;
+    term_ = term;
+    vote_ = vote;
+    output_.hardState = HardState { term_, vote_ };
+}
+
+void ReplicaCore::becomeFollower(Term term, std::optional<ReplicaKey> leader)
+{
+    const bool wasLeader = role_ == Role::Leader;
+    role_ = Role::Follower;
+    leader_ = leader;
+    votes_.clear();
+    if (wasLeader) {
+        peers_.clear();
+        leaseStart_.reset();
+        roundSendTimes_.clear();
+    }
+    setTerm(term, term == term_ ? vote_ : std::nullopt);
+    if (leader || wasLeader)
+        electionDeadline_ = now_ + randomBetween(settings_.electionTimeoutMin, settings_.electionTimeoutMax);
+}
+
+void ReplicaCore::startPreVote()
+{
+    role_ = Role::PreCandidate;
+    leader_.reset();
+    votes_ = { settings_.self };
+    electionDeadline_ = now_ + randomBetween(preVoteRetryMin, preVoteRetryMax);
+    requestVotes(true);
+    countVotes();
+}
+
+void ReplicaCore::startElection()
+{
+    role_ = Role::Candidate;
+    votes_.clear();
+    setTerm(term_ + 1, settings_.self);
+    electionDeadline_ = now_ + randomBetween(voteRetryMin, voteRetryMax);
+    requestVotes(false);
+}
+
+void ReplicaCore::requestVotes(bool isPreVote)
+{
+    const VoteRequest request { isPreVote, log_.lastIndex(), log_.lastTerm() };
+    for (const ReplicaKey& voter : configuration().voters) {
+        if (voter == settings_.self)
+            continue;
+        if (isPreVote)
+            send(voter, request);
+        else
+            sendWhenPersisted(voter, request);
+    }
+}
+
+void ReplicaCore::countVotes()
+{
+    if (role_ == Role::Candidate && persistedHardState_ == HardState { term_, settings_.self })
+        votes_.insert(settings_.self);
+    // Only voters of this replica's configuration count; the key includes the disk.
+    const auto granted = std::count_if(votes_.begin(), votes_.end(), [this](const ReplicaKey& key) { return configuration().isVoter(key); });
+    if (static_cast<std::size_t>(granted) < configuration().majority())
+        return;
+    if (role_ == Role::PreCandidate)
+        startElection();
+    else
+        becomeLeader();
+}
+
+void ReplicaCore::onMessage(const Message& message, const VoteRequest& request)
+{
+    // A pre-vote is a question about a term; nobody enters it.
+    auto answer = [&](bool isGranted) { return VoteResponse { request.isPreVote, isGranted, message.term }; };
+    const bool isLogCurrent = std::tie(request.lastTerm, request.lastIndex) >= std::make_tuple(log_.lastTerm(), log_.lastIndex());
+    if (hasRecentLeader() || message.term < term_) {
+        send(message.from, answer(false));
+        return;
+    }
+    if (request.isPreVote) {
+        const bool isTermFree = message.term > term_ || !vote_ || vote_ == message.from;
+        send(message.from, answer(isTermFree && isLogCurrent));
+        return;
+    }
+    if (message.term > term_)
+        becomeFollower(message.term, std::nullopt);
+    // A replica votes whatever its own configuration says: a promotion that it has
+    // not received yet may make its vote necessary. The candidate counts only voters.
+    const bool isGranted = isLogCurrent && (!vote_ || vote_ == message.from);
+    if (!isGranted) {
+        send(message.from, answer(false));
+        return;
+    }
+    setTerm(term_, message.from);
+    electionDeadline_ = std::max(electionDeadline_, now_ + randomBetween(voteRetryMin, voteRetryMax));
+    sendWhenPersisted(message.from, answer(true));
+}
+
+void ReplicaCore::onMessage(const Message& message, const VoteResponse& response)
+{
+    const Role asker = response.isPreVote ? Role::PreCandidate : Role::Candidate;
+    if (message.term > term_ && !response.isGranted && configuration().isVoter(message.from)) {
+        becomeFollower(message.term, std::nullopt);
+        return;
+    }
+    const Term asked = response.isPreVote ? term_ + 1 : term_;
+    if (role_ != asker || response.requestedTerm != asked || !response.isGranted)
+        return;
+    votes_.insert(message.from);
+    countVotes();
+}
+
+// Followers
+
+bool ReplicaCore::acceptLeader(const Message& message)
+{
+    if (message.term < term_) {
+        // Tells a deposed leader the newer term; the body carries no promise.
+        send(message.from, HeartbeatResponse { 0 });
+        return false;
+    }
+    if (role_ == Role::Leader && message.term == term_) {
+        ++rejectedMessageCount_;
+        return false;
+    }
+    becomeFollower(message.term, message.from);
+    heardLeaderAt_ = now_;
+    return true;
+}
+
+void ReplicaCore::onMessage(const Message& message, const Heartbeat& heartbeat)
+{
+    if (!acceptLeader(message))
+        return;
+    commit_ = std::max(commit_, std::min(heartbeat.commit, log_.lastIndex()));
+    send(message.from, HeartbeatResponse { heartbeat.round });
+}
+
+bool ReplicaCore::areEntriesValid(const Message& message, const AppendRequest& request) const
+{
+    Index index = request.previousIndex;
+    Term term = request.previousTerm;
+    for (const Entry& entry : request.entries) {
+        if (entry.index != ++index || entry.term < term || entry.term > message.term)
+            return false;
+        if (entry.kind == EntryKind::Configuration && decode<Configuration>(entry.data).has_error())
+            return false;
+        term = entry.term;
+    }
+    return true;
+}
+
+void ReplicaCore::onMessage(const Message& message, const AppendRequest& request)
+{
+    if (!areEntriesValid(message, request)) {
+        ++rejectedMessageCount_;
+        return;
+    }
+    if (!acceptLeader(message))
+        return;
+    // Committed entries equal the leader's and need no comparison.
+    const bool isBeforeCommit = request.previousIndex < commit_;
+    if (!isBeforeCommit && log_.termAt(request.previousIndex) != request.previousTerm) {
+        rejectAppend(request);
+        return;
+    }
+    storeEntries(request);
+    if (matched_ <= persistedIndex_)
+        acknowledge();
+}
+
+void ReplicaCore::storeEntries(const AppendRequest& request)
+{
+    for (const Entry& entry : request.entries) {
+        if (entry.index <= commit_)
+            continue;
+        if (entry.index <= log_.lastIndex()) {
+            if (log_.termAt(entry.index) == entry.term)
+                continue;
+            truncateFrom(entry.index);
+        }
+        if (entry.term < log_.lastTerm()) {
+            ++rejectedMessageCount_;
+            return;
+        }
+        log_.append(entry);
+        output_.appends.push_back(entry);
+    }
+    matched_ = std::max({ matched_, commit_, request.previousIndex + request.entries.size() });
+    commit_ = std::max(commit_, std::min(request.commit, matched_));
+}
+
+void ReplicaCore::rejectAppend(const AppendRequest& request)
+{
+    AppendResponse response;
+    response.index = request.previousIndex;
+    response.hintIndex = log_.lastIndexWithTermAtMost(request.previousIndex, request.previousTerm);
+    response.hintTerm = *log_.termAt(response.hintIndex);
+    send(*leader_, response);
+}
+
+void ReplicaCore::acknowledge()
+{
+    AppendResponse response;
+    response.isAccepted = true;
+    response.index = std::min(matched_, persistedIndex_);
+    send(*leader_, response);
+}
+
+void ReplicaCore::truncateFrom(Index index)
+{
+    assert(index > commit_);
+    log_.truncateFrom(index);
+    output_.truncateFrom = index;
+    forgetPersistedAfter(index - 1);
+}
+
+void ReplicaCore::forgetPersistedAfter(Index index)
+{
+    persistedIndex_ = std::min(persistedIndex_, index);
+    for (PendingWrite& write : pendingWrites_)
+        write.lastIndex = std::min(write.lastIndex, index);
+}
+
+void ReplicaCore::onMessage(const Message& message, const SnapshotChunk& chunk)
+{
+    const std::uint64_t end = chunk.offset + chunk.data.size();
+    const bool isValid = chunk.totalSize <= settings_.maxSnapshotBytes && chunk.offset <= chunk.totalSize && end <= chunk.totalSize && chunk.meta.term <= message.term;
+    if (!isValid) {
+        ++rejectedMessageCount_;
+        return;
+    }
+    if (!acceptLeader(message))
+        return;
+    if (chunk.meta.index <= commit_) {
+        incoming_.reset();
+        matched_ = std::max(matched_, commit_);
+        acknowledge();
+        return;
+    }
+    const bool continues = incoming_ && incoming_->meta.index == chunk.meta.index && incoming_->meta.term == chunk.meta.term && incoming_->totalSize == chunk.totalSize;
+    if (!continues)
+        incoming_ = IncomingSnapshot { chunk.meta, chunk.totalSize, {} };
+    if (chunk.offset == incoming_->data.size())
+        incoming_->data += chunk.data;
+    const std::uint64_t received = incoming_->data.size();
+    if (received == chunk.totalSize)
+        installSnapshot();
+    send(message.from, SnapshotResponse { chunk.meta.index, received });
+}
+
+void ReplicaCore::installSnapshot()
+{
+    Snapshot snapshot { std::move(incoming_->meta), std::make_shared<const std::string>(std::move(incoming_->data)) };
+    incoming_.reset();
+    const Index index = snapshot.meta.index;
+    if (log_.termAt(index) == snapshot.meta.term) {
+        log_.compactTo(index);
+    } else {
+        log_.reset(snapshot.meta);
+        forgetPersistedAfter(commit_);
+        output_.discardsLog = true;
+    }
+    matched_ = std::max(matched_, index);
+    commit_ = applied_ = index;
+    for (auto it = pendingProposals_.begin(); it != pendingProposals_.end() && it->first <= index; it = pendingProposals_.erase(it))
+        output_.proposals.push_back({ it->second.ticket, ProposalStatus::Unknown, it->first, it->second.term });
+    output_.snapshot = snapshot;
+    snapshot_ = std::move(snapshot);
+}
+
+// Output
+
+void ReplicaCore::send(const ReplicaKey& to, MessageBody body)
+{
+    const auto* request = std::get_if<VoteRequest>(&body);
+    const Term term = request && request->isPreVote ? term_ + 1 : term_;
+    output_.messages.push_back({ settings_.self, to, term, std::move(body) });
+}
+
+void ReplicaCore::sendWhenPersisted(const ReplicaKey& to, MessageBody body)
+{
+    heldMessages_.push_back({ std::nullopt, { settings_.self, to, term_, std::move(body) } });
+}
+
+void ReplicaCore::emitCommitted()
+{
+    // Only synced entries are handed out, so that the state machine never runs
+    // ahead of what a restart finds on this disk.
+    const Index end = std::min(commit_, persistedIndex_);
+    while (applied_ < end) {
+        const Entry& entry = log_.at(++applied_);
+        output_.committed.push_back(entry);
+        auto [first, last] = pendingProposals_.equal_range(applied_);
+        for (auto it = first; it != last; ++it) {
+            const bool isSame = it->second.term == entry.term;
+            output_.proposals.push_back({ it->second.ticket, isSame ? ProposalStatus::Committed : ProposalStatus::Superseded, applied_, it->second.term });
+        }
+        pendingProposals_.erase(first, last);
+    }
+}
+
+void ReplicaCore::finishWrites()
+{
+    const bool hasWrites = output_.hardState || output_.snapshot || output_.truncateFrom || !output_.appends.empty();
+    if (hasWrites) {
+        output_.writeNumber = ++lastWriteNumber_;
+        pendingWrites_.push_back({ lastWriteNumber_, log_.lastIndex(), HardState { term_, vote_ } });
+    }
+    for (HeldMessage& held : heldMessages_) {
+        if (!held.writeNumber)
+            held.writeNumber = lastWriteNumber_;
+    }
+    releaseHeldMessages();
+}
+
+void ReplicaCore::releaseHeldMessages()
+{
+    auto isWaiting = [this](const HeldMessage& held) { return !held.writeNumber || *held.writeNumber > confirmedWriteNumber_; };
+    auto ready = std::stable_partition(heldMessages_.begin(), heldMessages_.end(), isWaiting);
+    for (auto it = ready; it != heldMessages_.end(); ++it) {
+        if (it->message.term == term_)
+            output_.messages.push_back(std::move(it->message));
+    }
+    heldMessages_.erase(ready, heldMessages_.end());
+}
+
+} // namespace arbutus::consensus
--- /dev/null
+++ b/src/consensus/ReplicaCoreLeader.cpp
@@ -0,0 +1,380 @@
+#include "include/consensus/ReplicaCore.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace arbutus::consensus {
+
+// A leader accepts proposals for the shortest election timeout less this share,
+// by which the clocks of two replicas may drift apart during one timeout.
+constexpr int driftPercent = 10;
+
+// Lost append messages are repeated after this many heartbeats.
+constexpr int resendHeartbeats = 2;
+
+constexpr std::size_t maxPendingReads = 65536;
+
+std::chrono::nanoseconds ReplicaCore::leaseDuration() const
+{
+    return settings_.electionTimeoutMin * (100 - driftPercent) / 100;
+}
+
+base::TimePoint ReplicaCore::leaseEnd() const
+{
+    return role_ == Role::Leader && leaseStart_ ? *leaseStart_ + leaseDuration() : base::TimePoint();
+}
+
+void ReplicaCore::becomeLeader()
+{
+    role_ = Role::Leader;
+    leader_ = settings_.self;
+    leaderSince_ = now_;
+    round_ = 0;
+    roundSendTimes_.clear();
+    leaseStart_.reset();
+    uncommittedBytes_ = 0;
+    matched_ = 0;
+    incoming_.reset();
+    peers_.clear();
+    updatePeers();
+    // Entries of earlier terms become committed only together with an entry of this term.
+    termStartIndex_ = log_.lastIndex() + 1;
+    appendEntry(EntryKind::NoOp, {});
+    sendHeartbeats();
+    replicateToAll();
+}
+
+void ReplicaCore::appendEntry(EntryKind kind, std::string data)
+{
+    Entry entry { term_, log_.lastIndex() + 1, kind, std::move(data) };
+    uncommittedBytes_ += entrySize(entry);
+    log_.append(entry);
+    output_.appends.push_back(std::move(entry));
+}
+
+void ReplicaCore::updatePeers()
+{
+    const Configuration& current = configuration();
+    for (auto it = peers_.begin(); it != peers_.end();) {
+        const bool isMember = current.isVoter(it->first) || current.isLearner(it->first);
+        it = isMember ? std::next(it) : peers_.erase(it);
+    }
+    for (const auto* members : { &current.voters, &current.learners }) {
+        for (const ReplicaKey& key : *members) {
+            if (key == settings_.self || peers_.count(key))
+                continue;
+            Peer peer;
+            peer.next = log_.lastIndex() + 1;
+            peers_.emplace(key, std::move(peer));
+        }
+    }
+}
+
+// Requests
+
+ProposalStatus ReplicaCore::checkLeadership() const
+{
+    if (role_ != Role::Leader)
+        return leader_ ? ProposalStatus::NotLeader : ProposalStatus::NoQuorum;
+    return now_ < leaseEnd() ? ProposalStatus::Accepted : ProposalStatus::NoQuorum;
+}
+
+void ReplicaCore::onInput(const Propose& input)
+{
+    for (const Proposal& proposal : input.proposals) {
+        ProposalStatus status = checkLeadership();
+        if (status == ProposalStatus::Accepted && proposal.data.size() > settings_.maxEntryBytes)
+            status = ProposalStatus::TooLarge;
+        if (status == ProposalStatus::Accepted && uncommittedBytes_ + proposal.data.size() > settings_.maxUncommittedBytes)
+            status = ProposalStatus::Overloaded;
+        if (status != ProposalStatus::Accepted) {
+            output_.proposals.push_back({ proposal.ticket, status, 0, 0 });
+            continue;
+        }
+        appendEntry(EntryKind::Command, proposal.data);
+        pendingProposals_.insert({ log_.lastIndex(), { proposal.ticket, term_ } });
+        output_.proposals.push_back({ proposal.ticket, status, log_.lastIndex(), term_ });
+    }
+    replicateToAll();
+}
+
+bool ReplicaCore::hasActiveMajority(const Configuration& candidate) const
+{
+    const auto active = std::count_if(candidate.voters.begin(), candidate.voters.end(), [this](const ReplicaKey& key) {
+        auto peer = peers_.find(key);
+        return key == settings_.self || (peer != peers_.end() && isActive(peer->second));
+    });
+    return static_cast<std::size_t>(active) >= candidate.majority();
+}
+
+ProposalStatus ReplicaCore::checkChange(const ChangeConfiguration& change, Configuration& changed) const
+{
+    if (const ProposalStatus status = checkLeadership(); status != ProposalStatus::Accepted)
+        return status;
+    // One change at a time, and only after an entry of this term is committed: two
+    // configurations that are both open may have majorities without a common voter.
+    if (log_.configurationIndex() > commit_ || commit_ < termStartIndex_)
+        return ProposalStatus::ChangeInProgress;
+    auto& [voters, learners] = changed;
+    const bool isVoter = changed.isVoter(change.replica);
+    const bool isLearner = changed.isLearner(change.replica);
+    switch (change.kind) {
+    case ChangeKind::AddLearner:
+        if (isVoter || isLearner)
+            return ProposalStatus::InvalidChange;
+        learners.push_back(change.replica);
+        return ProposalStatus::Accepted;
+    case ChangeKind::Promote: {
+        // One replica must not count twice, so its previous disk is removed first.
+        const bool hasOtherDisk = std::any_of(voters.begin(), voters.end(), [&change](const ReplicaKey& key) { return key.replica == change.replica.replica; });
+        if (!isLearner || hasOtherDisk)
+            return ProposalStatus::InvalidChange;
+        // The match counts synced entries only.
+        const Peer& peer = peers_.at(change.replica);
+        if (peer.match < commit_ || !isActive(peer))
+            return ProposalStatus::NotCaughtUp;
+        learners.erase(std::remove(learners.begin(), learners.end(), change.replica), learners.end());
+        voters.push_back(change.replica);
+        break;
+    }
+    case ChangeKind::Remove:
+        if ((!isVoter && !isLearner) || (isVoter && voters.size() == 1))
+            return ProposalStatus::InvalidChange;
+        for (auto* members : { &voters, &learners })
+            members->erase(std::remove(members->begin(), members->end(), change.replica), members->end());
+        break;
+    }
+    return hasActiveMajority(changed) ? ProposalStatus::Accepted : ProposalStatus::NoQuorum;
+}
+
+void ReplicaCore::onInput(const ChangeConfiguration& change)
+{
+    Configuration changed = configuration();
+    const ProposalStatus status = checkChange(change, changed);
+    if (status != ProposalStatus::Accepted) {
+        output_.proposals.push_back({ change.ticket, status, 0, 0 });
+        return;
+    }
+    appendEntry(EntryKind::Configuration, encode(changed));
+    pendingProposals_.insert({ log_.lastIndex(), { change.ticket, term_ } });
+    output_.proposals.push_back({ change.ticket, status, log_.lastIndex(), term_ });
+    updatePeers();
+    replicateToAll();
+}
+
+void ReplicaCore::onInput(const Read& read)
+{
+    // A new leader knows the committed index only once an entry of its term is committed.
+    const ProposalStatus status = checkLeadership();
+    if (status == ProposalStatus::Accepted && pendingReads_.size() < maxPendingReads)
+        pendingReads_.emplace_back(read.ticket, std::max(commit_, termStartIndex_));
+    else
+        output_.reads.push_back({ read.ticket, status == ProposalStatus::NotLeader ? ReadStatus::NotLeader : ReadStatus::NoQuorum, 0, {} });
+}
+
+void ReplicaCore::completeReads()
+{
+    const bool isLeader = role_ == Role::Leader;
+    while (!pendingReads_.empty()) {
+        const auto [ticket, index] = pendingReads_.front();
+        if (isLeader && applied_ < index)
+            return;
+        output_.reads.push_back({ ticket, isLeader ? ReadStatus::Granted : ReadStatus::NotLeader, applied_, leaseEnd() });
+        pendingReads_.pop_front();
+    }
+}
+
+// Heartbeats and the lease
+
+void ReplicaCore::sendHeartbeats()
+{
+    heartbeatDue_ = now_ + settings_.heartbeatInterval;
+    roundSendTimes_.emplace_back(++round_, now_);
+    while (now_ - roundSendTimes_.front().second > leaseDuration())
+        roundSendTimes_.pop_front();
+    for (const auto& [key, peer] : peers_)
+        send(key, Heartbeat { round_, std::min(commit_, peer.match) });
+    updateLease();
+}
+
+ReplicaCore::Peer* ReplicaCore::peerOfResponse(const Message& message)
+{
+    auto found = peers_.find(message.from);
+    if (role_ != Role::Leader || found == peers_.end())
+        return nullptr;
+    if (message.term > term_)
+        becomeFollower(message.term, std::nullopt);
+    else if (message.term == term_) {
+        found->second.lastHeard = now_;
+        return &found->second;
+    }
+    return nullptr;
+}
+
+void ReplicaCore::onMessage(const Message& message, const HeartbeatResponse& response)
+{
+    Peer* peer = peerOfResponse(message);
+    if (!peer || response.round > round_)
+        return;
+    peer->ackedRound = std::max(peer->ackedRound, response.round);
+    updateLease();
+}
+
+std::uint64_t ReplicaCore::majorityValue(std::uint64_t own, std::uint64_t Peer::*value) const
+{
+    std::vector<std::uint64_t> values;
+    for (const ReplicaKey& voter : configuration().voters)
+        values.push_back(voter == settings_.self ? own : peers_.at(voter).*value);
+    auto middle = values.begin() + static_cast<std::ptrdiff_t>(configuration().majority() - 1);
+    std::nth_element(values.begin(), middle, values.end(), std::greater<>());
+    return *middle;
+}
+
+void ReplicaCore::updateLease()
+{
+    const std::uint64_t round = majorityValue(round_, &Peer::ackedRound);
+    for (const auto& [sentRound, sentAt] : roundSendTimes_) {
+        if (sentRound == round)
+            leaseStart_ = std::max(leaseStart_.value_or(sentAt), sentAt);
+    }
+}
+
+bool ReplicaCore::isActive(const Peer& peer) const
+{
+    return peer.lastHeard != base::TimePoint() && now_ - peer.lastHeard < settings_.electionTimeoutMin;
+}
+
+// Replication
+
+void ReplicaCore::advanceCommit()
+{
+    const Index index = majorityValue(persistedIndex_, &Peer::match);
+    if (index <= commit_ || log_.termAt(index) != term_)
+        return;
+    const bool isChangeCommitted = log_.configurationIndex() > commit_ && log_.configurationIndex() <= index;
+    while (commit_ < index) {
+        const std::size_t size = entrySize(log_.at(++commit_));
+        uncommittedBytes_ -= std::min(uncommittedBytes_, size);
+    }
+    if (isChangeCommitted && !configuration().isVoter(settings_.self)) {
+        // Tells the others of the commit before this replica stops leading.
+        sendHeartbeats();
+        becomeFollower(term_, std::nullopt);
+    }
+}
+
+void ReplicaCore::replicateToAll()
+{
+    if (role_ != Role::Leader)
+        return;
+    for (auto& [key, peer] : peers_)
+        replicateTo(key, peer);
+}
+
+void ReplicaCore::replicateTo(const ReplicaKey& key, Peer& peer)
+{
+    if (peer.mode != PeerMode::Snapshot && peer.next <= log_.compactedIndex()) {
+        assert(snapshot_);
+        peer.mode = PeerMode::Snapshot;
+        peer.snapshot = *snapshot_;
+        peer.snapshotOffset = 0;
+        sendSnapshotChunk(key, peer);
+        return;
+    }
+    if (peer.mode == PeerMode::Probe && !peer.isProbeSent) {
+        sendBatch(key, peer);
+        peer.isProbeSent = true;
+    }
+    while (peer.mode == PeerMode::Replicate && peer.next <= log_.lastIndex() && peer.inflight.size() < settings_.maxInflightBatches) {
+        peer.next += sendBatch(key, peer);
+        peer.inflight.push_back(peer.next - 1);
+    }
+}
+
+std::size_t ReplicaCore::sendBatch(const ReplicaKey& key, Peer& peer)
+{
+    AppendRequest request;
+    request.previousIndex = peer.next - 1;
+    request.previousTerm = *log_.termAt(request.previousIndex);
+    request.commit = commit_;
+    request.entries = log_.slice(peer.next, settings_.maxBatchBytes, settings_.maxBatchEntries);
+    const std::size_t count = request.entries.size();
+    peer.lastSent = now_;
+    send(key, std::move(request));
+    return count;
+}
+
+void ReplicaCore::sendSnapshotChunk(const ReplicaKey& key, Peer& peer)
+{
+    const std::string& data = *peer.snapshot.data;
+    peer.lastSent = now_;
+    send(key, SnapshotChunk { peer.snapshot.meta, data.size(), peer.snapshotOffset, data.substr(peer.snapshotOffset, settings_.maxBatchBytes) });
+}
+
+void ReplicaCore::resendStalled()
+{
+    for (auto& [key, peer] : peers_) {
+        const bool isWaiting = peer.mode != PeerMode::Replicate || peer.match < peer.next - 1;
+        if (!isWaiting || !isActive(peer) || now_ - peer.lastSent < resendHeartbeats * settings_.heartbeatInterval)
+            continue;
+        if (peer.mode == PeerMode::Snapshot) {
+            sendSnapshotChunk(key, peer);
+            continue;
+        }
+        peer.mode = PeerMode::Probe;
+        peer.next = peer.match ? peer.match + 1 : peer.next;
+        peer.inflight.clear();
+        peer.isProbeSent = false;
+        replicateTo(key, peer);
+    }
+}
+
+void ReplicaCore::onMessage(const Message& message, const AppendResponse& response)
+{
+    Peer* peer = peerOfResponse(message);
+    if (!peer || response.index > log_.lastIndex())
+        return;
+    if (response.isAccepted) {
+        peer->match = std::max(peer->match, response.index);
+        if (peer->mode != PeerMode::Replicate && (peer->mode == PeerMode::Probe || peer->match >= peer->snapshot.meta.index)) {
+            peer->mode = PeerMode::Replicate;
+            peer->inflight.clear();
+            peer->snapshot = Snapshot();
+            peer->next = peer->match + 1;
+        }
+        peer->next = std::max(peer->next, peer->match + 1);
+        while (!peer->inflight.empty() && peer->inflight.front() <= peer->match)
+            peer->inflight.pop_front();
+        advanceCommit();
+    } else {
+        // A rejection that is out of date names an index that is not the one probed.
+        const bool isCurrent = peer->mode == PeerMode::Probe ? response.index == peer->next - 1 : response.index > peer->match;
+        if (peer->mode == PeerMode::Snapshot || !isCurrent)
+            return;
+        peer->mode = PeerMode::Probe;
+        peer->inflight.clear();
+        peer->isProbeSent = false;
+        // Skips a whole term of disagreement in one exchange.
+        const Index shared = log_.lastIndexWithTermAtMost(response.hintIndex, response.hintTerm);
+        // The logs part within the compacted prefix, so only a snapshot can help.
+        const bool needsSnapshot = response.hintIndex < log_.compactedIndex() || log_.termAt(shared) > response.hintTerm;
+        peer->next = needsSnapshot ? log_.compactedIndex() : std::max(peer->match, shared) + 1;
+    }
+    if (role_ == Role::Leader)
+        replicateTo(message.from, *peer);
+}
+
+void ReplicaCore::onMessage(const Message& message, const SnapshotResponse& response)
+{
+    Peer* peer = peerOfResponse(message);
+    if (!peer || peer->mode != PeerMode::Snapshot || peer->snapshot.meta.index != response.index)
+        return;
+    const bool isNew = response.nextOffset != peer->snapshotOffset && response.nextOffset <= peer->snapshot.data->size();
+    if (!isNew)
+        return;
+    peer->snapshotOffset = response.nextOffset;
+    if (response.nextOffset < peer->snapshot.data->size())
+        sendSnapshotChunk(message.from, *peer);
+}
+
+} // namespace arbutus::consensus
