Add the storage module

Cause: claims of orders, sheets and votes must survive a loss of power, and a replica must not report as durable what it cannot find again.

Each group of records carries the synced length of its segment, and a mark follows each sync, so a torn tail is told apart from damage to synced records. The last segment is written again on opening, because after a failed sync the system may show data that never reached the disk.

The one undetected damage is in the last group of records together with its mark, unless the saved commit index covers the group.

--- /dev/null
+++ b/src/storage/SegmentedLog.cpp
@@ -0,0 +1,510 @@
+#include "include/storage/SegmentedLog.h"
+
+#include "include/base/Digest.h"
+#include "include/base/Logger.h"
+#include "src/storage/Encoding.h"
+
+#include <algorithm>
+#include <cassert>
+#include <charconv>
+
+namespace arbutus::storage {
+
+using base::ErrorKind;
+using base::Result;
+
+static constexpr base::Logger logger("storage");
+
+static constexpr std::string_view namePrefix = "log-";
+static constexpr std::size_t nameDigits = 20;
+
+// Segment header: magic, index and term of the record before the first, checksum.
+static constexpr std::uint64_t segmentMagic = 0x3130474553425241; // "ARBSEG01"
+static constexpr std::size_t segmentHeaderBytes = 32;
+
+// Record header: checksum, length, kind, index, term, synced length of the segment.
+static constexpr std::size_t recordHeaderBytes = 40;
+static constexpr std::size_t checksumBytes = 8;
+static constexpr std::size_t maxRecordBytes = 16 << 20;
+
+static constexpr std::uint32_t entryKind = 0x59544e45; // "ENTY"
+static constexpr std::uint32_t markKind = 0x4b52414d; // "MARK"
+
+struct RecordHeader {
+    std::uint64_t checksum;
+    std::uint32_t length;
+    std::uint32_t kind;
+    std::uint64_t index;
+    std::uint64_t term;
+    std::uint64_t durableEnd;
+};
+
+static std::string segmentName(std::uint64_t firstIndex) { return fmt::format("{}{:020}", namePrefix, firstIndex); }
+
+static bool parseSegmentName(const std::string& name, std::uint64_t& firstIndex)
+{
+    if (name.size() != namePrefix.size() + nameDigits || name.rfind(namePrefix, 0))
+        return false;
+    std::from_chars(name.data() + namePrefix.size(), name.data() + name.size(), firstIndex);
+    return firstIndex && name == segmentName(firstIndex);
+}
+
+static std::string encodeSegmentHeader(LogPosition base)
+{
+    std::string header;
+    putInteger(header, segmentMagic);
+    putInteger(header, base.index);
+    putInteger(header, base.term);
+    putInteger(header, base::hash64(header));
+    return header;
+}
+
+static bool isSegmentHeader(std::string_view content, std::uint64_t firstIndex)
+{
+    if (content.size() < segmentHeaderBytes || getInteger<std::uint64_t>(content, 0) != segmentMagic)
+        return false;
+    return getInteger<std::uint64_t>(content, 8) + 1 == firstIndex && getInteger<std::uint64_t>(content, 24) == base::hash64(content.substr(0, 24));
+}
+
+// The checksum depends on the place, so that bytes of another record cannot pass
+// for this one.
+static std::uint64_t recordSeed(const LogPosition& segmentBase, std::uint64_t offset) { return segmentBase.index * 0x9e3779b97f4a7c15 + offset; }
+
+static void encodeRecord(std::string& bytes, std::uint64_t seed, std::uint32_t kind, LogPosition position, std::uint64_t durableEnd, std::string_view content)
+{
+    std::string record;
+    record.reserve(recordHeaderBytes + content.size());
+    putInteger(record, std::uint64_t { 0 });
+    putInteger(record, static_cast<std::uint32_t>(content.size()));
+    putInteger(record, kind);
+    putInteger(record, position.index);
+    putInteger(record, position.term);
+    putInteger(record, durableEnd);
+    record += content;
+    std::string checksum;
+    putInteger(checksum, base::hash64(std::string_view(record).substr(checksumBytes), seed));
+    record.replace(0, checksumBytes, checksum);
+    bytes += record;
+}
+
+// Returns the header of the record at `offset` if it is complete and undamaged.
+static std::optional<RecordHeader> parseRecord(std::string_view content, std::uint64_t offset, const LogPosition& segmentBase)
+{
+    if (content.size() < recordHeaderBytes || offset > content.size() - recordHeaderBytes)
+        return std::nullopt;
+    std::string_view record = content.substr(offset);
+    RecordHeader header {
+        getInteger<std::uint64_t>(record, 0),
+        getInteger<std::uint32_t>(record, 8),
+        getInteger<std::uint32_t>(record, 12),
+        getInteger<std::uint64_t>(record, 16),
+        getInteger<std::uint64_t>(record, 24),
+        getInteger<std::uint64_t>(record, 32),
+    };
+    if ((header.kind != entryKind && header.kind != markKind) || header.length > record.size() - recordHeaderBytes || header.durableEnd > offset)
+        return std::nullopt;
+    record = record.substr(checksumBytes, recordHeaderBytes - checksumBytes + header.length);
+    if (header.checksum != base::hash64(record, recordSeed(segmentBase, offset)))
+        return std::nullopt;
+    return header;
+}
+
+// Returns whether a record behind the bad one at `bad` proves that the place of
+// the bad one had been synced.
+static bool isProvenSynced(std::string_view content, std::uint64_t bad, const LogPosition& segmentBase)
+{
+    for (std::uint64_t offset = bad + 1; offset + recordHeaderBytes <= content.size(); ++offset) {
+        if (auto header = parseRecord(content, offset, segmentBase); header && header->durableEnd > bad)
+            return true;
+    }
+    return false;
+}
+
+// What a segment file holds beyond its records.
+struct SegmentedLog::Scan {
+    // The synced length according to the records themselves.
+    std::uint64_t provenEnd = segmentHeaderBytes;
+    std::uint64_t fileSize = 0;
+};
+
+Result<SegmentedLog::Scan> SegmentedLog::scanSegment(Segment& segment, const std::string& content, bool isLast)
+{
+    Scan scan;
+    scan.fileSize = content.size();
+    segment.end = segmentHeaderBytes;
+    while (auto header = parseRecord(content, segment.end, segment.base)) {
+        scan.provenEnd = std::max(scan.provenEnd, header->durableEnd);
+        std::uint64_t next = segment.end + recordHeaderBytes + header->length;
+        if (header->kind == entryKind) {
+            if (header->index != segment.lastIndex() + 1 || header->term < segment.lastTerm())
+                return corruptError(segment.name, segment.end, "the record is out of order");
+            segment.places.push_back(Place { segment.end, header->term, header->length });
+        }
+        segment.end = next;
+    }
+    if (segment.end < scan.fileSize && (!isLast || isProvenSynced(content, segment.end, segment.base)))
+        return corruptError(segment.name, segment.end, "the record does not match its checksum and is not the tail");
+    return scan;
+}
+
+Result<std::unique_ptr<SegmentedLog>> SegmentedLog::Make(Disk& disk, LogOptions options)
+{
+    std::unique_ptr<SegmentedLog> log(new SegmentedLog(disk, options.segmentBytes));
+    BOOST_OUTCOME_TRY(log->load(options));
+    return log;
+}
+
+// First reads and checks everything, then repairs the tail.
+Result<void> SegmentedLog::load(const LogOptions& options)
+{
+    // Names that a crash could still undo must not be relied on.
+    BOOST_OUTCOME_TRY(disk_.syncDirectory());
+    BOOST_OUTCOME_TRY(names, disk_.list());
+    names.erase(std::remove_if(names.begin(), names.end(), [](const std::string& name) {
+        std::uint64_t ignored = 0;
+        return !parseSegmentName(name, ignored);
+    }),
+        names.end());
+
+    std::string unfinished;
+    Scan scan;
+    for (const auto& name : names) {
+        bool isLast = name == names.back();
+        Segment segment;
+        std::uint64_t firstIndex = 0;
+        parseSegmentName(name, firstIndex);
+        segment.name = name;
+        BOOST_OUTCOME_TRY(file, disk_.open(name));
+        segment.file = std::move(file);
+        BOOST_OUTCOME_TRY(size, segment.file->size());
+        BOOST_OUTCOME_TRY(content, segment.file->read(0, size));
+        if (!isSegmentHeader(content, firstIndex)) {
+            // The header is synced before the first record is written.
+            if (isLast && content.size() <= segmentHeaderBytes) {
+                unfinished = name;
+                break;
+            }
+            return corruptError(name, 0, "the segment header does not match its checksum");
+        }
+        segment.base = LogPosition { firstIndex - 1, getInteger<std::uint64_t>(content, 16) };
+        if (!segments_.empty() && (segment.base.index != lastIndex() || segment.base.term != segments_.back().lastTerm()))
+            return corruptError(name, 0, fmt::format("the segment before it ends with record {}", lastIndex()));
+        BOOST_OUTCOME_TRY(scanned, scanSegment(segment, content, isLast));
+        scan = scanned;
+        segments_.push_back(std::move(segment));
+    }
+    std::string lastName = segments_.empty() ? segmentName(options.base.index + 1) : segments_.back().name;
+    if (!segments_.empty() && firstIndex() > options.base.index + 1)
+        return corruptError(segments_.front().name, 0, fmt::format("the log starts behind record {}, which it must follow", options.base.index));
+    if (std::uint64_t last = segments_.empty() ? options.base.index : lastIndex(); options.mustReach > std::max(last, options.base.index))
+        return corruptError(lastName, segments_.empty() ? 0 : segments_.back().end, fmt::format("the log ends with record {}, but record {} was committed", last, options.mustReach));
+    if (segments_.empty() && !unfinished.empty() && unfinished != lastName)
+        return corruptError(unfinished, 0, "the only segment has no header and does not follow the snapshot");
+
+    if (!unfinished.empty()) {
+        logger.info("Removes a segment whose creation was not finished.", { { "file", unfinished } });
+        BOOST_OUTCOME_TRY(disk_.remove(unfinished));
+        BOOST_OUTCOME_TRY(disk_.syncDirectory());
+    }
+    if (segments_.empty())
+        return createSegment(options.base);
+
+    Segment& last = segments_.back();
+    durableEnd_ = scan.provenEnd;
+    auto firstUnproven = std::partition_point(last.places.begin(), last.places.end(), [&](const Place& place) { return place.offset < durableEnd_; });
+    durableIndex_ = last.base.index + static_cast<std::uint64_t>(firstUnproven - last.places.begin());
+    needsRewrite_ = true;
+    if (last.end < scan.fileSize)
+        logger.warning("Cuts a torn log tail.", { { "file", last.name }, { "offset", last.end }, { "bytes", scan.fileSize - last.end } });
+    auto repaired = repair();
+    if (!repaired && repaired.error().kind == ErrorKind::StorageFull && !failure_) {
+        logger.warning("The disk is full; the log is opened for reading.", { { "file", last.name } });
+        return base::outcome::success();
+    }
+    return repaired;
+}
+
+Result<void> SegmentedLog::checkWritable() const
+{
+    if (failure_)
+        return base::makeError(ErrorKind::StorageFailed, "the log is read-only until it is opened again: " + failure_->detail);
+    return base::outcome::success();
+}
+
+// Makes the log read-only if `result` is an error that leaves files in a state
+// only a new scan can determine.
+Result<void> SegmentedLog::finishChange(Result<void> result)
+{
+    if (!result) {
+        failure_ = result.error();
+        logger.error("The log is read-only until it is opened again.", { { "reason", failure_->detail } });
+    }
+    return result;
+}
+
+Result<void> SegmentedLog::syncLast()
+{
+    Segment& last = segments_.back();
+    BOOST_OUTCOME_TRY(finishChange(last.file->sync()));
+    ++syncCount_;
+    durableIndex_ = last.lastIndex();
+    durableEnd_ = last.end;
+    return base::outcome::success();
+}
+
+// The mark itself is not synced: it reaches the disk with the next sync or by
+// the system's own write-back, and recovery does not depend on it.
+void SegmentedLog::appendMark()
+{
+    Segment& last = segments_.back();
+    std::string bytes;
+    encodeRecord(bytes, recordSeed(last.base, last.end), markKind, LogPosition { last.lastIndex(), last.lastTerm() }, durableEnd_, {});
+    if (last.file->append(bytes))
+        last.end += bytes.size();
+    else
+        needsCut_ = true;
+}
+
+Result<void> SegmentedLog::repair()
+{
+    if (needsRewrite_)
+        return rewriteLast();
+    if (!needsCut_)
+        return base::outcome::success();
+    BOOST_OUTCOME_TRY(segments_.back().file->truncate(segments_.back().end));
+    // Synced at once: if the cut bytes came back after a crash, they could hold a
+    // record whose append had been refused.
+    BOOST_OUTCOME_TRY(syncLast());
+    needsCut_ = false;
+    return base::outcome::success();
+}
+
+// Writes the last segment to a new file. Syncing the old one is not enough: after
+// a failed sync, the system may count pages as clean that never reached the disk,
+// and a cut may come undone.
+Result<void> SegmentedLog::rewriteLast()
+{
+    Segment& last = segments_.back();
+    BOOST_OUTCOME_TRY(content, last.file->read(0, last.end));
+    Segment checked;
+    checked.name = last.name;
+    checked.base = last.base;
+    BOOST_OUTCOME_TRY(scanSegment(checked, content, false));
+    if (content.size() != last.end || checked.places.size() != last.places.size())
+        return corruptError(last.name, checked.end, "the segment changed since it was opened");
+    std::uint64_t end = last.end;
+    encodeRecord(content, recordSeed(last.base, end), markKind, LogPosition { last.lastIndex(), last.lastTerm() }, end, {});
+    BOOST_OUTCOME_TRY(writeAtomically(disk_, last.name, content));
+    auto opened = disk_.open(last.name);
+    if (!opened)
+        return finishChange(std::move(opened).error());
+    last.file = std::move(opened).value();
+    last.end = content.size();
+    durableIndex_ = last.lastIndex();
+    durableEnd_ = end;
+    needsRewrite_ = false;
+    needsCut_ = false;
+    return base::outcome::success();
+}
+
+// On an error the log is as before, or read-only.
+Result<void> SegmentedLog::createSegment(LogPosition base)
+{
+    Segment segment;
+    segment.name = segmentName(base.index + 1);
+    segment.base = base;
+    segment.end = segmentHeaderBytes;
+    BOOST_OUTCOME_TRY(file, disk_.open(segment.name));
+    segment.file = std::move(file);
+    auto written = segment.file->append(encodeSegmentHeader(base));
+    if (!written) {
+        // A file left behind would stand in the way of the next segment.
+        auto removed = disk_.remove(segment.name);
+        if (!removed)
+            return finishChange(std::move(removed).error());
+        return written;
+    }
+    BOOST_OUTCOME_TRY(finishChange(segment.file->sync()));
+    BOOST_OUTCOME_TRY(finishChange(disk_.syncDirectory()));
+    segments_.push_back(std::move(segment));
+    durableIndex_ = base.index;
+    durableEnd_ = segmentHeaderBytes;
+    return base::outcome::success();
+}
+
+Result<void> SegmentedLog::append(const std::vector<LogRecord>& records)
+{
+    BOOST_OUTCOME_TRY(checkWritable());
+    if (records.empty())
+        return base::outcome::success();
+    for (const auto& record : records) {
+        if (record.bytes.size() > maxRecordBytes)
+            return base::makeError(ErrorKind::InvalidRequest, fmt::format("record {} has {} bytes; the limit is {}", record.index, record.bytes.size(), maxRecordBytes));
+    }
+    BOOST_OUTCOME_TRY(repair());
+    if (segments_.back().end >= segmentBytes_ && !segments_.back().places.empty()) {
+        BOOST_OUTCOME_TRY(syncLast());
+        BOOST_OUTCOME_TRY(createSegment(LogPosition { lastIndex(), segments_.back().lastTerm() }));
+    }
+    Segment& last = segments_.back();
+    std::string bytes;
+    std::vector<Place> places;
+    std::uint64_t index = last.lastIndex();
+    [[maybe_unused]] std::uint64_t term = last.lastTerm();
+    for (const auto& record : records) {
+        assert(record.index == index + 1 && record.term >= term);
+        index = record.index;
+        term = record.term;
+        places.push_back(Place { last.end + bytes.size(), record.term, static_cast<std::uint32_t>(record.bytes.size()) });
+        encodeRecord(bytes, recordSeed(last.base, places.back().offset), entryKind, LogPosition { record.index, record.term }, durableEnd_, record.bytes);
+    }
+    if (auto appended = last.file->append(bytes); !appended) {
+        needsCut_ = true;
+        if (auto repaired = repair(); !repaired)
+            logger.warning("A partly written record is not cut yet.", { { "file", last.name }, { "reason", repaired.error().detail } });
+        return appended;
+    }
+    last.end += bytes.size();
+    last.places.insert(last.places.end(), places.begin(), places.end());
+    return base::outcome::success();
+}
+
+Result<void> SegmentedLog::sync()
+{
+    BOOST_OUTCOME_TRY(checkWritable());
+    if (durableIndex_ == lastIndex())
+        return base::outcome::success();
+    if (needsRewrite_ || needsCut_)
+        return repair();
+    BOOST_OUTCOME_TRY(syncLast());
+    appendMark();
+    return base::outcome::success();
+}
+
+// The name is gone durably before the next change, so that a crash never leaves
+// a gap between segments.
+Result<void> SegmentedLog::removeLastSegment()
+{
+    BOOST_OUTCOME_TRY(disk_.remove(segments_.back().name));
+    BOOST_OUTCOME_TRY(disk_.syncDirectory());
+    segments_.pop_back();
+    return base::outcome::success();
+}
+
+Result<void> SegmentedLog::truncateSuffix(std::uint64_t from)
+{
+    assert(from >= firstIndex());
+    BOOST_OUTCOME_TRY(checkWritable());
+    if (from > lastIndex())
+        return sync();
+    BOOST_OUTCOME_TRY(repair());
+    while (segments_.size() > 1 && from <= segments_.back().base.index + 1) {
+        BOOST_OUTCOME_TRY(finishChange(removeLastSegment()));
+        durableEnd_ = segments_.back().end;
+        durableIndex_ = lastIndex();
+    }
+    Segment& last = segments_.back();
+    if (from <= last.lastIndex()) {
+        std::size_t kept = from - last.base.index - 1;
+        last.end = last.places[kept].offset;
+        last.places.resize(kept);
+        durableIndex_ = std::min(durableIndex_, last.lastIndex());
+        BOOST_OUTCOME_TRY(finishChange(last.file->truncate(last.end)));
+        BOOST_OUTCOME_TRY(syncLast());
+        appendMark();
+    }
+    return base::outcome::success();
+}
+
+Result<void> SegmentedLog::dropPrefix(std::uint64_t index)
+{
+    BOOST_OUTCOME_TRY(checkWritable());
+    while (segments_.size() > 1 && segments_.front().lastIndex() <= index) {
+        BOOST_OUTCOME_TRY(disk_.remove(segments_.front().name));
+        segments_.erase(segments_.begin());
+        // As in removeLastSegment(): names disappear durably in order.
+        BOOST_OUTCOME_TRY(finishChange(disk_.syncDirectory()));
+    }
+    return base::outcome::success();
+}
+
+Result<void> SegmentedLog::reset(LogPosition base)
+{
+    BOOST_OUTCOME_TRY(checkWritable());
+    // Creates the new segment only after the old ones are gone: both at once
+    // would be a gap. The snapshot covers what is missing in between.
+    while (segments_.size() > 1) {
+        BOOST_OUTCOME_TRY(finishChange(removeLastSegment()));
+    }
+    BOOST_OUTCOME_TRY(finishChange(disk_.remove(segments_.back().name)));
+    BOOST_OUTCOME_TRY(finishChange(disk_.syncDirectory()));
+    Segment old = std::move(segments_.back());
+    segments_.pop_back();
+    needsCut_ = false;
+    needsRewrite_ = false;
+    auto created = createSegment(base);
+    if (!created) {
+        // Keeps the indexes readable; the records themselves are gone.
+        old.places.clear();
+        old.base = base;
+        segments_.push_back(std::move(old));
+        durableIndex_ = base.index;
+        return finishChange(std::move(created));
+    }
+    return base::outcome::success();
+}
+
+const SegmentedLog::Segment& SegmentedLog::segmentOf(std::uint64_t index) const
+{
+    auto after = std::partition_point(segments_.begin(), segments_.end(), [&](const Segment& segment) { return segment.base.index < index; });
+    assert(after != segments_.begin());
+    return *std::prev(after);
+}
+
+Result<std::vector<LogRecord>> SegmentedLog::read(std::uint64_t first, std::uint64_t last, std::size_t maxBytes) const
+{
+    assert(first >= firstIndex() && last <= lastIndex());
+    std::vector<LogRecord> records;
+    std::size_t total = 0;
+    for (std::uint64_t index = first; index <= last;) {
+        const Segment& segment = segmentOf(index);
+        std::size_t begin = index - segment.base.index - 1;
+        std::size_t end = begin;
+        // Reads neighbouring records of a segment at once.
+        while (end < segment.places.size() && segment.base.index + 1 + end <= last) {
+            if (total + segment.places[end].bytes > maxBytes && (end > begin || !records.empty()))
+                break;
+            total += segment.places[end].bytes;
+            ++end;
+        }
+        if (end == begin)
+            break;
+        std::uint64_t offset = segment.places[begin].offset;
+        std::uint64_t stop = segment.places[end - 1].offset + recordHeaderBytes + segment.places[end - 1].bytes;
+        BOOST_OUTCOME_TRY(content, segment.file->read(offset, stop - offset));
+        for (std::size_t i = begin; i < end; ++i, ++index) {
+            const Place& place = segment.places[i];
+            LogPosition shifted { segment.base.index, 0 };
+            std::string_view record(content);
+            record.remove_prefix(std::min<std::uint64_t>(place.offset - offset, record.size()));
+            record = record.substr(0, recordHeaderBytes + place.bytes);
+            bool isGood = record.size() == recordHeaderBytes + place.bytes && getInteger<std::uint64_t>(record, 0) == base::hash64(record.substr(checksumBytes), recordSeed(shifted, place.offset)) && getInteger<std::uint64_t>(record, 16) == index;
+            if (!isGood)
+                return corruptError(segment.name, place.offset, "the record changed since the log was opened");
+            records.push_back(LogRecord { index, place.term, std::string(record.substr(recordHeaderBytes)) });
+        }
+    }
+    return records;
+}
+
+std::optional<std::uint64_t> SegmentedLog::termAt(std::uint64_t index) const
+{
+    if (index + 1 == firstIndex())
+        return segments_.front().base.term;
+    if (index < firstIndex() || index > lastIndex())
+        return std::nullopt;
+    const Segment& segment = segmentOf(index);
+    return segment.places[index - segment.base.index - 1].term;
+}
+
+} // namespace arbutus::storage
