Add the replicated state machine

Cause: orders, sheets, crash blames, drains, fencing numbers and the audit must be equal on all replicas and survive restarts byte for byte.

Change: aggregates for each rule set, fed by StateMachine::apply(); time comes from the commands and never runs backwards.

Conclusion: a refusal that is not certain to mean "not run" uses an error kind that does not state it; capacity is checked only where a claim would be granted.

--- /dev/null
+++ b/include/state/StateMachine.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "include/state/AuditChain.h"
+#include "include/state/Configuration.h"
+#include "include/state/CrashLedger.h"
+#include "include/state/Limits.h"
+#include "include/state/OrderLedger.h"
+#include "include/state/Outcome.h"
+#include "include/state/SheetHistory.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace arbutus::state {
+
+// The durable state of a deployment. Replicas that apply the same entries hold
+// the same state and write the same snapshot, byte for byte: nothing here reads
+// a clock; time comes from the commands and never runs backwards.
+class StateMachine {
+public:
+    explicit StateMachine(const Limits& limits = Limits());
+    StateMachine(const StateMachine&) = delete;
+    StateMachine& operator=(const StateMachine&) = delete;
+
+    // Restores a snapshot. Fails with StorageCorrupt. Safe on arbitrary bytes.
+    static base::Result<std::unique_ptr<StateMachine>> MakeFromSnapshot(std::string_view bytes, const Limits& limits = Limits());
+
+    // Applies the committed entry at `index`, which must follow the last one.
+    // `command` is what encodeCommand() returned, or empty for an entry that
+    // carries no command. Each command, accepted or refused, is audited.
+    Outcome apply(std::uint64_t index, std::string_view command);
+
+    // The whole state, including the audit records that have not been trimmed.
+    std::string encodeSnapshot() const;
+
+    // Zero before the first entry.
+    std::uint64_t appliedIndex() const { return appliedIndex_; }
+    // The latest time of any applied command.
+    base::WallTime time() const { return time_; }
+
+    const Configuration& configuration() const { return feed_.current(); }
+    ConfigurationUpdate changesSince(std::uint64_t revision) const { return feed_.changesSince(revision); }
+    ConfigurationUpdate fullCopy() const { return feed_.fullCopy(); }
+    std::optional<SheetAcceptance> currentSheet() const { return sheets_.current(); }
+    const OrderLedger& orders() const { return orders_; }
+    const CrashLedger& crashes() const { return crashes_; }
+    const AuditChain& audit() const { return audit_; }
+
+private:
+    Outcome applyBody(const ApplySheet&, base::WallTime proposedAt);
+    Outcome applyBody(const ClaimOrder&, base::WallTime proposedAt);
+    Outcome applyBody(const RecordOutcome&, base::WallTime proposedAt);
+    Outcome applyBody(const CloseClaim&, base::WallTime proposedAt);
+    Outcome applyBody(const ResolveOrder&, base::WallTime proposedAt);
+    Outcome applyBody(const DeclareEntryGone&, base::WallTime proposedAt);
+    Outcome applyBody(const RecordOrderRefusal&, base::WallTime proposedAt);
+    Outcome applyBody(const RecordRefusals&, base::WallTime proposedAt);
+    Outcome applyBody(const SetDrain&, base::WallTime proposedAt);
+    Outcome applyBody(const RecordCrash&, base::WallTime proposedAt);
+    Outcome applyBody(const ClearCrash&, base::WallTime proposedAt);
+    Outcome applyBody(const TakeFencingNumber&, base::WallTime proposedAt);
+    Outcome applyBody(const TrimAudit&, base::WallTime proposedAt);
+    Outcome applyBody(const ChangeReplicas&, base::WallTime proposedAt);
+
+    void advanceTime(base::WallTime);
+    void publishBlames();
+    void load(SnapshotReader&);
+
+    const Limits limits_;
+    std::uint64_t appliedIndex_ = 0;
+    base::WallTime time_;
+    // One counter for all scopes: numbers rise in each scope, and a scope
+    // that is no longer used costs no memory.
+    std::uint64_t fencingNumber_ = 0;
+    ConfigurationFeed feed_;
+    SheetHistory sheets_;
+    OrderLedger orders_;
+    CrashLedger crashes_;
+    AuditChain audit_;
+};
+
+} // namespace arbutus::state
--- /dev/null
+++ b/src/state/AuditText.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "include/state/AuditChain.h"
+#include "include/state/Commands.h"
+#include "include/state/Outcome.h"
+
+namespace arbutus::state {
+
+// Fills actor, subject, result and detail for a command and its outcome.
+void describe(const CommandBody&, const Outcome&, AuditRecord&);
+
+} // namespace arbutus::state
--- /dev/null
+++ b/src/state/OrderLedger.cpp
@@ -0,0 +1,375 @@
+#include "include/state/OrderLedger.h"
+
+#include "include/base/Digest.h"
+#include "src/state/Snapshot.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+
+namespace arbutus::state {
+
+std::string answerDigest(const OrderAnswer& answer)
+{
+    return base::sha256Hex(fmt::format("{}\n{}\n", answer.httpStatus, answer.contentType) + answer.body);
+}
+
+// The caller of a refused outcome may have run the order, so the kind must not
+// state "not run".
+static Refusal claimNotCurrent(std::string detail) { return { base::ErrorKind::OrderOutcomeUnknown, std::move(detail) }; }
+
+std::string_view toString(OrderStatus status)
+{
+    static constexpr std::array<std::string_view, 5> names { "closed", "running", "unknown", "answered", "answer-dropped" };
+    return names.at(static_cast<std::size_t>(status));
+}
+
+std::string OrderLedger::joined(const OrderKey& order) { return order.team + '\n' + order.service + '\n' + order.key; }
+
+OrderKey OrderLedger::split(const std::string& text)
+{
+    std::size_t first = text.find('\n');
+    std::size_t second = text.find('\n', first + 1);
+    assert(first != std::string::npos && second != std::string::npos);
+    return { text.substr(0, first), text.substr(first + 1, second - first - 1), text.substr(second + 1) };
+}
+
+bool OrderLedger::isClosed(const Record& record, std::uint64_t claimNumber)
+{
+    return std::any_of(record.closedClaims.begin(), record.closedClaims.end(), [claimNumber](const ClosedClaim& closed) { return closed.claimNumber == claimNumber; });
+}
+
+OrderState OrderLedger::stateOf(const Records::value_type& entry)
+{
+    const auto& [key, record] = entry;
+    OrderState state { split(key), statusOf(record), record.claimNumber, record.entryVm, record.changedAt, std::nullopt };
+    if (record.recorded)
+        state.recorded = *record.recorded;
+    return state;
+}
+
+static ClaimReply replyFor(OrderStatus status, const RecordedAnswer* recorded)
+{
+    static constexpr std::array statuses { ClaimStatus::Granted, ClaimStatus::Running, ClaimStatus::Unknown, ClaimStatus::Answered, ClaimStatus::AnswerDropped };
+    ClaimReply reply;
+    reply.status = statuses[static_cast<std::size_t>(status)];
+    if (recorded)
+        reply.recorded = *recorded;
+    return reply;
+}
+
+Outcome OrderLedger::claim(const ClaimOrder& command, base::WallTime proposedAt, base::WallTime now, bool isAuditFull)
+{
+    std::string key = joined(command.order);
+    RawDigest bodyDigest = rawFromHex(command.bodyDigest);
+    auto found = records_.find(key);
+    if (found != records_.end()) {
+        const Record& record = found->second;
+        if (isClosed(record, command.claimNumber))
+            return ClaimReply { ClaimStatus::Closed, std::nullopt };
+        if (record.bodyDigest != RawDigest {} && record.bodyDigest != bodyDigest)
+            return Refusal { base::ErrorKind::KeyConflict, "the key was used before with another request" };
+        if (statusOf(record) != OrderStatus::Closed) {
+            // The entry process proposed its claim again because the response was lost.
+            bool isRepeat = statusOf(record) == OrderStatus::Running && record.claimNumber == command.claimNumber && record.entryVm == command.entryVm && record.entryIncarnation == command.entryIncarnation;
+            return isRepeat ? ClaimReply {} : replyFor(statusOf(record), record.recorded.get());
+        }
+    }
+    if (auto refusal = refuseGrant(command, found != records_.end() ? &found->second : nullptr, proposedAt, now, isAuditFull))
+        return *refusal;
+    if (found == records_.end())
+        found = records_.try_emplace(std::move(key)).first;
+    Record& record = found->second;
+    record.bodyDigest = bodyDigest;
+    record.claimNumber = command.claimNumber;
+    record.entryVm = command.entryVm;
+    record.entryIncarnation = command.entryIncarnation;
+    record.resolvedBy.clear();
+    setStatus(found, OrderStatus::Running, now);
+    return ClaimReply {};
+}
+
+std::optional<Refusal> OrderLedger::refuseGrant(const ClaimOrder& command, const Record* record, base::WallTime proposedAt, base::WallTime now, bool isAuditFull) const
+{
+    if (auto gone = gone_.find(command.entryVm); gone != gone_.end() && command.entryIncarnation <= gone->second)
+        return Refusal { base::ErrorKind::PeerRejected, fmt::format("incarnation {} of {} has been declared gone", command.entryIncarnation, command.entryVm) };
+    if (proposedAt + limits_.tombstoneRetention <= now)
+        return Refusal { base::ErrorKind::ClaimUnconfirmed, "the claim was proposed too long ago" };
+    if (record && (record->closedClaims.size() >= limits_.maxClosedClaimsPerOrder || now < record->noGrantBefore))
+        return Refusal { base::ErrorKind::Overloaded, "the order was claimed and closed too often" };
+    if (!record && records_.size() >= limits_.maxOrders)
+        return Refusal { base::ErrorKind::StorageFull, "the bound of kept orders is reached" };
+    if (answerBytes_ >= limits_.maxAnswerBytes)
+        return Refusal { base::ErrorKind::StorageFull, "the bound of kept answers is reached" };
+    if (isAuditFull)
+        return Refusal { base::ErrorKind::StorageFull, "the audit records must be exported and trimmed first" };
+    return std::nullopt;
+}
+
+Outcome OrderLedger::recordOutcome(const RecordOutcome& command, base::WallTime now)
+{
+    auto found = records_.find(joined(command.order));
+    if (found == records_.end() || found->second.claimNumber != command.claimNumber)
+        return claimNotCurrent("the claim is not the current one");
+    const Record& record = found->second;
+    switch (statusOf(record)) {
+    case OrderStatus::Closed:
+        return claimNotCurrent("the claim is closed");
+    case OrderStatus::Answered:
+    case OrderStatus::AnswerDropped:
+        if (!command.isUnknown && record.recorded->digest == answerDigest(command.answer))
+            return Accepted {};
+        return claimNotCurrent("another outcome was recorded for the claim");
+    case OrderStatus::Running:
+    case OrderStatus::Unknown:
+        break;
+    }
+    if (command.isUnknown) {
+        found->second.isStatedUnknown = true;
+        setStatus(found, OrderStatus::Unknown, now);
+    } else {
+        // Also for an order that is unknown: its holder was declared gone too
+        // early, or learned the answer later.
+        answer(found, command.answer, "", now);
+    }
+    return Accepted {};
+}
+
+Outcome OrderLedger::closeClaim(const CloseClaim& command, base::WallTime now)
+{
+    auto found = records_.try_emplace(joined(command.order)).first;
+    Record& record = found->second;
+    if (isClosed(record, command.claimNumber))
+        return Accepted {};
+    OrderStatus status = statusOf(record);
+    if (record.claimNumber == command.claimNumber && status != OrderStatus::Closed) {
+        if (record.recorded || record.isStatedUnknown)
+            return claimNotCurrent("the claim has an outcome and cannot be closed as not run");
+        // Also for an order that is unknown because its holder was declared
+        // gone: only the holder knows the claim number, and it closes a claim
+        // only when it has sent nothing and will send nothing.
+        setStatus(found, OrderStatus::Closed, now);
+    }
+    addTombstone(found, command.claimNumber, now);
+    return Accepted {};
+}
+
+Outcome OrderLedger::resolve(const ResolveOrder& command, base::WallTime now)
+{
+    auto found = records_.find(joined(command.order));
+    if (found == records_.end())
+        return Refusal { base::ErrorKind::NotFound, "no such order" };
+    Record& record = found->second;
+    OrderStatus status = statusOf(record);
+    if (status == OrderStatus::Running)
+        return Refusal { base::ErrorKind::OrderInProgress, "the order is running" };
+    if (status != OrderStatus::Unknown) {
+        bool isSame = record.resolvedBy == command.operatorName
+            && (command.didRun ? record.recorded && record.recorded->digest == answerDigest(command.answer) : status == OrderStatus::Closed);
+        if (isSame)
+            return Accepted {};
+        // Not "not run": the order may have an answer.
+        return claimNotCurrent(fmt::format("the order is {}, not unknown", toString(status)));
+    }
+    if (command.didRun) {
+        answer(found, command.answer, command.operatorName, now);
+    } else {
+        record.resolvedBy = command.operatorName;
+        std::uint64_t claimNumber = record.claimNumber;
+        setStatus(found, OrderStatus::Closed, now);
+        addTombstone(found, claimNumber, now);
+    }
+    // The claim ends here: its holder can no longer record an outcome.
+    found->second.claimNumber = 0;
+    return Accepted {};
+}
+
+std::size_t OrderLedger::declareGone(const DeclareEntryGone& command, base::WallTime now)
+{
+    auto [known, isNew] = gone_.try_emplace(command.entryVm, command.entryIncarnation);
+    known->second = std::max(known->second, command.entryIncarnation);
+    if (isNew) {
+        goneOrder_.push_back(command.entryVm);
+        if (goneOrder_.size() > limits_.maxGoneEntries) {
+            gone_.erase(goneOrder_.front());
+            goneOrder_.pop_front();
+        }
+    }
+    auto running = running_.find(command.entryVm);
+    if (running == running_.end())
+        return 0;
+    std::vector<Records::iterator> affected;
+    for (const auto& key : running->second) {
+        auto record = records_.find(key);
+        assert(record != records_.end());
+        if (record->second.entryIncarnation <= command.entryIncarnation)
+            affected.push_back(record);
+    }
+    for (auto record : affected)
+        setStatus(record, OrderStatus::Unknown, now);
+    return affected.size();
+}
+
+void OrderLedger::setStatus(Records::iterator entry, OrderStatus status, base::WallTime now)
+{
+    auto& [key, record] = *entry;
+    if (statusOf(record) == OrderStatus::Running) {
+        auto& keys = running_[record.entryVm];
+        keys.erase(key);
+        if (keys.empty())
+            running_.erase(record.entryVm);
+    }
+    if (status == OrderStatus::Running)
+        running_[record.entryVm].insert(key);
+    if (status != OrderStatus::Unknown)
+        record.isStatedUnknown = false;
+    record.status = static_cast<std::uint8_t>(status);
+    record.changedAt = now;
+}
+
+void OrderLedger::answer(Records::iterator entry, const OrderAnswer& answer, std::string resolvedBy, base::WallTime now)
+{
+    setStatus(entry, OrderStatus::Answered, now);
+    Record& record = entry->second;
+    record.resolvedBy = resolvedBy;
+    record.recorded = std::make_unique<RecordedAnswer>(RecordedAnswer { answer, answerDigest(answer), true, now, std::move(resolvedBy) });
+    answerBytes_ += answer.body.size();
+    answers_.push_back({ now, entry });
+}
+
+void OrderLedger::addTombstone(Records::iterator entry, std::uint64_t claimNumber, base::WallTime now)
+{
+    Record& record = entry->second;
+    if (record.closedClaims.size() >= limits_.maxClosedClaimsPerOrder) {
+        record.noGrantBefore = now + limits_.tombstoneRetention;
+        return;
+    }
+    record.closedClaims.push_back({ claimNumber, now });
+    tombstones_.push_back({ now, entry });
+}
+
+void OrderLedger::dropTombstone(Records::iterator entry, base::WallTime now)
+{
+    Record& record = entry->second;
+    auto& closed = record.closedClaims;
+    assert(!closed.empty());
+    ClosedClaim oldest = closed.front();
+    closed.erase(closed.begin());
+    if (!closed.empty() || statusOf(record) != OrderStatus::Closed)
+        return;
+    // The last tombstone stays until grants are allowed again.
+    if (now < record.noGrantBefore)
+        addTombstone(entry, oldest.claimNumber, now);
+    else
+        records_.erase(entry);
+}
+
+void OrderLedger::dropBody(Records::iterator entry, base::WallTime now)
+{
+    RecordedAnswer& recorded = *entry->second.recorded;
+    answerBytes_ -= recorded.answer.body.size();
+    recorded.answer.body = std::string();
+    recorded.isBodyKept = false;
+    setStatus(entry, OrderStatus::AnswerDropped, now);
+    digests_.push_back({ now, entry });
+}
+
+void OrderLedger::dropDigest(Records::iterator entry)
+{
+    Record& record = entry->second;
+    if (record.closedClaims.empty()) {
+        records_.erase(entry);
+        return;
+    }
+    // Only the tombstones remain, until they have passed their own retention.
+    Record remaining;
+    remaining.closedClaims = std::move(record.closedClaims);
+    remaining.noGrantBefore = record.noGrantBefore;
+    record = std::move(remaining);
+}
+
+// Takes the front of `queue` if it is due, that is, at least `retention` old.
+template <typename Queue, typename Retention>
+static auto takeDue(Queue& queue, Retention retention, base::WallTime now)
+{
+    std::optional<typename Queue::value_type> due;
+    if (!queue.empty() && queue.front().since + retention <= now) {
+        due = queue.front();
+        queue.pop_front();
+    }
+    return due;
+}
+
+void OrderLedger::expire(base::WallTime now)
+{
+    while (auto due = takeDue(tombstones_, limits_.tombstoneRetention, now))
+        dropTombstone(due->record, now);
+    // The retention of the digest starts at the planned time and not when this
+    // runs, so that it does not depend on how often commands arrive.
+    while (auto due = takeDue(answers_, limits_.answerRetention, now))
+        dropBody(due->record, due->since + limits_.answerRetention);
+    while (auto due = takeDue(digests_, limits_.digestRetention, now))
+        dropDigest(due->record);
+}
+
+std::optional<OrderState> OrderLedger::find(const OrderKey& order) const
+{
+    auto found = records_.find(joined(order));
+    if (found == records_.end())
+        return std::nullopt;
+    return stateOf(*found);
+}
+
+std::vector<OrderState> OrderLedger::withStatus(OrderStatus status, std::size_t maxCount) const
+{
+    std::vector<OrderState> states;
+    for (const auto& entry : records_) {
+        if (states.size() >= maxCount)
+            break;
+        if (statusOf(entry.second) == status)
+            states.push_back(stateOf(entry));
+    }
+    return states;
+}
+
+void OrderLedger::save(SnapshotWriter& writer) const
+{
+    writer.writeAll(records_);
+    writer.write(static_cast<std::uint64_t>(goneOrder_.size()));
+    for (const auto& entryVm : goneOrder_)
+        writer.write(std::make_pair(entryVm, gone_.at(entryVm)));
+}
+
+void OrderLedger::load(SnapshotReader& reader)
+{
+    reader.readAll([this, &reader] {
+        auto [key, loaded] = reader.read<std::pair<std::string, Record>>();
+        auto [entry, isNew] = records_.emplace(std::move(key), std::move(loaded));
+        const Record& record = entry->second;
+        bool hasAnswer = statusOf(record) == OrderStatus::Answered || statusOf(record) == OrderStatus::AnswerDropped;
+        if (!isNew || record.status > static_cast<std::uint8_t>(OrderStatus::AnswerDropped) || hasAnswer != (record.recorded != nullptr))
+            throw msgpack::type_error();
+        for (const auto& closed : record.closedClaims)
+            tombstones_.push_back({ closed.closedAt, entry });
+        if (statusOf(record) == OrderStatus::Running)
+            running_[record.entryVm].insert(entry->first);
+        else if (statusOf(record) == OrderStatus::Answered)
+            answers_.push_back({ record.changedAt, entry });
+        else if (statusOf(record) == OrderStatus::AnswerDropped)
+            digests_.push_back({ record.changedAt, entry });
+        if (record.recorded)
+            answerBytes_ += record.recorded->answer.body.size();
+    });
+    // Entries of the same time are independent of each other, so their order does not matter.
+    for (auto* queue : { &tombstones_, &answers_, &digests_ })
+        std::stable_sort(queue->begin(), queue->end(), [](const Due& left, const Due& right) { return left.since < right.since; });
+    reader.readAll([this, &reader] {
+        auto [entryVm, incarnation] = reader.read<std::pair<std::string, std::uint64_t>>();
+        gone_.emplace(entryVm, incarnation);
+        goneOrder_.push_back(std::move(entryVm));
+    });
+}
+
+} // namespace arbutus::state
