--- a/include/sheet/Sheet.h
+++ b/include/sheet/Sheet.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <utility>
 #include <variant>
 #include <vector>
