Add the member table, registrar, gossip and freshness

Cause: entry VMs must agree on who is a member, and a member that leaves must receive no new work after 3 s, without a list of upstreams and without a quorum.

Change: entries are merged by (incarnation, version); observations belong to one version, so a member refutes them by raising it. A member is out when both current registrars observed a lapse. An entry VM with any observation, or one that became eligible less than 5 s ago, does not count as registrar; the first keeps two dead registrars from waiting for each other, the second keeps the observations of a partition's other half from taking healthy members out.

--- /dev/null
+++ b/include/membership/Member.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "include/base/Error.h"
+
+#include <msgpack.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace arbutus::membership {
+
+// The 64-bit hash of a member's id. Tables, observations and messages use it in place of the text.
+using MemberKey = std::uint64_t;
+
+MemberKey memberKey(std::string_view id);
+
+enum class MemberKind : std::uint8_t {
+    EntryVm,
+    Replica,
+    Upstream,
+};
+
+// A range of a model's layers that an engine holds, both ends included.
+struct Holding {
+    std::string model;
+    std::string version;
+    std::uint32_t firstLayer = 0;
+    std::uint32_t lastLayer = 0;
+
+    MSGPACK_DEFINE(model, version, firstLayer, lastLayer)
+};
+
+// What a member states about itself. Only the member raises incarnation and version.
+struct MemberFacts {
+    std::string id;
+    MemberKind kind = MemberKind::Upstream;
+    std::string address;
+    std::uint16_t controlPort = 0;
+    std::string dataCentre;
+    std::string accelerator;
+    std::vector<Holding> holdings;
+    std::vector<std::string> services;
+    std::uint32_t capacity = 0;
+    // Rises with each start of the member's process.
+    std::uint64_t incarnation = 0;
+    // Rises with each change of the facts and with each refutation within one incarnation.
+    std::uint64_t version = 0;
+    bool isLeaving = false;
+
+    MSGPACK_DEFINE(id, kind, address, controlPort, dataCentre, accelerator, holdings, services, capacity, incarnation, version, isLeaving)
+};
+
+// Where a member listens for control messages.
+struct PeerAddress {
+    std::string address;
+    std::uint16_t port = 0;
+
+    friend bool operator==(const PeerAddress& left, const PeerAddress& right) { return left.port == right.port && left.address == right.address; }
+    friend bool operator<(const PeerAddress& left, const PeerAddress& right) { return left.address != right.address ? left.address < right.address : left.port < right.port; }
+
+    MSGPACK_DEFINE(address, port)
+};
+
+// One member as tables hold and exchange it. The observations belong to exactly
+// this incarnation and version, so a member refutes them by raising its version.
+struct MemberEntry {
+    MemberKey key = 0;
+    std::uint64_t incarnation = 0;
+    std::uint64_t version = 0;
+    // Keys of the registrars whose lease for this version lapsed; sorted, unique, at most maxObservations.
+    std::vector<MemberKey> lapsedBy;
+    // Absent in a tombstone, and in a message that carries only observations.
+    std::shared_ptr<const MemberFacts> facts;
+    // Digest of the facts; zero without facts.
+    std::uint64_t factsDigest = 0;
+
+    template <typename Packer>
+    void msgpack_pack(Packer& packer) const // NOLINT(readability-identifier-naming): the library prescribes the name.
+    {
+        packer.pack_array(facts ? 2 : 4);
+        packer.pack(lapsedBy);
+        if (facts) {
+            packer.pack(*facts);
+            return;
+        }
+        packer.pack(key);
+        packer.pack(incarnation);
+        packer.pack(version);
+    }
+    // Throws msgpack::type_error; decode() turns this into an error.
+    void msgpack_unpack(const msgpack::object&); // NOLINT(readability-identifier-naming)
+};
+
+constexpr std::size_t maxIdBytes = 128;
+constexpr std::size_t maxTextBytes = 256;
+constexpr std::size_t maxHoldings = 64;
+constexpr std::size_t maxServices = 64;
+// Keeps those with the highest rendezvous score, where the current registrars are.
+constexpr std::size_t maxObservations = 8;
+
+// Fails with InvalidRequest naming the field that is missing, too long or contradictory.
+base::Result<void> checkFacts(const MemberFacts&);
+
+MemberEntry makeEntry(MemberFacts);
+
+std::string encode(const MemberFacts&);
+base::Result<MemberFacts> decodeFacts(std::string_view);
+
+} // namespace arbutus::membership
+
+MSGPACK_ADD_ENUM(arbutus::membership::MemberKind)
--- /dev/null
+++ b/include/membership/Rendezvous.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "include/membership/Member.h"
+
+#include <cstdint>
+
+namespace arbutus::membership {
+
+// Mixes all bits of `value` (the finaliser of SplitMix64).
+constexpr std::uint64_t mix64(std::uint64_t value)
+{
+    value += 0x9e3779b97f4a7c15;
+    value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9;
+    value = (value ^ (value >> 27)) * 0x94d049bb133111eb;
+    return value ^ (value >> 31);
+}
+
+// Separates uses of the hash, so that a node's rank in one does not follow from its rank in another.
+enum class RendezvousUse : std::uint64_t {
+    Registrar = 1,
+    RelayLevel,
+    RelayParent,
+    Subset,
+};
+
+// Returns the score of `node` for `object`; the highest score wins.
+constexpr std::uint64_t rendezvousScore(RendezvousUse use, MemberKey object, MemberKey node)
+{
+    return mix64(node ^ mix64(object + static_cast<std::uint64_t>(use)));
+}
+
+} // namespace arbutus::membership
--- /dev/null
+++ b/src/membership/Gossip.cpp
@@ -0,0 +1,413 @@
+#include "include/membership/Gossip.h"
+
+#include "src/membership/Wire.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace arbutus::membership {
+
+// One comparison in five tries a peer that is out, or a seed: two halves of a
+// fleet that consider each other out would otherwise never meet again.
+static constexpr std::uint32_t comparesPerReunion = 5;
+static constexpr std::chrono::seconds pageDeadline { 1 };
+
+std::string encode(const GossipMessage& message) { return encodeMessage(message); }
+base::Result<GossipMessage> decodeGossip(std::string_view bytes) { return decodeMessage<GossipMessage>(bytes); }
+
+void GossipMessage::msgpack_unpack(const msgpack::object& object)
+{
+    if (object.type != msgpack::type::ARRAY || !object.via.array.size)
+        throw msgpack::type_error();
+    const auto number = object.via.array.ptr[0].as<std::uint8_t>();
+    if (number > static_cast<std::uint8_t>(GossipKind::TableAnswer))
+        throw msgpack::type_error();
+    static constexpr std::uint32_t fieldCounts[] = { 2, 3, 3, 2, 3, 4, 4 };
+    if (object.via.array.size != fieldCounts[number])
+        throw msgpack::type_error();
+    kind = static_cast<GossipKind>(number);
+    const msgpack::object* fields = object.via.array.ptr;
+    switch (kind) {
+    case GossipKind::Push:
+        fields[1].convert(entries);
+        break;
+    case GossipKind::DigestRequest:
+        fields[1].convert(sequence);
+        fields[2].convert(digest);
+        break;
+    case GossipKind::DigestAnswer:
+        fields[1].convert(sequence);
+        fields[2].convert(bucketDigests);
+        if (!bucketDigests.empty() && bucketDigests.size() != bucketCount)
+            throw msgpack::type_error();
+        break;
+    case GossipKind::BucketContents:
+        fields[1].convert(contents);
+        if (contents.size() > gossipRepairBuckets || std::any_of(contents.begin(), contents.end(), [](const BucketContent& content) { return content.bucket >= bucketCount; }))
+            throw msgpack::type_error();
+        break;
+    case GossipKind::Repair:
+        fields[1].convert(entries);
+        fields[2].convert(wants);
+        break;
+    case GossipKind::TableRequest:
+    case GossipKind::TableAnswer:
+        fields[1].convert(sequence);
+        fields[2].convert(entries);
+        fields[3].convert(cursor);
+        break;
+    }
+}
+
+// Returns the size of the entry in a message, without encoding it.
+static std::size_t estimateBytes(const MemberEntry& entry)
+{
+    std::size_t bytes = 32 + 9 * entry.lapsedBy.size();
+    if (!entry.facts)
+        return bytes;
+    const MemberFacts& facts = *entry.facts;
+    bytes += 32 + facts.id.size() + facts.address.size() + facts.dataCentre.size() + facts.accelerator.size();
+    for (const Holding& holding : facts.holdings)
+        bytes += 14 + holding.model.size() + holding.version.size();
+    for (const std::string& service : facts.services)
+        bytes += 3 + service.size();
+    return bytes;
+}
+
+// Observations and tombstones travel without the facts.
+static MemberEntry withoutFacts(MemberEntry entry)
+{
+    entry.facts = nullptr;
+    entry.factsDigest = 0;
+    return entry;
+}
+
+Gossip::Gossip(MemberTable& table, std::vector<PeerAddress> seeds, std::uint64_t randomSeed, base::TimePoint now)
+    : table_(table)
+    , seeds_(std::move(seeds))
+    , random_(randomSeed)
+    , nextPushAt_(now)
+    // Processes that start together do not compare at the same moment.
+    , nextCompareAt_(now + std::chrono::milliseconds(random_.below(1'000)))
+    , hasLearnedTable_(seeds_.empty())
+{
+    outbox_[table_.self()] = { pushesPerDelta(1), false };
+}
+
+unsigned Gossip::pushesPerDelta(std::size_t nodes)
+{
+    return 3 + static_cast<unsigned>(std::ceil(std::log2(static_cast<double>(nodes + 1)) / 3));
+}
+
+bool Gossip::knowsPeers() const { return !seeds_.empty() || !table_.peersIn().empty() || !table_.peersOut().empty(); }
+
+bool Gossip::isSilent(base::TimePoint now) const
+{
+    return knowsPeers() && (!lastExchangeAt_ || now - *lastExchangeAt_ > gossipSilenceLimit);
+}
+
+bool Gossip::isCutOff(base::TimePoint now) const
+{
+    return knowsPeers() && (!lastExchangeAt_ || now - *lastExchangeAt_ > gossipCutOffLimit);
+}
+
+void Gossip::collectChanges()
+{
+    const unsigned pushes = pushesPerDelta(table_.peersIn().size());
+    for (const MemberTable::Change& change : table_.takeChanges()) {
+        auto [found, isNew] = outbox_.try_emplace(change.key);
+        found->second.isObservation = change.isObservation && (isNew || found->second.isObservation);
+        found->second.pushesLeft = pushes;
+    }
+}
+
+PeerAddress Gossip::addressOf(MemberKey key) const
+{
+    const MemberFacts& facts = *table_.find(key)->facts;
+    return { facts.address, facts.controlPort };
+}
+
+std::vector<Gossip::Outgoing> Gossip::tick(base::TimePoint now)
+{
+    table_.refresh(now);
+    collectChanges();
+    std::vector<Outgoing> outgoing;
+    if (!hasLearnedTable_)
+        requestPage(now, outgoing);
+    else
+        compare(now, outgoing);
+    if (!outbox_.empty() && now >= nextPushAt_)
+        push(now, outgoing);
+    return outgoing;
+}
+
+void Gossip::push(base::TimePoint now, std::vector<Outgoing>& outgoing)
+{
+    const std::vector<MemberKey>& peers = table_.peersIn();
+    if (peers.empty())
+        return;
+    nextPushAt_ = now + gossipPushInterval;
+
+    // The newest deltas go first: they are the ones that few tables hold.
+    std::vector<std::pair<unsigned, MemberKey>> order;
+    for (const auto& [key, delta] : outbox_)
+        order.emplace_back(delta.pushesLeft, key);
+    std::sort(order.begin(), order.end(), std::greater<>());
+    GossipMessage message;
+    std::size_t bytes = 0;
+    for (const auto& [pushesLeft, key] : order) {
+        auto found = outbox_.find(key);
+        const MemberEntry* entry = table_.find(key);
+        if (!entry) {
+            outbox_.erase(found);
+            continue;
+        }
+        MemberEntry sent = found->second.isObservation ? withoutFacts(*entry) : *entry;
+        bytes += estimateBytes(sent);
+        if (bytes > gossipPushBytes && !message.entries.empty())
+            break;
+        message.entries.push_back(std::move(sent));
+        if (!--found->second.pushesLeft)
+            outbox_.erase(found);
+    }
+    if (message.entries.empty())
+        return;
+
+    std::vector<MemberKey> chosen;
+    while (chosen.size() < std::min(gossipFanOut, peers.size())) {
+        const MemberKey peer = peers[random_.below(peers.size())];
+        if (std::find(chosen.begin(), chosen.end(), peer) == chosen.end())
+            chosen.push_back(peer);
+    }
+    for (MemberKey peer : chosen)
+        outgoing.push_back({ addressOf(peer), message });
+}
+
+std::optional<PeerAddress> Gossip::pickPeer()
+{
+    const std::vector<MemberKey>& in = table_.peersIn();
+    const std::vector<MemberKey>& out = table_.peersOut();
+    const bool isReunion = compareCount_++ % comparesPerReunion == 0;
+    if (isReunion || in.empty()) {
+        if (const std::size_t count = out.size() + seeds_.size(); !out.empty() || (in.empty() && count)) {
+            const std::size_t index = random_.below(count);
+            return index < out.size() ? addressOf(out[index]) : seeds_[index - out.size()];
+        }
+    }
+    if (in.empty())
+        return std::nullopt;
+    return addressOf(in[random_.below(in.size())]);
+}
+
+void Gossip::compare(base::TimePoint now, std::vector<Outgoing>& outgoing)
+{
+    const bool isUnanswered = request_ && now >= request_->sentAt + gossipAnswerDeadline;
+    if (now < nextCompareAt_ && !isUnanswered)
+        return;
+    const std::optional<PeerAddress> peer = pickPeer();
+    if (now >= nextCompareAt_)
+        nextCompareAt_ = now + gossipCompareInterval;
+    if (!peer) {
+        request_.reset();
+        return;
+    }
+    request_ = { ++sequence_, now };
+    GossipMessage message;
+    message.kind = GossipKind::DigestRequest;
+    message.sequence = sequence_;
+    message.digest = table_.digest();
+    outgoing.push_back({ *peer, std::move(message) });
+}
+
+void Gossip::requestPage(base::TimePoint now, std::vector<Outgoing>& outgoing)
+{
+    if (request_ && now < request_->sentAt + pageDeadline)
+        return;
+    if (request_) {
+        // The seed did not answer: start again with the next one, whose table may differ.
+        pageCursor_ = 0;
+        ++seedIndex_;
+    }
+    request_ = { ++sequence_, now };
+    GossipMessage message;
+    message.kind = GossipKind::TableRequest;
+    message.sequence = sequence_;
+    message.cursor = pageCursor_;
+    message.entries.push_back(*table_.find(table_.self()));
+    outgoing.push_back({ seeds_[seedIndex_ % seeds_.size()], std::move(message) });
+}
+
+void Gossip::noteAnswer(std::uint32_t sequence)
+{
+    if (!request_ || request_->sequence != sequence)
+        return;
+    lastExchangeAt_ = request_->sentAt;
+    request_.reset();
+}
+
+std::vector<BucketContent> Gossip::listContents(const std::vector<std::uint16_t>& buckets) const
+{
+    std::vector<BucketContent> contents;
+    std::array<int, bucketCount> indexOf;
+    indexOf.fill(-1);
+    for (std::uint16_t bucket : buckets) {
+        indexOf[bucket] = static_cast<int>(contents.size());
+        contents.push_back({ bucket, {} });
+    }
+    table_.forEach([&](const MemberEntry& entry, bool isOut) {
+        if (const int index = indexOf[MemberTable::bucketOf(entry.key)]; index >= 0)
+            contents[static_cast<std::size_t>(index)].entries.push_back({ entry.key, isOut ? 0 : static_cast<std::uint32_t>(MemberTable::entryHash(entry)) });
+    });
+    return contents;
+}
+
+GossipMessage Gossip::answerDigest(const GossipMessage& request) const
+{
+    GossipMessage answer;
+    answer.kind = GossipKind::DigestAnswer;
+    answer.sequence = request.sequence;
+    if (request.digest != table_.digest()) {
+        for (std::uint64_t digest : table_.bucketDigests())
+            answer.bucketDigests.push_back(static_cast<std::uint32_t>(digest));
+    }
+    return answer;
+}
+
+GossipMessage Gossip::answerContents(const GossipMessage& request) const
+{
+    GossipMessage answer;
+    answer.kind = GossipKind::Repair;
+    std::vector<std::uint16_t> buckets;
+    std::unordered_map<MemberKey, std::uint32_t> theirs;
+    for (const BucketContent& content : request.contents) {
+        buckets.push_back(content.bucket);
+        for (const EntrySummary& summary : content.entries)
+            theirs.emplace(summary.key, summary.hash);
+    }
+    std::size_t bytes = 0;
+    const auto send = [&](MemberKey key, bool isOut) {
+        MemberEntry entry = isOut ? withoutFacts(*table_.find(key)) : *table_.find(key);
+        bytes += estimateBytes(entry);
+        if (bytes <= gossipPageBytes)
+            answer.entries.push_back(std::move(entry));
+    };
+    for (const BucketContent& mine : listContents(buckets)) {
+        for (const EntrySummary& summary : mine.entries) {
+            auto found = theirs.find(summary.key);
+            const bool isUnknownThere = found == theirs.end();
+            if (isUnknownThere ? summary.hash != 0 : summary.hash != found->second)
+                send(summary.key, !summary.hash);
+            if (!isUnknownThere && summary.hash != found->second)
+                answer.wants.push_back(summary.key);
+            if (!isUnknownThere)
+                theirs.erase(found);
+        }
+    }
+    for (const auto& [key, hash] : theirs) {
+        if (hash)
+            answer.wants.push_back(key);
+    }
+    return answer;
+}
+
+GossipMessage Gossip::answerTable(const GossipMessage& request) const
+{
+    GossipMessage answer;
+    answer.kind = GossipKind::TableAnswer;
+    answer.sequence = request.sequence;
+    answer.cursor = std::min<std::uint32_t>(request.cursor, bucketCount);
+    std::vector<std::vector<const MemberEntry*>> buckets(bucketCount);
+    table_.forEach([&](const MemberEntry& entry, bool isOut) {
+        if (!isOut && entry.facts)
+            buckets[MemberTable::bucketOf(entry.key)].push_back(&entry);
+    });
+    // Whole buckets, so that the cursor stays one number.
+    for (std::size_t bytes = 0; answer.cursor < bucketCount && bytes < gossipPageBytes; ++answer.cursor) {
+        for (const MemberEntry* entry : buckets[answer.cursor]) {
+            bytes += estimateBytes(*entry);
+            answer.entries.push_back(*entry);
+        }
+    }
+    return answer;
+}
+
+std::vector<GossipMessage> Gossip::onMessage(const GossipMessage& message, base::TimePoint now)
+{
+    std::vector<GossipMessage> answers;
+    switch (message.kind) {
+    case GossipKind::Push:
+        for (const MemberEntry& entry : message.entries)
+            table_.merge(entry, now);
+        break;
+    case GossipKind::DigestRequest:
+        answers.push_back(answerDigest(message));
+        break;
+    case GossipKind::DigestAnswer: {
+        noteAnswer(message.sequence);
+        if (message.bucketDigests.size() != bucketCount)
+            break;
+        // Begins at a random bucket, so that a table that differs everywhere is not always repaired at the same end.
+        std::vector<std::uint16_t> buckets;
+        const std::uint64_t start = random_.below(bucketCount);
+        for (std::size_t offset = 0; offset < bucketCount && buckets.size() < gossipRepairBuckets; ++offset) {
+            const std::size_t bucket = (start + offset) % bucketCount;
+            if (message.bucketDigests[bucket] != static_cast<std::uint32_t>(table_.bucketDigests()[bucket]))
+                buckets.push_back(static_cast<std::uint16_t>(bucket));
+        }
+        if (buckets.empty())
+            break;
+        GossipMessage answer;
+        answer.kind = GossipKind::BucketContents;
+        answer.contents = listContents(buckets);
+        answers.push_back(std::move(answer));
+        break;
+    }
+    case GossipKind::BucketContents:
+        answers.push_back(answerContents(message));
+        break;
+    case GossipKind::Repair: {
+        for (const MemberEntry& entry : message.entries)
+            table_.merge(entry, now);
+        GossipMessage answer;
+        answer.kind = GossipKind::Repair;
+        std::size_t bytes = 0;
+        for (MemberKey key : message.wants) {
+            const MemberEntry* entry = table_.find(key);
+            if (!entry)
+                continue;
+            bytes += estimateBytes(*entry);
+            if (bytes > gossipPageBytes)
+                break;
+            answer.entries.push_back(table_.isOut(key) ? withoutFacts(*entry) : *entry);
+        }
+        if (!answer.entries.empty())
+            answers.push_back(std::move(answer));
+        break;
+    }
+    case GossipKind::TableRequest:
+        for (const MemberEntry& entry : message.entries)
+            table_.merge(entry, now);
+        answers.push_back(answerTable(message));
+        break;
+    case GossipKind::TableAnswer: {
+        const bool isAwaited = !hasLearnedTable_ && request_ && request_->sequence == message.sequence;
+        if (!isAwaited)
+            break;
+        noteAnswer(message.sequence);
+        // Peers hold these entries already: they are not news to spread.
+        collectChanges();
+        const std::uint64_t versionBefore = table_.selfFacts().version;
+        for (const MemberEntry& entry : message.entries)
+            table_.mergeInitial(entry, now);
+        table_.takeChanges();
+        if (table_.selfFacts().version != versionBefore)
+            outbox_[table_.self()] = { pushesPerDelta(table_.peersIn().size()), false };
+        pageCursor_ = message.cursor;
+        hasLearnedTable_ = message.cursor >= bucketCount;
+        break;
+    }
+    }
+    return answers;
+}
+
+} // namespace arbutus::membership
