Add the load, speed and health of upstreams

Cause: load reports lag, accelerators and links differ, and a stalled batch or a failing engine must not mislead the choice of a pipeline for long. Change: StepTimes learns step time against batch size for each accelerator kind by a decayed linear regression; UpstreamLoad corrects reports by the streams of this VM since the report, and keeps the engine's own slowdown as a median of 5 samples that decays with a half-life of 5 s; LinkTimes does the same for pairs of data centres; CircuitBreaker opens after 3 consecutive failures. Conclusion: one sample a batch; all results of a batch say the same thing.

--- /dev/null
+++ b/include/routing/UpstreamLoad.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "include/base/Time.h"
+#include "include/routing/CircuitBreaker.h"
+#include "include/routing/StepTimes.h"
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <vector>
+
+namespace arbutus::routing {
+
+// What an engine said about itself. It lags: `reportedAt` is the time on this
+// VM's clock to which the numbers refer (receipt time less half a round trip).
+struct LoadReport {
+    std::size_t running = 0;
+    std::size_t queued = 0;
+    // Share of the memory in use, 0 to 1.
+    double memoryUsed = 0;
+    base::TimePoint reportedAt;
+};
+
+// The load, speed and health of one engine as this VM knows them.
+class UpstreamLoad {
+public:
+    // `kindTimes` is shared by all engines of the accelerator kind and outlives this object.
+    explicit UpstreamLoad(StepTimes& kindTimes)
+        : kindTimes_(&kindTimes)
+    {
+    }
+
+    // Reports older than the newest one are ignored.
+    void report(const LoadReport&);
+
+    // A stream of this VM starts or ends on the engine. `startedAt` is the time
+    // that was given to streamStarted.
+    void streamStarted(base::TimePoint now);
+    void streamEnded(base::TimePoint startedAt, base::TimePoint now);
+
+    // A step came back `stepTime` after it was sent, less the link's round trip.
+    // `tokens` is 1, or the uncached tokens of a prefill.
+    void stepReturned(std::size_t tokens, std::chrono::nanoseconds stepTime, base::TimePoint now);
+    void stepFailed(base::TimePoint now) { health_.recordFailure(now); }
+
+    // Streams on the engine: as reported, plus those this VM started and less
+    // those it saw end since the report.
+    std::size_t correctedLoad() const;
+    std::chrono::nanoseconds reportAge(base::TimePoint now) const;
+    double memoryUsed() const { return report_.memoryUsed; }
+
+    // Expected time of a step, or of a prefill of `tokens` uncached tokens, when
+    // one more stream runs on the engine.
+    std::chrono::nanoseconds expectedStep(base::TimePoint now) const;
+    std::chrono::nanoseconds expectedPrefill(std::size_t tokens, base::TimePoint now) const;
+
+    const CircuitBreaker& health() const { return health_; }
+
+private:
+    double slowdown(base::TimePoint now) const;
+
+    static constexpr std::size_t windowSize = 5;
+
+    StepTimes* kindTimes_;
+    LoadReport report_;
+    std::vector<base::TimePoint> startedSinceReport_;
+    std::vector<base::TimePoint> endedSinceReport_;
+    // Logarithms of observed time over the time expected of the kind.
+    std::array<double, windowSize> samples_ {};
+    std::size_t sampleCount_ = 0;
+    double medianSample_ = 0;
+    base::TimePoint sampledAt_;
+    CircuitBreaker health_;
+};
+
+} // namespace arbutus::routing
--- /dev/null
+++ b/src/routing/StepTimes.cpp
@@ -0,0 +1,111 @@
+#include "include/routing/StepTimes.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace arbutus::routing {
+
+// Used until the first observations arrive.
+static constexpr double initialBaseSeconds = 0.020;
+static constexpr double initialSequenceSeconds = 0.0003;
+static constexpr double initialPrefillTokenSeconds = 0.00002;
+
+static constexpr double halfLifeSeconds = 30;
+// An observation outside [expected / 3, expected * 3] is an outlier: continuous
+// batching alone makes a step wait for at most one other step.
+static constexpr double outlierFactor = 3;
+static constexpr double outlierGain = 0.05;
+static constexpr double minimumWeight = 8;
+// Bounds the influence of the past, so that the fit follows a change within
+// about this number of observations.
+static constexpr double maximumWeight = 512;
+// Pulls the slope to its initial value while all batches have had one size.
+static constexpr double slopePriorWeight = 4;
+static constexpr double prefillGain = 0.05;
+
+static double toSeconds(std::chrono::nanoseconds time) { return std::chrono::duration<double>(time).count(); }
+
+static std::chrono::nanoseconds toNanoseconds(double seconds)
+{
+    return std::chrono::nanoseconds(static_cast<std::int64_t>(seconds * 1e9));
+}
+
+StepTimes::StepTimes()
+    : baseSeconds_(initialBaseSeconds)
+    , sequenceSeconds_(initialSequenceSeconds)
+    , prefillTokenSeconds_(initialPrefillTokenSeconds)
+{
+}
+
+void StepTimes::decay(base::TimePoint now)
+{
+    double factor = 1;
+    if (weight_ > 0 && now > decayedAt_)
+        factor = std::exp2(-toSeconds(now - decayedAt_) / halfLifeSeconds);
+    if (weight_ * factor > maximumWeight)
+        factor = maximumWeight / weight_;
+    decayedAt_ = std::max(decayedAt_, now);
+    weight_ *= factor;
+    sumBatch_ *= factor;
+    sumTime_ *= factor;
+    sumBatchSquared_ *= factor;
+    sumBatchTime_ *= factor;
+}
+
+bool StepTimes::isOutlier(double seconds, double expectedSeconds)
+{
+    const bool isFar = weight_ >= minimumWeight && (seconds > expectedSeconds * outlierFactor || seconds < expectedSeconds / outlierFactor);
+    outlierShare_ += outlierGain * ((isFar ? 1 : 0) - outlierShare_);
+    return isFar && outlierShare_ < 0.5;
+}
+
+void StepTimes::fit()
+{
+    const double meanBatch = sumBatch_ / weight_;
+    const double meanTime = sumTime_ / weight_;
+    const double variance = sumBatchSquared_ - sumBatch_ * meanBatch;
+    const double covariance = sumBatchTime_ - sumBatch_ * meanTime;
+    const double slope = (covariance + slopePriorWeight * initialSequenceSeconds) / (std::max(variance, 0.0) + slopePriorWeight);
+    sequenceSeconds_ = std::clamp(slope, 0.0, meanTime / std::max(meanBatch, 1.0));
+    baseSeconds_ = std::max(meanTime - sequenceSeconds_ * meanBatch, 0.0);
+}
+
+void StepTimes::record(std::size_t batch, std::chrono::nanoseconds time, base::TimePoint now)
+{
+    assert(time.count() >= 0);
+    const double seconds = toSeconds(time);
+    decay(now);
+    if (isOutlier(seconds, toSeconds(expected(batch))))
+        return;
+    const auto size = static_cast<double>(batch);
+    weight_ += 1;
+    sumBatch_ += size;
+    sumTime_ += seconds;
+    sumBatchSquared_ += size * size;
+    sumBatchTime_ += size * seconds;
+    fit();
+}
+
+void StepTimes::recordPrefill(std::size_t batch, std::size_t tokens, std::chrono::nanoseconds time, base::TimePoint now)
+{
+    if (tokens < 2) {
+        record(batch, time, now);
+        return;
+    }
+    const double rest = std::max(toSeconds(time) - toSeconds(expected(batch)), 0.0);
+    const double sample = std::min(rest / static_cast<double>(tokens), prefillTokenSeconds_ * outlierFactor);
+    prefillTokenSeconds_ = std::max(prefillTokenSeconds_ + prefillGain * (sample - prefillTokenSeconds_), 1e-9);
+}
+
+std::chrono::nanoseconds StepTimes::expected(std::size_t batch) const
+{
+    return toNanoseconds(baseSeconds_ + sequenceSeconds_ * static_cast<double>(batch));
+}
+
+std::chrono::nanoseconds StepTimes::expectedPrefill(std::size_t batch, std::size_t tokens) const
+{
+    return expected(batch) + toNanoseconds(prefillTokenSeconds_ * static_cast<double>(tokens));
+}
+
+} // namespace arbutus::routing
--- /dev/null
+++ b/src/routing/UpstreamLoad.cpp
@@ -0,0 +1,97 @@
+#include "include/routing/UpstreamLoad.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace arbutus::routing {
+
+// All results of one batch arrive together and say the same thing; one sample
+// for each batch keeps a single slow batch from filling the window, and from
+// becoming the rule for the whole kind.
+static constexpr std::chrono::nanoseconds shortestSampleGap = std::chrono::milliseconds(10);
+// An engine that was slow and is therefore not used returns to the speed of
+// its kind in the estimate, so that it is tried again.
+static constexpr double slowdownHalfLifeSeconds = 5;
+static constexpr double largestLogRatio = 4.0;
+
+void UpstreamLoad::report(const LoadReport& report)
+{
+    if (report.reportedAt < report_.reportedAt)
+        return;
+    report_ = report;
+    const auto isCovered = [&](base::TimePoint time) { return time <= report.reportedAt; };
+    startedSinceReport_.erase(std::remove_if(startedSinceReport_.begin(), startedSinceReport_.end(), isCovered), startedSinceReport_.end());
+    endedSinceReport_.erase(std::remove_if(endedSinceReport_.begin(), endedSinceReport_.end(), isCovered), endedSinceReport_.end());
+}
+
+void UpstreamLoad::streamStarted(base::TimePoint now)
+{
+    startedSinceReport_.push_back(now);
+    health_.recordSent(now);
+}
+
+void UpstreamLoad::streamEnded(base::TimePoint startedAt, base::TimePoint now)
+{
+    const auto found = std::find(startedSinceReport_.begin(), startedSinceReport_.end(), startedAt);
+    if (found != startedSinceReport_.end()) {
+        startedSinceReport_.erase(found);
+        return;
+    }
+    // More ends than reported streams carry no information; this bounds the list.
+    if (endedSinceReport_.size() < report_.running + report_.queued)
+        endedSinceReport_.push_back(now);
+}
+
+void UpstreamLoad::stepReturned(std::size_t tokens, std::chrono::nanoseconds stepTime, base::TimePoint now)
+{
+    assert(tokens);
+    health_.recordSuccess();
+    if (sampleCount_ && now - sampledAt_ < shortestSampleGap)
+        return;
+    const std::size_t batch = report_.running + report_.queued;
+    const auto expected = kindTimes_->expectedPrefill(batch, tokens > 1 ? tokens : 0);
+    if (tokens > 1)
+        kindTimes_->recordPrefill(batch, tokens, stepTime, now);
+    else
+        kindTimes_->record(batch, stepTime, now);
+    const double ratio = static_cast<double>(std::max<std::int64_t>(stepTime.count(), 1)) / static_cast<double>(std::max<std::int64_t>(expected.count(), 1));
+    samples_[sampleCount_++ % windowSize] = std::clamp(std::log(ratio), -largestLogRatio, largestLogRatio);
+    sampledAt_ = now;
+    auto sorted = samples_;
+    const std::size_t filled = std::min(sampleCount_, windowSize);
+    std::sort(sorted.begin(), sorted.begin() + static_cast<std::ptrdiff_t>(filled));
+    medianSample_ = sorted[filled / 2];
+}
+
+std::size_t UpstreamLoad::correctedLoad() const
+{
+    const std::size_t raised = report_.running + report_.queued + startedSinceReport_.size();
+    return raised - std::min(raised, endedSinceReport_.size());
+}
+
+std::chrono::nanoseconds UpstreamLoad::reportAge(base::TimePoint now) const
+{
+    return std::max(now - report_.reportedAt, std::chrono::nanoseconds(0));
+}
+
+double UpstreamLoad::slowdown(base::TimePoint now) const
+{
+    if (!sampleCount_)
+        return 1;
+    const double age = std::max(std::chrono::duration<double>(now - sampledAt_).count(), 0.0);
+    return std::exp(medianSample_ * std::exp2(-age / slowdownHalfLifeSeconds));
+}
+
+std::chrono::nanoseconds UpstreamLoad::expectedStep(base::TimePoint now) const
+{
+    return expectedPrefill(0, now);
+}
+
+std::chrono::nanoseconds UpstreamLoad::expectedPrefill(std::size_t tokens, base::TimePoint now) const
+{
+    const auto time = static_cast<double>(kindTimes_->expectedPrefill(correctedLoad() + 1, tokens).count());
+    return std::chrono::nanoseconds(static_cast<std::int64_t>(time * slowdown(now)));
+}
+
+} // namespace arbutus::routing
--- /dev/null
+++ b/tests/UpstreamLoadTest.cpp
@@ -0,0 +1,131 @@
+#include "include/routing/UpstreamLoad.h"
+#include "include/base/Clock.h"
+#include "include/base/Random.h"
+#include "include/routing/LinkTimes.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace arbutus;
+using namespace arbutus::routing;
+using namespace std::chrono_literals;
+
+static double milliseconds(std::chrono::nanoseconds time) { return std::chrono::duration<double, std::milli>(time).count(); }
+
+// Guards against a stream that is counted twice or not at all when reports lag.
+BOOST_AUTO_TEST_CASE(LaggingReportIsCorrectedByOwnStreams)
+{
+    base::VirtualClock clock;
+    StepTimes times;
+    UpstreamLoad load(times);
+    const auto start = clock.now();
+    load.streamStarted(start);
+    load.streamStarted(start + 10ms);
+    BOOST_TEST(load.correctedLoad() == 2U);
+    load.report({ 5, 1, 0.5, start + 5ms });
+    BOOST_TEST(load.correctedLoad() == 7U);
+    load.streamEnded(start, start + 20ms);
+    BOOST_TEST(load.correctedLoad() == 6U);
+    load.streamEnded(start + 10ms, start + 21ms);
+    BOOST_TEST(load.correctedLoad() == 5U);
+    // An older report that overtakes changes nothing.
+    load.report({ 60, 0, 0.5, start + 1ms });
+    BOOST_TEST(load.correctedLoad() == 5U);
+    load.report({ 5, 0, 0.5, start + 30ms });
+    BOOST_TEST(load.correctedLoad() == 5U);
+}
+
+// Guards against a fit that a few stalls distort.
+BOOST_AUTO_TEST_CASE(StepTimeIsLearnedDespiteOutliers)
+{
+    base::VirtualClock clock;
+    base::Random random(11);
+    StepTimes times;
+    for (int i = 0; i < 2000; ++i) {
+        clock.advance(5ms);
+        const std::size_t batch = 1 + random.below(32);
+        const bool isStall = random.below(20) == 0;
+        const double ms = (10 + 0.5 * static_cast<double>(batch)) * random.between(0.95, 1.05) * (isStall ? 50 : 1);
+        times.record(batch, std::chrono::nanoseconds(static_cast<std::int64_t>(ms * 1e6)), clock.now());
+    }
+    BOOST_TEST(milliseconds(times.expected(1)) == 10.5, boost::test_tools::tolerance(0.1));
+    BOOST_TEST(milliseconds(times.expected(32)) == 26.0, boost::test_tools::tolerance(0.1));
+    // A lasting change is not an outlier for ever.
+    for (int i = 0; i < 2000; ++i) {
+        clock.advance(5ms);
+        times.record(8, 140ms, clock.now());
+    }
+    BOOST_TEST(milliseconds(times.expected(8)) == 140.0, boost::test_tools::tolerance(0.1));
+}
+
+// Guards against an engine that is avoided for ever after it was slow, against
+// one slow batch that changes the estimate, and against a slow engine that
+// makes its whole kind look slow.
+BOOST_AUTO_TEST_CASE(SlowEngineIsNoticedAndForgiven)
+{
+    base::VirtualClock clock;
+    StepTimes times;
+    UpstreamLoad slow(times);
+    UpstreamLoad healthy(times);
+    for (int i = 0; i < 100; ++i) {
+        clock.advance(20ms);
+        slow.stepReturned(1, 20ms, clock.now());
+        healthy.stepReturned(1, 20ms, clock.now());
+    }
+    clock.advance(200ms);
+    for (int result = 0; result < 30; ++result)
+        slow.stepReturned(1, 200ms, clock.now());
+    BOOST_TEST(milliseconds(slow.expectedStep(clock.now())) < 25);
+    for (int i = 0; i < 4; ++i) {
+        clock.advance(200ms);
+        slow.stepReturned(1, 200ms, clock.now());
+    }
+    BOOST_TEST(milliseconds(slow.expectedStep(clock.now())) > 150);
+    BOOST_TEST(milliseconds(healthy.expectedStep(clock.now())) < 25);
+    clock.advance(30s);
+    BOOST_TEST(milliseconds(slow.expectedStep(clock.now())) < 25);
+}
+
+// Guards against a failing engine that keeps receiving work, and against a
+// recovered one that never receives any or receives a flood at once.
+BOOST_AUTO_TEST_CASE(CircuitOpensAndOneRequestProbes)
+{
+    base::VirtualClock clock;
+    CircuitBreaker breaker;
+    breaker.recordFailure(clock.now());
+    breaker.recordFailure(clock.now());
+    breaker.recordSuccess();
+    breaker.recordFailure(clock.now());
+    breaker.recordFailure(clock.now());
+    BOOST_TEST(breaker.isAvailable(clock.now()));
+    breaker.recordFailure(clock.now());
+    BOOST_TEST(!breaker.isAvailable(clock.now()));
+    clock.advance(1s);
+    BOOST_TEST((breaker.state(clock.now()) == CircuitBreaker::State::HalfOpen));
+    BOOST_TEST(breaker.isAvailable(clock.now()));
+    breaker.recordSent(clock.now());
+    BOOST_TEST(!breaker.isAvailable(clock.now()));
+    breaker.recordFailure(clock.now());
+    clock.advance(1900ms);
+    BOOST_TEST(!breaker.isAvailable(clock.now()));
+    clock.advance(100ms);
+    breaker.recordSent(clock.now());
+    breaker.recordSuccess();
+    BOOST_TEST((breaker.state(clock.now()) == CircuitBreaker::State::Closed));
+}
+
+// Guards against a link that one lost packet makes slow, and against one that
+// is never tried again.
+BOOST_AUTO_TEST_CASE(LinkTimeFollowsLastingChangesAndForgets)
+{
+    base::VirtualClock clock;
+    LinkTimes links;
+    for (int i = 0; i < 5; ++i)
+        links.record("a", "b", 1ms, clock.now());
+    links.record("a", "b", 200ms, clock.now());
+    BOOST_TEST(milliseconds(links.expected("a", "b", clock.now())) == 1.0, boost::test_tools::tolerance(0.01));
+    links.record("a", "b", 50ms, clock.now());
+    links.record("a", "b", 50ms, clock.now());
+    BOOST_TEST(milliseconds(links.expected("a", "b", clock.now())) > 40);
+    clock.advance(5min);
+    BOOST_TEST(milliseconds(links.expected("a", "b", clock.now())) < 1.0);
+}
