Add the retry budget and the retry policy

Cause: retries must not multiply the load when upstreams fail widely, and must not be sent when they cannot end before the deadline. Change: RetryBudget is a token bucket filled by a fraction of the successes; RetryPolicy doubles the delay with a jitter factor of 0.8 to 1.2, remembers the upstreams tried, and charges the budget only for a retry that is sent. Figures: 1,000 successes at a ratio of 0.1 pay for 100 retries after the initial 5 (RetryTest).

--- /dev/null
+++ b/src/routing/RetryBudget.cpp
@@ -0,0 +1,30 @@
+#include "include/routing/RetryBudget.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace arbutus::routing {
+
+// Absorbs the rounding of repeated additions, so that ten successes at a ratio
+// of 0.1 pay for one retry.
+static constexpr double roundingSlack = 1e-9;
+
+RetryBudget::RetryBudget(double ratio, double capacity)
+    : ratio_(ratio)
+    , capacity_(capacity)
+    , balance_(capacity)
+{
+    assert(ratio >= 0 && capacity >= 0);
+}
+
+void RetryBudget::recordSuccess() { balance_ = std::min(balance_ + ratio_, capacity_); }
+
+bool RetryBudget::tryTake()
+{
+    if (balance_ + roundingSlack < 1)
+        return false;
+    balance_ = std::max(balance_ - 1, 0.0);
+    return true;
+}
+
+} // namespace arbutus::routing
--- /dev/null
+++ b/tests/RetryTest.cpp
@@ -0,0 +1,63 @@
+#include "include/base/Clock.h"
+#include "include/routing/RetryPolicy.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace arbutus;
+using namespace arbutus::routing;
+using namespace std::chrono_literals;
+
+// Guards against retries that multiply the load when every upstream fails.
+BOOST_AUTO_TEST_CASE(RetriesAreAFractionOfSuccesses)
+{
+    RetryBudget budget(0.1, 5);
+    int retries = 0;
+    for (int i = 0; i < 1000; ++i)
+        retries += budget.tryTake() ? 1 : 0;
+    BOOST_TEST(retries == 5);
+    for (int i = 0; i < 1000; ++i) {
+        budget.recordSuccess();
+        retries += budget.tryTake() ? 1 : 0;
+    }
+    BOOST_TEST(retries == 105);
+}
+
+// Guards against synchronised retries, and against delays outside the stated range.
+BOOST_AUTO_TEST_CASE(DelaysGrowWithinTheJitterRange)
+{
+    base::VirtualClock clock;
+    base::Random random(7);
+    double lowest = 2;
+    double highest = 0;
+    for (int i = 0; i < 1000; ++i) {
+        RetryBudget budget(0.1, 10);
+        RetryPolicy policy({ 50ms, 80ms, 9 }, clock.now() + 1h);
+        for (std::chrono::nanoseconds expected : { 50ms, 80ms, 80ms }) {
+            const auto at = policy.nextAttemptAt({ "a" }, 0s, clock.now(), budget, random);
+            BOOST_REQUIRE(at.has_value());
+            const double factor = std::chrono::duration<double>(*at - clock.now()) / expected;
+            lowest = std::min(lowest, factor);
+            highest = std::max(highest, factor);
+        }
+    }
+    BOOST_TEST((lowest >= 0.799 && lowest < 0.81));
+    BOOST_TEST((highest <= 1.201 && highest > 1.19));
+}
+
+// Guards against a retry that cannot end in time, against one that still costs
+// budget, and against an upstream that is tried twice.
+BOOST_AUTO_TEST_CASE(NoRetryPastTheDeadlineOrTheAttempts)
+{
+    base::VirtualClock clock;
+    base::Random random(7);
+    RetryBudget budget(0.1, 10);
+    RetryPolicy late({ 50ms, 1s, 4 }, clock.now() + 500ms);
+    BOOST_TEST(!late.nextAttemptAt({ "a" }, 450ms, clock.now(), budget, random).has_value());
+    BOOST_TEST(budget.balance() == 10);
+
+    RetryPolicy policy({ 50ms, 1s, 3 }, clock.now() + 1h);
+    BOOST_TEST(policy.nextAttemptAt({ "a", "b" }, 0s, clock.now(), budget, random).has_value());
+    BOOST_TEST(policy.nextAttemptAt({ "b", "c" }, 0s, clock.now(), budget, random).has_value());
+    BOOST_TEST(!policy.nextAttemptAt({ "d" }, 0s, clock.now(), budget, random).has_value());
+    BOOST_TEST(policy.tried() == (std::vector<std::string> { "a", "b", "c", "d" }), boost::test_tools::per_element());
+}
