Add crash suspects

Cause: a request that crashes each engine that runs it must be found with few engine deaths, and its innocent neighbours must finish. Change: CrashSuspects counts deaths by fingerprint (blamed at 2 alone or 3 in all, cleared of the last by 16 tokens, kept 1 hour after the last) and resumes suspects in turns, each alone on an empty engine. Figures: 1 shared death and 2 for each request at fault, for batches of 8, 32 and 64 and 0, 3 and 10 spare engines; a batch of one needs 2 (CrashSuspectsTest).

--- /dev/null
+++ b/src/routing/CrashSuspects.cpp
@@ -0,0 +1,191 @@
+#include "include/routing/CrashSuspects.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace arbutus::routing {
+
+static constexpr int soleDeathsToBlame = 2;
+static constexpr int deathsToBlame = 3;
+static constexpr std::size_t tokensToClear = 16;
+static constexpr std::chrono::hours retention(1);
+
+CrashSuspects::CrashSuspects(std::size_t maxRecords)
+    : maxRecords_(maxRecords)
+{
+    assert(maxRecords);
+}
+
+bool CrashSuspects::isBlamed(const Record& record)
+{
+    return record.soleDeaths >= soleDeathsToBlame || record.deaths >= deathsToBlame;
+}
+
+void CrashSuspects::endTurn(Entry& entry)
+{
+    if (entry.turn == Turn::Waiting)
+        waiting_.remove(entry.record.fingerprint);
+    else if (entry.turn == Turn::Running)
+        --runningTurns_;
+    entry.turn = Turn::None;
+}
+
+void CrashSuspects::erase(Records::iterator position)
+{
+    endTurn(*position);
+    index_.erase(position->record.fingerprint);
+    records_.erase(position);
+}
+
+void CrashSuspects::expire(base::TimePoint now)
+{
+    while (!records_.empty() && records_.front().record.lastDeathAt + retention <= now)
+        erase(records_.begin());
+}
+
+// Returns the entry of `fingerprint`, made if absent, as the newest.
+CrashSuspects::Entry& CrashSuspects::touch(const std::string& fingerprint)
+{
+    if (const auto found = index_.find(fingerprint); found != index_.end()) {
+        records_.splice(records_.end(), records_, found->second);
+        return *found->second;
+    }
+    if (records_.size() >= maxRecords_) {
+        // A blamed request is worth more than a suspect, which most likely is
+        // innocent. A request in a turn is kept: its stream waits for the turn.
+        auto victim = std::find_if(records_.begin(), records_.end(), [](const Entry& entry) { return entry.turn == Turn::None && !isBlamed(entry.record); });
+        if (victim == records_.end())
+            victim = std::find_if(records_.begin(), records_.end(), [](const Entry& entry) { return entry.turn == Turn::None; });
+        if (victim != records_.end())
+            erase(victim);
+    }
+    Entry entry;
+    entry.record.fingerprint = fingerprint;
+    records_.push_back(std::move(entry));
+    index_[fingerprint] = std::prev(records_.end());
+    return records_.back();
+}
+
+CrashSuspects::DeathOutcome CrashSuspects::engineDied(const std::vector<std::string>& running, std::size_t otherStreams, base::TimePoint now)
+{
+    expire(now);
+    auto distinct = running;
+    std::sort(distinct.begin(), distinct.end());
+    distinct.erase(std::unique(distinct.begin(), distinct.end()), distinct.end());
+    const bool isSole = distinct.size() == 1 && !otherStreams;
+
+    DeathOutcome outcome;
+    for (const auto& fingerprint : distinct) {
+        Entry& entry = touch(fingerprint);
+        endTurn(entry);
+        ++entry.record.deaths;
+        entry.record.soleDeaths += isSole ? 1 : 0;
+        entry.wasLastDeathSole = isSole;
+        entry.record.lastDeathAt = now;
+        if (isBlamed(entry.record)) {
+            outcome.blamed.push_back(fingerprint);
+            continue;
+        }
+        entry.turn = Turn::Waiting;
+        waiting_.push_back(fingerprint);
+        outcome.suspects.push_back(fingerprint);
+    }
+    return outcome;
+}
+
+std::vector<std::string> CrashSuspects::takeTurns(std::size_t emptyEngines)
+{
+    std::vector<std::string> turns;
+    while (turns.size() < emptyEngines && !waiting_.empty()) {
+        index_.at(waiting_.front())->turn = Turn::Running;
+        ++runningTurns_;
+        turns.push_back(std::move(waiting_.front()));
+        waiting_.pop_front();
+    }
+    return turns;
+}
+
+void CrashSuspects::tokensProduced(const std::string& fingerprint, std::size_t tokens)
+{
+    const auto found = index_.find(fingerprint);
+    if (found == index_.end() || found->second->turn != Turn::Running || tokens < tokensToClear)
+        return;
+    clearLastDeath(found->second);
+}
+
+void CrashSuspects::clearLastDeath(Records::iterator position)
+{
+    Entry& entry = *position;
+    endTurn(entry);
+    --entry.record.deaths;
+    if (entry.wasLastDeathSole)
+        --entry.record.soleDeaths;
+    entry.wasLastDeathSole = false;
+    if (!entry.record.deaths)
+        erase(position);
+}
+
+void CrashSuspects::completed(const std::string& fingerprint)
+{
+    if (const auto found = index_.find(fingerprint); found != index_.end() && found->second->turn == Turn::Running)
+        clearLastDeath(found->second);
+}
+
+void CrashSuspects::cancelled(const std::string& fingerprint)
+{
+    if (const auto found = index_.find(fingerprint); found != index_.end())
+        endTurn(*found->second);
+}
+
+void CrashSuspects::turnInterrupted(const std::string& fingerprint)
+{
+    const auto found = index_.find(fingerprint);
+    if (found == index_.end() || found->second->turn != Turn::Running)
+        return;
+    endTurn(*found->second);
+    found->second->turn = Turn::Waiting;
+    waiting_.push_back(fingerprint);
+}
+
+base::Result<void> CrashSuspects::check(const std::string& fingerprint, base::TimePoint now)
+{
+    expire(now);
+    const auto found = index_.find(fingerprint);
+    if (found == index_.end() || !isBlamed(found->second->record))
+        return base::outcome::success();
+    const Record& record = found->second->record;
+    return base::makeError(base::ErrorKind::CrashSuspect, "the request was present at " + std::to_string(record.deaths) + " engine deaths, at " + std::to_string(record.soleDeaths) + " of them alone");
+}
+
+bool CrashSuspects::isSuspect(const std::string& fingerprint) const
+{
+    const auto found = index_.find(fingerprint);
+    return found != index_.end() && found->second->turn != Turn::None;
+}
+
+void CrashSuspects::merge(const Record& other, base::TimePoint now)
+{
+    expire(now);
+    if (other.lastDeathAt + retention <= now)
+        return;
+    Entry& entry = touch(other.fingerprint);
+    entry.record.deaths = std::max(entry.record.deaths, other.deaths);
+    entry.record.soleDeaths = std::max(entry.record.soleDeaths, other.soleDeaths);
+    entry.record.lastDeathAt = std::max(entry.record.lastDeathAt, other.lastDeathAt);
+    if (isBlamed(entry.record))
+        endTurn(entry);
+    // Keeps the list ordered by last death, which expiry relies on.
+    auto position = index_.at(other.fingerprint);
+    auto before = position;
+    while (before != records_.begin() && std::prev(before)->record.lastDeathAt > entry.record.lastDeathAt)
+        --before;
+    records_.splice(before, records_, position);
+}
+
+CrashSuspects::Record CrashSuspects::record(const std::string& fingerprint) const
+{
+    const auto found = index_.find(fingerprint);
+    return found == index_.end() ? Record { fingerprint, 0, 0, {} } : found->second->record;
+}
+
+} // namespace arbutus::routing
--- /dev/null
+++ b/tests/CrashSuspectsTest.cpp
@@ -0,0 +1,120 @@
+#include "include/routing/CrashSuspects.h"
+#include "include/base/Clock.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <set>
+
+using namespace arbutus;
+using namespace arbutus::routing;
+
+static constexpr std::size_t clearingTokens = 16;
+
+struct Verdict {
+    int engineDeaths = 0;
+    std::set<std::string> blamed;
+    std::set<std::string> finished;
+};
+
+// Runs a batch of requests r0, r1, ... on one engine, then all suspects in
+// turns; the requests in `faulty` kill every engine that runs them.
+static Verdict runBatch(int size, const std::set<std::string>& faulty, std::size_t spareEngines)
+{
+    base::VirtualClock clock;
+    CrashSuspects suspects(1000);
+    std::vector<std::string> batch;
+    batch.reserve(static_cast<std::size_t>(size));
+    for (int i = 0; i < size; ++i)
+        batch.push_back("r" + std::to_string(i));
+    Verdict verdict;
+    verdict.engineDeaths = 1;
+    suspects.engineDied(batch, 0, clock.now());
+    for (int round = 0; round < 1000; ++round) {
+        const std::size_t engines = std::max<std::size_t>(spareEngines, suspects.needsEmptyEngine() ? 1 : 0);
+        const auto turns = suspects.takeTurns(engines);
+        if (turns.empty())
+            break;
+        for (const auto& request : turns) {
+            clock.advance(std::chrono::milliseconds(1));
+            if (faulty.count(request)) {
+                ++verdict.engineDeaths;
+                const auto outcome = suspects.engineDied({ request }, 0, clock.now());
+                verdict.blamed.insert(outcome.blamed.begin(), outcome.blamed.end());
+            } else {
+                suspects.tokensProduced(request, clearingTokens);
+                verdict.finished.insert(request);
+            }
+        }
+    }
+    return verdict;
+}
+
+// Guards against a request that kills engines without end, and against an
+// innocent neighbour that is blamed or never resumed, also with two at fault.
+BOOST_AUTO_TEST_CASE(OnlyTheRequestsAtFaultAreBlamedAndAllOthersFinish)
+{
+    for (int size : { 1, 8, 32, 64 }) {
+        for (std::size_t spares : { 0, 3, 10 }) {
+            std::set<std::string> faulty { "r0" };
+            if (size > 1)
+                faulty.insert("r" + std::to_string(size / 2));
+            const Verdict verdict = runBatch(size, faulty, spares);
+            BOOST_TEST(verdict.blamed == faulty, boost::test_tools::per_element());
+            BOOST_TEST(verdict.finished.size() == static_cast<std::size_t>(size) - faulty.size());
+            // The batch of one dies alone at once; otherwise two deaths alone follow the shared one.
+            BOOST_TEST(verdict.engineDeaths == (size == 1 ? 2 : 1 + 2 * static_cast<int>(faulty.size())));
+        }
+    }
+}
+
+// Guards against a suspect that is stopped one death too early or too late.
+BOOST_AUTO_TEST_CASE(BlamedAtTwoSoleDeathsOrThreeInAll)
+{
+    base::VirtualClock clock;
+    CrashSuspects suspects(10);
+    BOOST_TEST(suspects.engineDied({ "sole" }, 0, clock.now()).blamed.empty());
+    BOOST_TEST(suspects.check("sole", clock.now()).has_value());
+    BOOST_TEST(suspects.engineDied({ "sole" }, 0, clock.now()).blamed.size() == 1U);
+    BOOST_TEST((suspects.check("sole", clock.now()).error().kind == base::ErrorKind::CrashSuspect));
+
+    // Streams of other VMs were on the engine: three deaths are needed.
+    for (int death = 1; death <= 3; ++death)
+        BOOST_TEST(suspects.engineDied({ "shared" }, 5, clock.now()).blamed.size() == (death == 3 ? 1U : 0U));
+    // Two streams of the same request are one suspect.
+    suspects.engineDied({ "twin", "twin" }, 0, clock.now());
+    BOOST_TEST(suspects.engineDied({ "twin", "twin" }, 0, clock.now()).blamed.size() == 1U);
+}
+
+// Guards against a request that is blamed for deaths it has survived.
+BOOST_AUTO_TEST_CASE(SixteenTokensClearTheLastDeathOnly)
+{
+    base::VirtualClock clock;
+    CrashSuspects suspects(10);
+    suspects.engineDied({ "a" }, 3, clock.now());
+    suspects.engineDied({ "a" }, 3, clock.now());
+    suspects.takeTurns(1);
+    suspects.tokensProduced("a", clearingTokens - 1);
+    BOOST_TEST(suspects.record("a").deaths == 2);
+    suspects.tokensProduced("a", clearingTokens);
+    BOOST_TEST(suspects.record("a").deaths == 1);
+    BOOST_TEST(!suspects.isSuspect("a"));
+}
+
+// Guards against a blame that is lost with its VM, that lasts for ever, or that
+// grows without bound, and against a waiting stream evicted with its record.
+BOOST_AUTO_TEST_CASE(RecordsAreAdoptedExpireAndAreBounded)
+{
+    base::VirtualClock clock;
+    CrashSuspects suspects(3);
+    suspects.merge({ "a", 3, 0, clock.now() }, clock.now());
+    BOOST_TEST(suspects.check("a", clock.now()).has_error());
+    suspects.engineDied({ "w" }, 1, clock.now());
+    for (int i = 0; i < 20; ++i)
+        suspects.merge({ "m" + std::to_string(i), 1, 0, clock.now() }, clock.now());
+    BOOST_TEST(suspects.recordCount() == 3U);
+    BOOST_TEST(suspects.check("a", clock.now()).has_error());
+    BOOST_TEST(suspects.takeTurns(1).size() == 1U);
+    clock.advance(std::chrono::hours(1));
+    BOOST_TEST(suspects.check("a", clock.now()).has_value());
+    BOOST_TEST(suspects.recordCount() == 0U);
+}
