--- /dev/null
+++ b/include/routing/DecayedRate.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "include/base/Time.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace arbutus::routing {
+
+// An amount per second, averaged over the last few seconds.
+class DecayedRate {
+public:
+    void add(double amount, base::TimePoint now)
+    {
+        amount_ = amount_ * decay(now) + amount;
+        updatedAt_ = std::max(updatedAt_, now);
+    }
+
+    double perSecond(base::TimePoint now) const { return amount_ * decay(now) / memorySeconds; }
+
+private:
+    static constexpr double memorySeconds = 3;
+
+    double decay(base::TimePoint now) const
+    {
+        return now > updatedAt_ ? std::exp(-std::chrono::duration<double>(now - updatedAt_).count() / memorySeconds) : 1;
+    }
+
+    double amount_ = 0;
+    base::TimePoint updatedAt_;
+};
+
+} // namespace arbutus::routing
