Resume crash suspects in groups before they run alone

Cause: one suspect to an engine at a time needs few engine deaths, but the last of 64 innocent requests waits 64 turns without a spare engine and 22 with 3. Change: while there are more suspects than empty engines, those of one death share an engine in groups of the square root of their number; a suspect of two deaths always runs alone, so a third death blames only the request at fault.

--- a/include/routing/CrashSuspects.h
+++ b/include/routing/CrashSuspects.h
@@ -12,9 +12,11 @@
 namespace arbutus::routing {
 
 // Finds the request that crashes the engines which run it. All requests on an
-// engine that died are suspects; they resume in turns, each alone on an engine,
-// and are cleared by the tokens they produce there. docs/routing.md compares
-// this with the alternatives.
+// engine that died are suspects; they resume in turns on engines without other
+// streams and are cleared by the tokens they produce there. While there are more
+// suspects than engines, those of one death share an engine in small groups; a
+// suspect of two deaths always runs alone. docs/routing.md compares this with
+// the alternatives.
 class CrashSuspects {
 public:
     // A request's fingerprint (team, model, body) and its deaths, as kept in the
@@ -42,9 +44,9 @@
     // `otherStreams` streams of other VMs. A fingerprint may occur twice.
     DeathOutcome engineDied(const std::vector<std::string>& running, std::size_t otherStreams, base::TimePoint now);
 
-    // Returns at most `emptyEngines` suspects to be resumed now, each alone on
-    // one engine without other streams, those that have waited longest first.
-    std::vector<std::string> takeTurns(std::size_t emptyEngines);
+    // Returns at most `emptyEngines` groups of suspects to be resumed now, each
+    // group on one engine without other streams, those that have waited longest first.
+    std::vector<std::vector<std::string>> takeTurns(std::size_t emptyEngines);
     // True while a suspect waits and none runs. Without an empty engine, the
     // caller then moves the streams of one engine elsewhere to make it empty.
     bool needsEmptyEngine() const { return !waiting_.empty() && !runningTurns_; }
@@ -84,6 +86,7 @@
     using Records = std::list<Entry>;
 
     static bool isBlamed(const Record&);
+    static bool mayShare(const Record&);
     Entry& touch(const std::string& fingerprint);
     void endTurn(Entry&);
     void clearLastDeath(Records::iterator);
--- a/src/routing/CrashSuspects.cpp
+++ b/src/routing/CrashSuspects.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 
 namespace arbutus::routing {
 
@@ -93,16 +94,37 @@
     return outcome;
 }
 
-std::vector<std::string> CrashSuspects::takeTurns(std::size_t emptyEngines)
-{
-    std::vector<std::string> turns;
-    while (turns.size() < emptyEngines && !waiting_.empty()) {
-        index_.at(waiting_.front())->turn = Turn::Running;
-        ++runningTurns_;
-        turns.push_back(std::move(waiting_.front()));
-        waiting_.pop_front();
+// One more death in company must not blame an innocent request.
+bool CrashSuspects::mayShare(const Record& record) { return record.deaths + 1 < deathsToBlame; }
+
+std::vector<std::vector<std::string>> CrashSuspects::takeTurns(std::size_t emptyEngines)
+{
+    std::vector<std::vector<std::string>> groups;
+    // Groups of the square root of the number need the fewest turns: as many
+    // turns for the groups as for the members of the group that dies. Each
+    // request at fault costs two engines, as it does when all run alone.
+    std::size_t groupSize = 1;
+    if (waiting_.size() > emptyEngines)
+        groupSize = static_cast<std::size_t>(std::ceil(std::sqrt(static_cast<double>(waiting_.size()))));
+    while (groups.size() < emptyEngines && !waiting_.empty()) {
+        std::vector<std::string> group;
+        for (auto position = waiting_.begin(); position != waiting_.end() && group.size() < groupSize;) {
+            Entry& entry = *index_.at(*position);
+            const bool isShareable = mayShare(entry.record);
+            if (!group.empty() && !isShareable) {
+                ++position;
+                continue;
+            }
+            entry.turn = Turn::Running;
+            ++runningTurns_;
+            group.push_back(std::move(*position));
+            position = waiting_.erase(position);
+            if (!isShareable)
+                break;
+        }
+        groups.push_back(std::move(group));
     }
-    return turns;
+    return groups;
 }
 
 void CrashSuspects::tokensProduced(const std::string& fingerprint, std::size_t tokens)
--- a/tests/CrashSuspectsTest.cpp
+++ b/tests/CrashSuspectsTest.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <set>
 
 using namespace arbutus;
@@ -34,13 +35,16 @@
         const auto turns = suspects.takeTurns(engines);
         if (turns.empty())
             break;
-        for (const auto& request : turns) {
+        for (const auto& group : turns) {
             clock.advance(std::chrono::milliseconds(1));
-            if (faulty.count(request)) {
+            const bool dies = std::any_of(group.begin(), group.end(), [&](const std::string& request) { return faulty.count(request); });
+            if (dies) {
                 ++verdict.engineDeaths;
-                const auto outcome = suspects.engineDied({ request }, 0, clock.now());
+                const auto outcome = suspects.engineDied(group, 0, clock.now());
                 verdict.blamed.insert(outcome.blamed.begin(), outcome.blamed.end());
-            } else {
+                continue;
+            }
+            for (const auto& request : group) {
                 suspects.tokensProduced(request, clearingTokens);
                 verdict.finished.insert(request);
             }
@@ -61,7 +65,8 @@
             const Verdict verdict = runBatch(size, faulty, spares);
             BOOST_TEST(verdict.blamed == faulty, boost::test_tools::per_element());
             BOOST_TEST(verdict.finished.size() == static_cast<std::size_t>(size) - faulty.size());
-            // The batch of one dies alone at once; otherwise two deaths alone follow the shared one.
+            // The batch of one dies alone at once; otherwise each request at fault
+            // costs two engines after the first: one in a group and one alone, or two alone.
             BOOST_TEST(verdict.engineDeaths == (size == 1 ? 2 : 1 + 2 * static_cast<int>(faulty.size())));
         }
     }
