Add the transport module

Cause: replication, gossip and the configuration feed need messages that only a process of the deployment can make, and must count the bytes they cost.

Change: a pure frame encoder and decoder, FrameServer and FrameClient over Boost.Asio. The server opens each connection with a random challenge and the client answers with a nonce; both go into the keys of the two directions, so neither a recorded connection nor a frame of the other direction is accepted. The server confirms the keys before the client sends queued frames, so a refused handshake never leaves it unknown whether a request ran. Connections, bytes in work, queued answers and queued frames are bounded. Drops are counted by reason and logged at most once a second for each reason.

Conclusion: the modules above can send frames; a handler sees the frames of one connection in order.

--- /dev/null
+++ b/include/transport/Counters.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "include/base/LockRanks.h"
+#include "include/base/RankedMutex.h"
+#include "include/base/Time.h"
+#include "include/transport/Frame.h"
+
+#include <atomic>
+
+namespace arbutus::transport {
+
+// Totals since the start. Bytes include the handshake and the frames' own fields,
+// but not TCP/IP headers.
+struct TransportTotals {
+    std::uint64_t framesIn = 0;
+    std::uint64_t framesOut = 0;
+    std::uint64_t bytesIn = 0;
+    std::uint64_t bytesOut = 0;
+    // Connections that completed the handshake.
+    std::uint64_t connections = 0;
+    // Frames that left a full queue unsent.
+    std::uint64_t queueDrops = 0;
+    // Answers that nobody was waiting for any more.
+    std::uint64_t lateAnswers = 0;
+    std::array<std::uint64_t, dropReasonCount> drops {};
+
+    std::uint64_t dropsFor(DropReason reason) const { return drops[static_cast<std::size_t>(reason)]; }
+};
+
+// Counters that any thread may change and read.
+class TransportCounters {
+public:
+    std::atomic<std::uint64_t> framesIn { 0 };
+    std::atomic<std::uint64_t> framesOut { 0 };
+    std::atomic<std::uint64_t> bytesIn { 0 };
+    std::atomic<std::uint64_t> bytesOut { 0 };
+    std::atomic<std::uint64_t> connections { 0 };
+    std::atomic<std::uint64_t> queueDrops { 0 };
+    std::atomic<std::uint64_t> lateAnswers { 0 };
+
+    // Counts a drop and logs it, at most once a second for each reason; the line
+    // says how many were not logged.
+    void drop(DropReason, std::string_view peer, base::TimePoint now);
+
+    TransportTotals totals() const;
+
+private:
+    struct LogState {
+        std::optional<base::TimePoint> nextLine;
+        std::uint64_t suppressed = 0;
+    };
+
+    std::array<std::atomic<std::uint64_t>, dropReasonCount> drops_ {};
+    base::RankedMutex mutex_ { base::lock_rank::transport };
+    std::array<LogState, dropReasonCount> logStates_;
+};
+
+} // namespace arbutus::transport
--- /dev/null
+++ b/src/transport/FrameServer.cpp
@@ -0,0 +1,453 @@
+#include "include/transport/FrameServer.h"
+
+#include "include/base/Logger.h"
+#include "src/transport/Handshake.h"
+
+#include <boost/asio.hpp>
+
+#include <cassert>
+#include <deque>
+#include <future>
+#include <set>
+#include <thread>
+
+namespace arbutus::transport {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+static constexpr base::Logger logger("transport");
+
+// A time after a failed accept, for instance for want of descriptors.
+static constexpr std::chrono::milliseconds acceptRetryDelay { 100 };
+
+static base::TimePoint steadyNow() { return std::chrono::steady_clock::now(); }
+
+// Owns the threads, the acceptor and the connections. Everything but the counters
+// and the workers' calls runs on the network thread.
+class FrameServer::Core : public std::enable_shared_from_this<Core> {
+public:
+    Core(FrameServerOptions options, DeferredHandler handler)
+        : options_(std::move(options))
+        , handler_(std::move(handler))
+        , acceptor_(network_)
+        , acceptTimer_(network_)
+        , work_(asio::make_work_guard(network_))
+        , workers_(options_.workers)
+    {
+    }
+
+    base::Result<void> start();
+    void stop();
+
+    void accept();
+    void pause(std::shared_ptr<Connection> connection) { paused_.push_back(std::move(connection)); }
+    void forget(const std::shared_ptr<Connection>& connection) { connections_.erase(connection); }
+
+    void addBytes(std::size_t bytes) { bytesInFlight_ += bytes; }
+    void releaseBytes(std::size_t bytes);
+    bool isOverloaded() const { return bytesInFlight_ > options_.maxBytesInFlight; }
+
+    const FrameServerOptions options_;
+    const DeferredHandler handler_;
+    TransportCounters counters_;
+    asio::io_context network_ { 1 };
+    std::uint16_t port_ = 0;
+
+    asio::thread_pool::executor_type workerExecutor() { return workers_.get_executor(); }
+
+private:
+    void onAccept(error_code, tcp::socket);
+    void resumePaused();
+
+    tcp::acceptor acceptor_;
+    asio::steady_timer acceptTimer_;
+    asio::executor_work_guard<asio::io_context::executor_type> work_;
+    asio::thread_pool workers_;
+    std::thread thread_;
+    std::set<std::shared_ptr<Connection>> connections_;
+    std::vector<std::shared_ptr<Connection>> paused_;
+    std::atomic<std::size_t> bytesInFlight_ { 0 };
+    bool isStopping_ = false;
+};
+
+// The bytes of a request, counted until it is answered or given up.
+class RequestBytes {
+public:
+    RequestBytes(std::function<void(std::size_t)> release, std::size_t bytes)
+        : release_(std::move(release))
+        , bytes_(bytes)
+    {
+    }
+    ~RequestBytes() { release_(bytes_); }
+    RequestBytes(const RequestBytes&) = delete;
+    RequestBytes& operator=(const RequestBytes&) = delete;
+
+private:
+    const std::function<void(std::size_t)> release_;
+    const std::size_t bytes_;
+};
+
+class FrameServer::Connection : public std::enable_shared_from_this<Connection> {
+public:
+    Connection(Core& core, tcp::socket socket, std::string peer)
+        : core_(core)
+        , socket_(std::move(socket))
+        , stallTimer_(core.network_)
+        , strand_(core.workerExecutor())
+        , peer_(std::move(peer))
+        , challenge_(secureRandomBytes(challengeBytes))
+        , decoder_(helloKey(core.options_.sharedKey, challenge_), maxHelloBytes)
+    {
+    }
+
+    void start()
+    {
+        enqueueBytes(std::string(greeting) + challenge_);
+        // Runs until the handshake is done, also when the greeting has been written.
+        watchStall(DropReason::HandshakeTimeout);
+        read();
+    }
+
+    void close()
+    {
+        if (!isOpen_)
+            return;
+        isOpen_ = false;
+        error_code ignored;
+        stallTimer_.cancel(ignored);
+        socket_.shutdown(tcp::socket::shutdown_both, ignored);
+        socket_.close(ignored);
+        core_.releaseBytes(queuedBytes_);
+        queuedBytes_ = 0;
+        core_.forget(shared_from_this());
+    }
+
+    void resume()
+    {
+        if (isOpen_)
+            takeFrames();
+    }
+
+    void answer(std::uint64_t sequence, std::uint8_t kind, std::string body)
+    {
+        if (!isOpen_)
+            return;
+        if (body.size() > maxBodyBytes) {
+            logger.error("An answer is too large and is not sent.", { { "peer", peer_ }, { "bytes", body.size() } });
+            return;
+        }
+        enqueue(Frame { kind, FrameRole::Answer, core_.options_.id, ++lastSequence_, sequence, std::move(body) });
+    }
+
+private:
+    void drop(DropReason reason)
+    {
+        if (!isOpen_)
+            return;
+        core_.counters_.drop(reason, peer_, steadyNow());
+        close();
+    }
+
+    void watchStall(DropReason reason)
+    {
+        stallTimer_.expires_after(core_.options_.stallLimit);
+        stallTimer_.async_wait([self = shared_from_this(), reason](error_code code) {
+            // A timer that was set anew may have expired before.
+            if (!code && self->stallTimer_.expiry() <= steadyNow())
+                self->drop(reason);
+        });
+    }
+
+    void read()
+    {
+        socket_.async_read_some(asio::buffer(chunk_), [self = shared_from_this()](error_code code, std::size_t count) { self->onRead(code, count); });
+    }
+
+    void onRead(error_code code, std::size_t count)
+    {
+        if (!isOpen_)
+            return;
+        if (code) {
+            if (decoder_.hasPartialFrame())
+                drop(DropReason::Truncated);
+            else
+                close();
+            return;
+        }
+        core_.counters_.bytesIn += count;
+        decoder_.feed(std::string_view(chunk_.data(), count));
+        takeFrames();
+    }
+
+    // Hands over complete frames while there is room, then reads on.
+    void takeFrames()
+    {
+        while (true) {
+            if (isGreeted_ && core_.isOverloaded()) {
+                core_.pause(shared_from_this());
+                return;
+            }
+            auto frame = decoder_.next();
+            if (!frame)
+                break;
+            ++core_.counters_.framesIn;
+            if (auto reason = isGreeted_ ? takeFrame(std::move(*frame)) : takeHello(*frame)) {
+                drop(*reason);
+                return;
+            }
+        }
+        if (decoder_.fault())
+            drop(*decoder_.fault());
+        else
+            read();
+    }
+
+    std::optional<DropReason> takeHello(const Frame& frame)
+    {
+        if (frame.kind != handshakeKind || frame.role != FrameRole::OneWay || frame.body.size() != nonceBytes)
+            return DropReason::UnexpectedFrame;
+        if (core_.options_.isKnownSender && !core_.options_.isKnownSender(frame.sender))
+            return DropReason::UnknownSender;
+        ConnectionKeys keys = connectionKeys(core_.options_.sharedKey, challenge_, frame.body);
+        decoder_.setKey(keys.client, maxFrameBytes);
+        key_ = keys.server;
+        sender_ = frame.sender;
+        isGreeted_ = true;
+        ++core_.counters_.connections;
+        error_code ignored;
+        stallTimer_.cancel(ignored);
+        enqueue(Frame { handshakeKind, FrameRole::OneWay, core_.options_.id, ++lastSequence_, 0, {} });
+        return std::nullopt;
+    }
+
+    std::optional<DropReason> takeFrame(Frame frame)
+    {
+        if (frame.sender != sender_)
+            return DropReason::UnknownSender;
+        if (frame.kind == handshakeKind || frame.role == FrameRole::Answer)
+            return DropReason::UnexpectedFrame;
+        std::weak_ptr<Core> weakCore = core_.weak_from_this();
+        std::size_t bytes = frame.body.size();
+        core_.addBytes(bytes);
+        auto counted = std::make_shared<RequestBytes>([weakCore](std::size_t count) {
+            if (auto core = weakCore.lock())
+                core->releaseBytes(count);
+        },
+            bytes);
+        auto reply = makeReply(frame, std::move(counted));
+        asio::post(strand_, [weakCore, reply, frame = std::move(frame)] {
+            auto core = weakCore.lock();
+            if (!core)
+                return;
+            if (auto body = core->handler_(frame, reply))
+                reply(std::move(*body));
+        });
+        return std::nullopt;
+    }
+
+    Reply makeReply(const Frame& frame, std::shared_ptr<RequestBytes> counted)
+    {
+        struct State {
+            std::atomic<bool> isUsed { false };
+            std::shared_ptr<RequestBytes> counted;
+        };
+        auto state = std::make_shared<State>();
+        state->counted = std::move(counted);
+        bool wantsAnswer = frame.role == FrameRole::Request;
+        return [state, wantsAnswer, sequence = frame.sequence, kind = frame.kind, weakCore = core_.weak_from_this(), weakSelf = weak_from_this()](std::string body) {
+            if (state->isUsed.exchange(true))
+                return;
+            auto core = weakCore.lock();
+            if (core && wantsAnswer) {
+                asio::post(core->network_, [weakSelf, sequence, kind, body = std::move(body)]() mutable {
+                    if (auto self = weakSelf.lock())
+                        self->answer(sequence, kind, std::move(body));
+                });
+            }
+            state->counted.reset();
+        };
+    }
+
+    void enqueue(const Frame& frame)
+    {
+        std::string bytes;
+        encodeFrame(bytes, frame, key_);
+        if (queuedBytes_ + bytes.size() > core_.options_.maxQueuedBytes && queuedBytes_) {
+            drop(DropReason::SlowReader);
+            return;
+        }
+        ++core_.counters_.framesOut;
+        enqueueBytes(std::move(bytes));
+    }
+
+    void enqueueBytes(std::string bytes)
+    {
+        queuedBytes_ += bytes.size();
+        core_.addBytes(bytes.size());
+        queue_.push_back(std::move(bytes));
+        if (queue_.size() == 1)
+            write();
+    }
+
+    void write()
+    {
+        if (isGreeted_)
+            watchStall(DropReason::SlowReader);
+        asio::async_write(socket_, asio::buffer(queue_.front()), [self = shared_from_this()](error_code code, std::size_t count) { self->onWritten(code, count); });
+    }
+
+    void onWritten(error_code code, std::size_t count)
+    {
+        core_.counters_.bytesOut += count;
+        if (!isOpen_)
+            return;
+        if (code) {
+            close();
+            return;
+        }
+        queuedBytes_ -= queue_.front().size();
+        core_.releaseBytes(queue_.front().size());
+        queue_.pop_front();
+        error_code ignored;
+        if (!queue_.empty())
+            write();
+        else if (isGreeted_)
+            stallTimer_.cancel(ignored);
+    }
+
+    Core& core_;
+    tcp::socket socket_;
+    asio::steady_timer stallTimer_;
+    asio::strand<asio::thread_pool::executor_type> strand_;
+    const std::string peer_;
+    const std::string challenge_;
+    FrameDecoder decoder_;
+    std::array<char, readChunkBytes> chunk_ {};
+    std::string key_;
+    std::string sender_;
+    std::uint64_t lastSequence_ = 0;
+    std::deque<std::string> queue_;
+    std::size_t queuedBytes_ = 0;
+    bool isGreeted_ = false;
+    bool isOpen_ = true;
+};
+
+base::Result<void> FrameServer::Core::start()
+{
+    error_code code;
+    auto address = asio::ip::make_address(options_.address, code);
+    if (code)
+        return base::makeError(base::ErrorKind::InvalidSetting, fmt::format("{} is not an IP address", options_.address));
+    tcp::endpoint endpoint(address, options_.port);
+    acceptor_.open(endpoint.protocol(), code);
+    if (!code)
+        acceptor_.set_option(tcp::acceptor::reuse_address(true), code);
+    if (!code)
+        acceptor_.bind(endpoint, code);
+    if (!code)
+        acceptor_.listen(asio::socket_base::max_listen_connections, code);
+    if (!code)
+        port_ = acceptor_.local_endpoint(code).port();
+    if (code)
+        return base::makeError(base::ErrorKind::InvalidSetting, fmt::format("listen on {}:{}: {}", options_.address, options_.port, code.message()));
+    accept();
+    thread_ = std::thread([this] { network_.run(); });
+    return base::outcome::success();
+}
+
+void FrameServer::Core::stop()
+{
+    if (!thread_.joinable())
+        return;
+    asio::post(network_, [this] {
+        isStopping_ = true;
+        error_code ignored;
+        acceptor_.close(ignored);
+        acceptTimer_.cancel(ignored);
+        paused_.clear();
+        for (const auto& connection : std::set<std::shared_ptr<Connection>>(connections_))
+            connection->close();
+    });
+    workers_.join();
+    work_.reset();
+    thread_.join();
+}
+
+void FrameServer::Core::accept()
+{
+    acceptor_.async_accept([this](error_code code, tcp::socket socket) { onAccept(code, std::move(socket)); });
+}
+
+void FrameServer::Core::onAccept(error_code code, tcp::socket socket)
+{
+    if (isStopping_)
+        return;
+    if (code) {
+        logger.warning("A connection cannot be accepted.", { { "reason", code.message() } });
+        acceptTimer_.expires_after(acceptRetryDelay);
+        acceptTimer_.async_wait([this](error_code cancelled) {
+            if (!cancelled)
+                accept();
+        });
+        return;
+    }
+    error_code ignored;
+    auto endpoint = socket.remote_endpoint(ignored);
+    std::string peer = fmt::format("{}:{}", endpoint.address().to_string(), endpoint.port());
+    if (connections_.size() >= options_.maxConnections) {
+        counters_.drop(DropReason::TooManyConnections, peer, steadyNow());
+        socket.close(ignored);
+    } else {
+        socket.set_option(tcp::no_delay(true), ignored);
+        auto connection = std::make_shared<Connection>(*this, std::move(socket), std::move(peer));
+        connections_.insert(connection);
+        connection->start();
+    }
+    accept();
+}
+
+void FrameServer::Core::releaseBytes(std::size_t bytes)
+{
+    std::size_t before = bytesInFlight_.fetch_sub(bytes);
+    if (before <= options_.maxBytesInFlight || before - bytes > options_.maxBytesInFlight)
+        return;
+    asio::post(network_, [weakCore = weak_from_this()] {
+        if (auto core = weakCore.lock())
+            core->resumePaused();
+    });
+}
+
+void FrameServer::Core::resumePaused()
+{
+    for (const auto& connection : std::exchange(paused_, {}))
+        connection->resume();
+}
+
+base::Result<std::unique_ptr<FrameServer>> FrameServer::Make(FrameServerOptions options, Handler handler)
+{
+    return Make(std::move(options), DeferredHandler([handler = std::move(handler)](const Frame& frame, const Reply&) { return handler(frame); }));
+}
+
+base::Result<std::unique_ptr<FrameServer>> FrameServer::Make(FrameServerOptions options, DeferredHandler handler)
+{
+    if (options.sharedKey.empty() || options.id.empty() || options.id.size() > maxSenderBytes || !options.workers)
+        return base::makeError(base::ErrorKind::InvalidSetting, "a frame server needs a key, an id of at most 64 bytes and a worker");
+    auto core = std::make_shared<Core>(std::move(options), std::move(handler));
+    BOOST_OUTCOME_TRYV(core->start());
+    return std::unique_ptr<FrameServer>(new FrameServer(std::move(core)));
+}
+
+FrameServer::FrameServer(std::shared_ptr<Core> core)
+    : core_(std::move(core))
+{
+}
+
+FrameServer::~FrameServer() { core_->stop(); }
+
+std::uint16_t FrameServer::port() const { return core_->port_; }
+
+TransportTotals FrameServer::totals() const { return core_->counters_.totals(); }
+
+} // namespace arbutus::transport
