Count prefills that have not returned in the expected first token

Change: UpstreamLoad keeps the uncached tokens of prefills sent and not returned; a new prefill is expected to wait for them. prefillReturned() and stepReturned() replace one function with a token count.

--- a/include/routing/UpstreamLoad.h
+++ b/include/routing/UpstreamLoad.h
@@ -33,14 +33,15 @@
     // Reports older than the newest one are ignored.
     void report(const LoadReport&);
 
-    // A stream of this VM starts or ends on the engine. `startedAt` is the time
-    // that was given to streamStarted.
-    void streamStarted(base::TimePoint now);
+    // A stream of this VM starts on the engine with a prefill of `prefillTokens`
+    // uncached tokens, or ends. `startedAt` is the time given to streamStarted.
+    void streamStarted(std::size_t prefillTokens, base::TimePoint now);
     void streamEnded(base::TimePoint startedAt, base::TimePoint now);
 
-    // A step came back `stepTime` after it was sent, less the link's round trip.
-    // `tokens` is 1, or the uncached tokens of a prefill.
-    void stepReturned(std::size_t tokens, std::chrono::nanoseconds stepTime, base::TimePoint now);
+    // A step of one token, or the prefill of a stream, came back `time` after it
+    // was sent, less the link's round trip.
+    void stepReturned(std::chrono::nanoseconds time, base::TimePoint now);
+    void prefillReturned(base::TimePoint startedAt, std::size_t tokens, std::chrono::nanoseconds time, base::TimePoint now);
     void stepFailed(base::TimePoint now) { health_.recordFailure(now); }
 
     // Streams on the engine: as reported, plus those this VM started and less
@@ -49,14 +50,22 @@
     std::chrono::nanoseconds reportAge(base::TimePoint now) const;
     double memoryUsed() const { return report_.memoryUsed; }
 
-    // Expected time of a step, or of a prefill of `tokens` uncached tokens, when
-    // one more stream runs on the engine.
+    // Expected time of a step when one more stream runs on the engine, or of a
+    // prefill of `tokens` uncached tokens behind the prefills not yet returned.
     std::chrono::nanoseconds expectedStep(base::TimePoint now) const;
     std::chrono::nanoseconds expectedPrefill(std::size_t tokens, base::TimePoint now) const;
 
     const CircuitBreaker& health() const { return health_; }
 
 private:
+    struct Started {
+        base::TimePoint at;
+        std::size_t prefillTokens;
+    };
+
+    void returned(std::size_t prefillTokens, std::chrono::nanoseconds time, base::TimePoint now);
+    void endPrefill(base::TimePoint startedAt);
+    std::chrono::nanoseconds slowed(std::chrono::nanoseconds, base::TimePoint now) const;
     double slowdown(base::TimePoint now) const;
 
     static constexpr std::size_t windowSize = 5;
@@ -65,6 +74,8 @@
     LoadReport report_;
     std::vector<base::TimePoint> startedSinceReport_;
     std::vector<base::TimePoint> endedSinceReport_;
+    std::vector<Started> pendingPrefills_;
+    std::size_t pendingPrefillTokens_ = 0;
     // Logarithms of observed time over the time expected of the kind.
     std::array<double, windowSize> samples_ {};
     std::size_t sampleCount_ = 0;
--- a/src/routing/StepTimes.cpp
+++ b/src/routing/StepTimes.cpp
@@ -89,7 +89,7 @@
 
 void StepTimes::recordPrefill(std::size_t batch, std::size_t tokens, std::chrono::nanoseconds time, base::TimePoint now)
 {
-    if (tokens < 2) {
+    if (!tokens) {
         record(batch, time, now);
         return;
     }
--- a/src/routing/UpstreamLoad.cpp
+++ b/src/routing/UpstreamLoad.cpp
@@ -25,14 +25,26 @@
     endedSinceReport_.erase(std::remove_if(endedSinceReport_.begin(), endedSinceReport_.end(), isCovered), endedSinceReport_.end());
 }
 
-void UpstreamLoad::streamStarted(base::TimePoint now)
+void UpstreamLoad::streamStarted(std::size_t prefillTokens, base::TimePoint now)
 {
     startedSinceReport_.push_back(now);
+    pendingPrefills_.push_back({ now, prefillTokens });
+    pendingPrefillTokens_ += prefillTokens;
     health_.recordSent(now);
 }
 
+void UpstreamLoad::endPrefill(base::TimePoint startedAt)
+{
+    const auto found = std::find_if(pendingPrefills_.begin(), pendingPrefills_.end(), [&](const Started& started) { return started.at == startedAt; });
+    if (found == pendingPrefills_.end())
+        return;
+    pendingPrefillTokens_ -= found->prefillTokens;
+    pendingPrefills_.erase(found);
+}
+
 void UpstreamLoad::streamEnded(base::TimePoint startedAt, base::TimePoint now)
 {
+    endPrefill(startedAt);
     const auto found = std::find(startedSinceReport_.begin(), startedSinceReport_.end(), startedAt);
     if (found != startedSinceReport_.end()) {
         startedSinceReport_.erase(found);
@@ -43,19 +55,26 @@
         endedSinceReport_.push_back(now);
 }
 
-void UpstreamLoad::stepReturned(std::size_t tokens, std::chrono::nanoseconds stepTime, base::TimePoint now)
+void UpstreamLoad::stepReturned(std::chrono::nanoseconds time, base::TimePoint now) { returned(0, time, now); }
+
+void UpstreamLoad::prefillReturned(base::TimePoint startedAt, std::size_t tokens, std::chrono::nanoseconds time, base::TimePoint now)
+{
+    endPrefill(startedAt);
+    returned(tokens, time, now);
+}
+
+void UpstreamLoad::returned(std::size_t prefillTokens, std::chrono::nanoseconds time, base::TimePoint now)
 {
-    assert(tokens);
     health_.recordSuccess();
     if (sampleCount_ && now - sampledAt_ < shortestSampleGap)
         return;
     const std::size_t batch = report_.running + report_.queued;
-    const auto expected = kindTimes_->expectedPrefill(batch, tokens > 1 ? tokens : 0);
-    if (tokens > 1)
-        kindTimes_->recordPrefill(batch, tokens, stepTime, now);
+    const auto expected = kindTimes_->expectedPrefill(batch, prefillTokens);
+    if (prefillTokens)
+        kindTimes_->recordPrefill(batch, prefillTokens, time, now);
     else
-        kindTimes_->record(batch, stepTime, now);
-    const double ratio = static_cast<double>(std::max<std::int64_t>(stepTime.count(), 1)) / static_cast<double>(std::max<std::int64_t>(expected.count(), 1));
+        kindTimes_->record(batch, time, now);
+    const double ratio = static_cast<double>(std::max<std::int64_t>(time.count(), 1)) / static_cast<double>(std::max<std::int64_t>(expected.count(), 1));
     samples_[sampleCount_++ % windowSize] = std::clamp(std::log(ratio), -largestLogRatio, largestLogRatio);
     sampledAt_ = now;
     auto sorted = samples_;
@@ -83,15 +102,19 @@
     return std::exp(medianSample_ * std::exp2(-age / slowdownHalfLifeSeconds));
 }
 
+std::chrono::nanoseconds UpstreamLoad::slowed(std::chrono::nanoseconds time, base::TimePoint now) const
+{
+    return std::chrono::nanoseconds(static_cast<std::int64_t>(static_cast<double>(time.count()) * slowdown(now)));
+}
+
 std::chrono::nanoseconds UpstreamLoad::expectedStep(base::TimePoint now) const
 {
-    return expectedPrefill(0, now);
+    return slowed(kindTimes_->expected(correctedLoad() + 1), now);
 }
 
 std::chrono::nanoseconds UpstreamLoad::expectedPrefill(std::size_t tokens, base::TimePoint now) const
 {
-    const auto time = static_cast<double>(kindTimes_->expectedPrefill(correctedLoad() + 1, tokens).count());
-    return std::chrono::nanoseconds(static_cast<std::int64_t>(time * slowdown(now)));
+    return slowed(kindTimes_->expectedPrefill(correctedLoad() + 1, pendingPrefillTokens_ + tokens), now);
 }
 
 } // namespace arbutus::routing
--- a/tests/PipelineSelectorTest.cpp
+++ b/tests/PipelineSelectorTest.cpp
@@ -141,7 +141,7 @@
             if (!request)
                 firstChoices.insert(engine);
             ++chosen[engine];
-            selector.load(engine)->streamStarted(clock.now());
+            selector.load(engine)->streamStarted(100, clock.now());
         }
     }
     BOOST_TEST(chosen.size() == 10U);
@@ -174,12 +174,12 @@
     BOOST_TEST(shareOfFar() > 10);
     for (int i = 0; i < 20; ++i) {
         clock.advance(20ms);
-        selector.load("near")->stepReturned(1, 20ms, clock.now());
-        selector.load("far")->stepReturned(1, 20ms, clock.now());
+        selector.load("near")->stepReturned(20ms, clock.now());
+        selector.load("far")->stepReturned(20ms, clock.now());
     }
     for (int i = 0; i < 5; ++i) {
         clock.advance(200ms);
-        selector.load("far")->stepReturned(1, 200ms, clock.now());
+        selector.load("far")->stepReturned(200ms, clock.now());
     }
     BOOST_TEST(shareOfFar() == 0);
     clock.advance(60s);
--- a/tests/UpstreamLoadTest.cpp
+++ b/tests/UpstreamLoadTest.cpp
@@ -18,8 +18,8 @@
     StepTimes times;
     UpstreamLoad load(times);
     const auto start = clock.now();
-    load.streamStarted(start);
-    load.streamStarted(start + 10ms);
+    load.streamStarted(0, start);
+    load.streamStarted(0, start + 10ms);
     BOOST_TEST(load.correctedLoad() == 2U);
     load.report({ 5, 1, 0.5, start + 5ms });
     BOOST_TEST(load.correctedLoad() == 7U);
@@ -34,6 +34,25 @@
     BOOST_TEST(load.correctedLoad() == 5U);
 }
 
+// Guards against many prefills that are sent to one engine at once, as after an
+// engine died, and against a prefill that counts after it ended.
+BOOST_AUTO_TEST_CASE(PrefillsNotYetReturnedDelayTheNext)
+{
+    base::VirtualClock clock;
+    StepTimes times;
+    UpstreamLoad load(times);
+    const auto start = clock.now();
+    const auto idle = load.expectedPrefill(100, start);
+    load.streamStarted(1000, start);
+    load.streamStarted(2000, start + 1ms);
+    const auto busy = load.expectedPrefill(100, start);
+    BOOST_TEST((busy > 3 * idle));
+    load.streamEnded(start, start + 2ms);
+    load.prefillReturned(start + 1ms, 2000, times.expectedPrefill(1, 2000), start + 60ms);
+    load.streamEnded(start + 1ms, start + 70ms);
+    BOOST_TEST((load.expectedPrefill(100, start + 70ms) <= idle * 11 / 10));
+}
+
 // Guards against a fit that a few stalls distort.
 BOOST_AUTO_TEST_CASE(StepTimeIsLearnedDespiteOutliers)
 {
@@ -68,16 +87,16 @@
     UpstreamLoad healthy(times);
     for (int i = 0; i < 100; ++i) {
         clock.advance(20ms);
-        slow.stepReturned(1, 20ms, clock.now());
-        healthy.stepReturned(1, 20ms, clock.now());
+        slow.stepReturned(20ms, clock.now());
+        healthy.stepReturned(20ms, clock.now());
     }
     clock.advance(200ms);
     for (int result = 0; result < 30; ++result)
-        slow.stepReturned(1, 200ms, clock.now());
+        slow.stepReturned(200ms, clock.now());
     BOOST_TEST(milliseconds(slow.expectedStep(clock.now())) < 25);
     for (int i = 0; i < 4; ++i) {
         clock.advance(200ms);
-        slow.stepReturned(1, 200ms, clock.now());
+        slow.stepReturned(200ms, clock.now());
     }
     BOOST_TEST(milliseconds(slow.expectedStep(clock.now())) > 150);
     BOOST_TEST(milliseconds(healthy.expectedStep(clock.now())) < 25);
