Resume by the next tokens; take the slowest stage as the pace

Cause: a resumed stream was placed for its whole remaining answer, although its caller waits for the next token. The pace of a stream was the sum of its stages. Change: resumeHorizonTokens bounds the expected tokens of a query for a resume; the slowest stage is the default pace, as the design page states.

--- a/include/routing/PipelineSelector.h
+++ b/include/routing/PipelineSelector.h
@@ -39,6 +39,11 @@
     std::size_t cachedTokens = 0;
 };
 
+// For a resumed stream, the expected tokens of the query are at most this many:
+// its caller waits for the next token, and all streams of an engine that died
+// prefill at the same time, so their first tokens must not queue on the fastest engines.
+constexpr std::size_t resumeHorizonTokens = 4;
+
 struct PipelineQuery {
     std::string model;
     std::string version;
@@ -80,7 +85,8 @@
         double staleTolerance = 0.25;
         std::chrono::nanoseconds staleAge = std::chrono::seconds(1);
         // Pace of a stream: 0 takes the slowest stage, 1 the sum of the stages.
-        double sumShare = 1;
+        // docs/routing.md compares the two.
+        double sumShare = 0;
     };
 
     PipelineSelector(std::string nodeId, std::string dataCentre, const Options&, std::uint64_t seed);
