Add the routing benchmark

Cause: the policy must be compared with round robin and plain FIFO in one run, and the cost of a decision must be known at full deployment size.

--- /dev/null
+++ b/bench/EngineModel.h
@@ -0,0 +1,147 @@
+#pragma once
+
+#include "include/base/Random.h"
+#include "include/base/Time.h"
+#include "include/routing/Admission.h"
+#include "include/routing/PipelineSelector.h"
+
+#include <array>
+#include <chrono>
+#include <deque>
+#include <memory>
+#include <queue>
+#include <string>
+#include <vector>
+
+// A queueing model in virtual time: 30 engines with continuous batching in 3
+// data centres, each with one of 3 layer ranges, 3 entry VMs, 10 teams of which
+// 2 send 35% of the requests each. Arrivals are Poisson and do not wait for answers.
+class EngineModel {
+public:
+    enum class Policy {
+        // Round robin over the engines of each range, one FIFO queue on each VM.
+        Baseline,
+        Routing,
+    };
+
+    struct Setup {
+        Policy policy = Policy::Routing;
+        // Share of the bound that is offered.
+        double load = 0.8;
+        // Pace rule of the selector, see PipelineSelector::Options::sumShare.
+        double sumShare = 0;
+        std::size_t slotsPerVm = 700;
+        // Engine 0 is this much slower from 25 s to 35 s.
+        double slowdown = 1;
+        // Engine 0 dies at 25 s.
+        bool hasDeath = false;
+        std::uint64_t seed = 1;
+    };
+
+    struct Report {
+        // Share of the bound, from 20 s to 60 s.
+        double throughput = 0;
+        // In milliseconds; the first token counts from the request's arrival.
+        std::vector<double> firstToken;
+        std::vector<double> betweenTokens;
+        std::vector<double> smallTeamFirstToken;
+        double smallTeamOffered = 0;
+        double smallTeamFinished = 0;
+        std::size_t refused = 0;
+        std::size_t expired = 0;
+        std::size_t offered = 0;
+        std::size_t late = 0;
+        // Longest time between two tokens of a stream that lost its engine.
+        std::vector<double> resumeGaps;
+    };
+
+    explicit EngineModel(const Setup&);
+    Report run();
+
+    // Streams a second that the engines can serve at full batches, by the stated step times.
+    static double boundPerSecond();
+
+private:
+    struct Engine {
+        std::size_t range = 0;
+        std::size_t dataCentre = 0;
+        std::size_t kind = 0;
+        double slowdown = 1;
+        bool isDead = false;
+        bool isBusy = false;
+        std::size_t residents = 0;
+        std::deque<std::size_t> waiting;
+        std::vector<std::size_t> batch;
+        std::string id;
+    };
+    struct Stream {
+        std::size_t team;
+        std::size_t vm;
+        std::size_t prompt;
+        std::size_t output;
+        arbutus::base::TimePoint arrivedAt;
+        arbutus::base::TimePoint startedAt;
+        arbutus::base::TimePoint lastTokenAt;
+        arbutus::base::TimePoint sentAt;
+        std::size_t produced = 0;
+        std::size_t stage = 0;
+        std::uint32_t attempt = 0;
+        bool isPrefill = true;
+        bool wasInterrupted = false;
+        double longestGap = 0;
+        std::array<std::size_t, 3> engines {};
+    };
+    struct Vm {
+        std::unique_ptr<arbutus::routing::PipelineSelector> selector;
+        std::unique_ptr<arbutus::routing::Admission> admission;
+        std::deque<std::size_t> fifo;
+        std::size_t running = 0;
+        std::array<std::size_t, 3> nextEngine {};
+    };
+    enum class EventKind {
+        Arrival,
+        StepAtEngine,
+        BatchDone,
+        ResultAtVm,
+        Resume,
+        FaultBegins,
+        FaultEnds,
+    };
+    struct Event {
+        arbutus::base::TimePoint at;
+        std::uint64_t order;
+        EventKind kind;
+        std::size_t subject;
+        std::uint32_t attempt;
+
+        friend bool operator>(const Event& left, const Event& right)
+        {
+            return left.at != right.at ? left.at > right.at : left.order > right.order;
+        }
+    };
+
+    void schedule(arbutus::base::TimePoint, EventKind, std::size_t subject = 0, std::uint32_t attempt = 0);
+    void arrive();
+    void startWaiting(std::size_t vm);
+    void beginAttempt(std::size_t stream);
+    void sendStep(std::size_t stream);
+    void beginBatch(std::size_t engine);
+    void batchDone(std::size_t engine);
+    void resultAtVm(std::size_t stream);
+    void tokenAtVm(std::size_t stream);
+    void endEngines(Stream&);
+    void killEngine(std::size_t engine);
+    std::chrono::nanoseconds oneWay(std::size_t vm, std::size_t engine) const;
+
+    Setup setup_;
+    arbutus::base::Random random_;
+    arbutus::base::TimePoint start_;
+    arbutus::base::TimePoint now_;
+    std::uint64_t order_ = 0;
+    std::vector<Engine> engines_;
+    std::vector<Vm> vms_;
+    std::vector<Stream> streams_;
+    std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
+    std::size_t tokensInWindow_ = 0;
+    Report report_;
+};
