Keep slots busy while promised resends are awaited

Cause: new requests queued behind promises, so under overload with resends the queue ran empty and each free slot waited for the next arrival. Change: while a team's queue is shorter than a quarter of the slots, promises do not hold up new requests. A redeemed promise no longer gets 20% off its expected wait; the promised time includes a margin of 160% instead of 130%. The overload test now resends half of the refused requests.

--- a/src/routing/Admission.cpp
+++ b/src/routing/Admission.cpp
@@ -17,7 +17,7 @@
 // requests accepted at the limit would pass their deadline in the queue.
 static constexpr double waitMargin = 0.2;
 // A time promised for the resend lies further ahead and is less certain.
-static constexpr double promiseMargin = 1.3;
+static constexpr double promiseMargin = 1.6;
 static constexpr double shortestRetrySeconds = 0.001;
 
 static std::chrono::nanoseconds toNanoseconds(double seconds)
@@ -165,17 +165,21 @@
     if (found == teams_.end() || found->second->isRemoved())
         return base::makeError(base::ErrorKind::Forbidden, fmt::format("team {} is not in the sheet", request.team));
     TeamQueue& team = *found->second;
-    // A resend at its promised time is not held up by later promises; it has the
-    // benefit of the doubt in the estimate of its wait.
+    // A resend at its promised time is not held up by later promises, nor by the
+    // margin, which its promise included.
     const bool isRedeemed = team.redeem(request.fingerprint, now);
     const double promised = isRedeemed ? 0 : team.promisedRequests();
     if (const double delay = team.rateDelaySeconds(promised, now); delay > 0)
         return refusal(team, request, base::ErrorKind::Overloaded, fmt::format("team {} exceeds {} requests a second", request.team, team.rule().maxRate), delay, now);
 
-    const double wait = waitSeconds(team, isRedeemed ? 0 : team.promisedTokens(), now) * (isRedeemed ? 1 / (1 + waitMargin) : 1 + waitMargin);
+    // Promises do not hold up a request that a slot may soon need; otherwise each
+    // slot that becomes free would stay empty until the next request arrives.
+    const bool keepsSlotsBusy = team.queuedCount() * 4 < options_.slots;
+    const bool countsPromises = !isRedeemed && !keepsSlotsBusy;
+    const double wait = waitSeconds(team, countsPromises ? team.promisedTokens() : 0, now) * (isRedeemed ? 1 : 1 + waitMargin);
     const std::size_t freePlaces = options_.maxQueued - std::min(options_.maxQueued, queued_.size());
     const std::size_t places = std::min(options_.maxQueuedPerTeam, isRedeemed ? team.queuedCount() + freePlaces : freePlaces);
-    const double taken = static_cast<double>(team.queuedCount()) + promised;
+    const double taken = static_cast<double>(team.queuedCount()) + (countsPromises ? promised : 0);
     if (wait > 0 && taken >= static_cast<double>(places)) {
         const double interval = wait / (taken + 1);
         const double untilFree = interval * (taken + 1 - static_cast<double>(places));
--- a/tests/AdmissionTest.cpp
+++ b/tests/AdmissionTest.cpp
@@ -192,7 +192,14 @@
     int refusedSmall = 0;
     arrive(model, random, 80, 60, [&] {
         ++offered;
-        accepted += model.offer("large", 10 + random.below(21), random.below(2) ? 1500ms : 600ms) ? 1 : 0;
+        const std::size_t tokens = 10 + random.below(21);
+        const auto budget = random.below(2) ? 1500ms : 600ms;
+        const std::uint64_t fingerprint = random.next();
+        const auto result = model.offer("large", tokens, budget, fingerprint);
+        accepted += result ? 1 : 0;
+        // Half of the refused requests come back; the other promises must not keep slots empty.
+        if (!result && result.error().retryAt && random.below(2))
+            model.at(*result.error().retryAt, [&model, tokens, budget, fingerprint] { (void)model.offer("large", tokens, budget, fingerprint, true); });
     });
     arrive(model, random, 4, 60, [&] { refusedSmall += model.offer("small", 20, 1s) ? 0 : 1; });
     model.run(60s);
