--- a/tests/ConsensusCoreTest.cpp
+++ b/tests/ConsensusCoreTest.cpp
@@ -50,10 +50,14 @@
     BOOST_TEST(core.commitIndex() == 0U, "the old term was counted");
     receive(core, 3, AppendResponse { true, 3, 0, 0 }, now);
     BOOST_TEST(core.commitIndex() == 0U, "the unsynced log was counted");
-    BOOST_TEST(core.step(Persisted { 2 }, now).committed.size() == 3U);
+    Output output = core.step(Receive { { { 2, 1 }, self, 3, AppendResponse { true, 3, 0, 0 } } }, now);
+    BOOST_TEST(core.commitIndex() == 3U);
+    BOOST_TEST(output.committed.size() == 2U, "an entry was applied that a restart would not find");
+    BOOST_TEST(core.step(Persisted { 2 }, now).committed.size() == 1U);
 }
 
-// Guards against a vote that a crash makes the replica forget.
+// Guards against a vote that a crash makes the replica forget, and against a vote for
+// a log that fell behind between the pre-vote and the vote.
 BOOST_AUTO_TEST_CASE(VoteIsSentOnlyOnceSynced)
 {
     ReplicaCore core = makeCore({}, {});
@@ -64,10 +68,13 @@
     output = core.step(Persisted { output.writeNumber }, now);
     BOOST_REQUIRE(output.messages.size() == 1U);
     BOOST_TEST(std::get<VoteResponse>(output.messages[0].body).isGranted);
+    ReplicaCore ahead = makeCore({ 1, std::nullopt }, { { 1, 1, EntryKind::Command, "a" } });
+    output = receive(ahead, 2, VoteRequest { false, 0, 0 }, now);
+    BOOST_TEST(!std::get<VoteResponse>(output.messages.at(0).body).isGranted);
 }
 
 // Guards against a restarted replica that breaks its promise to the leader whose
-// lease it confirmed before the restart.
+// lease it confirmed before the restart, and against a vote on behalf of a wiped disk.
 BOOST_AUTO_TEST_CASE(RestartedReplicaRefusesVotesAtFirst)
 {
     ReplicaCore core = makeCore({}, {});
@@ -76,6 +83,9 @@
         BOOST_TEST(!std::get<VoteResponse>(output.messages.at(0).body).isGranted);
         BOOST_TEST(output.writeNumber == 0U);
     }
+    Output output = core.step(Receive { { peer, { self.replica, 9 }, 9, VoteRequest { false, 9, 9 } } }, startTime + std::chrono::seconds(1));
+    BOOST_TEST(output.messages.empty(), "answered for another disk");
+    BOOST_TEST(output.writeNumber == 0U);
 }
 
 // Guards against a lease that begins when the answer arrives instead of when the
@@ -87,6 +97,8 @@
     BOOST_TEST((core.step(Propose { { { 1, "early" } } }, sentAt).proposals[0].status == ProposalStatus::NoQuorum));
     receive(core, 1, HeartbeatResponse { 1 }, sentAt + std::chrono::milliseconds(90));
     BOOST_TEST((core.leaseEnd() == sentAt + std::chrono::milliseconds(540)));
+    // Until an entry of its term is committed, a change of its predecessor may still be open.
+    BOOST_TEST((core.step(ChangeConfiguration { 3, ChangeKind::AddLearner, { 8, 1 } }, sentAt).proposals[0].status == ProposalStatus::ChangeInProgress));
     BOOST_TEST((core.step(Propose { { { 2, "late" } } }, core.leaseEnd()).proposals[0].status == ProposalStatus::NoQuorum));
     BOOST_TEST((core.role() == Role::Follower));
 }
@@ -104,6 +116,13 @@
     BOOST_TEST(output.appends.size() < 33U);
 }
 
+// Guards against applying an entry that differs from the leader's at the same index.
+BOOST_AUTO_TEST_CASE(CommitStopsWhereTheLogsAreKnownToAgree)
+{
+    ReplicaCore core = makeCore({ 2, std::nullopt }, { { 1, 1, EntryKind::Command, "a" }, { 1, 2, EntryKind::Command, "old" } });
+    BOOST_TEST(receive(core, 2, AppendRequest { 1, 1, 2, {} }, startTime).committed.size() == 1U);
+}
+
 // Guards against backtracking one entry at a time through a long divergent log.
 BOOST_AUTO_TEST_CASE(BacktrackingSkipsTerms)
 {
@@ -177,6 +196,7 @@
 // Guards against a field that is not carried, and against trailing bytes.
 BOOST_AUTO_TEST_CASE(MessagesSurviveTheCodec)
 {
+    BOOST_TEST(decode<Entry>(encode(Entry { 1, 1, static_cast<EntryKind>(7), {} })).has_error());
     for (const MessageBody& body : sampleBodies()) {
         const std::string bytes = encode(Message { peer, self, 5, body });
         auto message = decode<Message>(bytes);
--- a/tests/ConsensusTest.cpp
+++ b/tests/ConsensusTest.cpp
@@ -242,8 +242,13 @@
         cluster.startAll();
         const std::size_t leader = cluster.awaitLeader();
         const std::size_t lagging = (leader + 1) % 3;
-        cluster.crash(lagging);
-        cluster.proposeMany(leader, 200);
+        for (int loss = 0; loss < 2; ++loss) {
+            // The first time the log is still complete, so batches repair it.
+            cluster.start(lagging);
+            cluster.run(std::chrono::seconds(1));
+            cluster.crash(lagging);
+            cluster.proposeMany(leader, 200);
+        }
         cluster.takeSnapshot(leader, 20000);
         cluster.dropShare = 0.1;
         cluster.duplicateShare = 0.1;
