Give up connections whose packets stay unacknowledged

Cause: a connection through a silent partition stays open until TCP gives up, which takes minutes; requests on it would keep timing out after the partition.

The fuzz test stops changing bytes once there are none.

Conclusion: a client replaces a connection whose peer stops taking in bytes; the test shows this with a full receive window. Lost packets were not tested, because loopback traffic cannot be dropped here.

--- a/src/transport/FrameClient.cpp
+++ b/src/transport/FrameClient.cpp
@@ -3,6 +3,7 @@
 #include "include/base/Logger.h"
 #include "include/base/Random.h"
 #include "src/transport/Handshake.h"
+#include "src/transport/Socket.h"
 
 #include <boost/asio.hpp>
 
@@ -241,8 +242,7 @@
             self->fail(link, code.message());
             return;
         }
-        error_code ignored;
-        link->socket.set_option(tcp::no_delay(true), ignored);
+        configureSocket(link->socket, self->options_.unackedLimit);
         asio::async_read(link->socket, asio::buffer(link->chunk, greeting.size() + challengeBytes), [self, link](error_code readCode, std::size_t count) { self->onChallenge(link, readCode, count); });
     });
 }
--- a/src/transport/FrameServer.cpp
+++ b/src/transport/FrameServer.cpp
@@ -2,6 +2,7 @@
 
 #include "include/base/Logger.h"
 #include "src/transport/Handshake.h"
+#include "src/transport/Socket.h"
 
 #include <boost/asio.hpp>
 
@@ -400,7 +401,7 @@
         counters_.drop(DropReason::TooManyConnections, peer, steadyNow());
         socket.close(ignored);
     } else {
-        socket.set_option(tcp::no_delay(true), ignored);
+        configureSocket(socket, options_.unackedLimit);
         auto connection = std::make_shared<Connection>(*this, std::move(socket), std::move(peer));
         connections_.insert(connection);
         connection->start();
--- a/tests/TransportTest.cpp
+++ b/tests/TransportTest.cpp
@@ -160,7 +160,7 @@
             std::string bytes;
             for (const auto& frame : frames)
                 bytes += frame;
-            for (std::uint64_t changes = random.below(4); changes; --changes) {
+            for (std::uint64_t changes = random.below(4); changes && !bytes.empty(); --changes) {
                 std::size_t at = random.below(bytes.size());
                 switch (random.below(4)) {
                 case 0:
@@ -514,6 +514,41 @@
     BOOST_TEST(answers == 0);
 }
 
+// Guards against a client that waits for minutes on a connection whose peer takes
+// in nothing any more, instead of making a new one.
+BOOST_AUTO_TEST_CASE(StalledConnectionIsReplaced)
+{
+    boost::asio::io_context network;
+    tcp::acceptor acceptor(network, tcp::endpoint(boost::asio::ip::make_address(loopback), 0));
+    auto options = clientOptions(acceptor.local_endpoint().port());
+    options.unackedLimit = std::chrono::milliseconds(100);
+    auto client = makeClient(options);
+    std::atomic<bool> isDone { false };
+    ErrorKind error = ErrorKind::Internal;
+    client->request(kind, std::string(maxBodyBytes, 'x'), farDeadline(), [&](base::Result<std::string> answer) {
+        error = errorOf(answer);
+        isDone = true;
+    });
+    auto socket = acceptor.accept();
+    socket.set_option(tcp::socket::receive_buffer_size(4096));
+    std::string challenge(challengeBytes, 'c');
+    boost::asio::write(socket, boost::asio::buffer("ARB1" + challenge));
+    FrameDecoder decoder(helloKey(sharedKey, challenge));
+    std::array<char, 256> chunk {};
+    std::optional<Frame> hello;
+    while (!hello) {
+        decoder.feed(std::string_view(chunk.data(), socket.read_some(boost::asio::buffer(chunk))));
+        hello = decoder.next();
+    }
+    std::string welcome;
+    encodeFrame(welcome, Frame { 0, FrameRole::OneWay, "server", 1, 0, {} }, connectionKeys(sharedKey, challenge, hello->body).server);
+    boost::asio::write(socket, boost::asio::buffer(welcome));
+    BOOST_TEST(waitUntil([&] { return isDone.load(); }));
+    BOOST_TEST((error == ErrorKind::UpstreamFailed));
+    client->send(kind, "opens a new connection");
+    BOOST_TEST(acceptor.accept().is_open());
+}
+
 // Guards against a stranger that fills the disk with log lines.
 BOOST_AUTO_TEST_CASE(DropsAreLoggedAtABoundedRate)
 {
