Fix wrong lapses after partitions and cut the cost of deltas

After a partition most entry VMs settle again, and the one settled VM was enough to take a member out; a registrar also kept members that no longer reported to it, because two registrars in one data centre were not replaced by a lower ranked one of another data centre. When both registrars died, upstreams reported to the new ones a second late.

Change: a member goes out only when as many settled registrars as the fleet can offer observed it. The assignment is renewed for two registrars in one data centre, and checked before a lapse is recorded. Upstreams report to newly named registrars at once. A delta that peers send back is pushed less often, but at least twice more. Heartbeats carry tags in place of incarnation and version. Changes of the ranking are applied every 500 ms at most.

--- a/include/membership/MemberTable.h
+++ b/include/membership/MemberTable.h
@@ -162,6 +162,7 @@
     // When the last entry VM that became eligible has settled.
     base::TimePoint settlesAt_ {};
     bool mustEvaluate_ = false;
+    base::TimePoint nextEvaluationAt_ {};
     base::TimePoint nextRefutationAt_ {};
     mutable bool areListsCurrent_ = false;
     mutable std::vector<RegistrarNode> registrarNodes_;
--- a/include/membership/Registrar.h
+++ b/include/membership/Registrar.h
@@ -10,23 +10,27 @@
 
 constexpr std::chrono::seconds leaseDuration { 3 };
 constexpr std::chrono::seconds heartbeatInterval { 1 };
+// Changes of the ranking are applied at most this often: at the full size one
+// may cost 70 ms of processor time, and a lost data centre brings hundreds in a row.
+constexpr std::chrono::milliseconds assignmentInterval { 500 };
 
 // Renews a lease without repeating the facts. A member sends it each second to
 // its two registrars; entry VMs and replicas do the same.
 struct Heartbeat {
     MemberKey member = 0;
-    std::uint64_t incarnation = 0;
-    std::uint64_t version = 0;
+    // versionTag() of the member's incarnation and version. Heartbeats are most
+    // of a node's control traffic, so they carry tags in place of the numbers.
+    std::uint32_t versionTag = 0;
     // registrarsTag() of the registrars that the member uses.
-    std::uint32_t registrarsTag = 0;
+    std::uint16_t registrarsTag = 0;
 
-    MSGPACK_DEFINE(member, incarnation, version, registrarsTag)
+    MSGPACK_DEFINE(member, versionTag, registrarsTag)
 };
 
 struct AnnounceAnswer {
     std::vector<PeerAddress> registrars;
     // The value to repeat in each heartbeat while `registrars` are in use.
-    std::uint32_t registrarsTag = 0;
+    std::uint16_t registrarsTag = 0;
     // The registrar does not hold the facts of this version: announce them.
     bool mustAnnounce = false;
     // The member was observed as lapsed: raise the version, then announce.
@@ -81,11 +85,13 @@
     std::vector<MemberKey> nodes_;
     std::uint64_t generation_ = 0;
     std::size_t tableSize_ = 0;
+    base::TimePoint nextAssignmentAt_ {};
     bool wasCutOff_ = false;
 };
 
+std::uint32_t versionTag(std::uint64_t incarnation, std::uint64_t version);
 // Returns a short tag of a set of registrars.
-std::uint32_t registrarsTag(const std::vector<PeerAddress>&);
+std::uint16_t registrarsTag(const std::vector<PeerAddress>&);
 
 // The member's side: what an entry VM sends to its registrars.
 class HeartbeatSender {
--- a/src/membership/Gossip.cpp
+++ b/src/membership/Gossip.cpp
@@ -12,6 +12,10 @@
 static constexpr std::uint32_t comparesPerReunion = 5;
 static constexpr std::chrono::seconds pageDeadline { 1 };
 
+// Pushes that a delta keeps however often peers send it back. With one, some of
+// 1,500 tables learnt of a leave after 3,370 ms, with two after 1,210 ms at most.
+static constexpr unsigned pushesKept = 2;
+
 std::string encode(const GossipMessage& message) { return encodeMessage(message); }
 base::Result<GossipMessage> decodeGossip(std::string_view bytes) { return decodeMessage<GossipMessage>(bytes); }
 
@@ -336,8 +340,13 @@
     std::vector<GossipMessage> answers;
     switch (message.kind) {
     case GossipKind::Push:
-        for (const MemberEntry& entry : message.entries)
-            table_.merge(entry, now);
+        for (const MemberEntry& entry : message.entries) {
+            if (table_.merge(entry, now) != MergeOutcome::Unchanged)
+                continue;
+            // A peer that pushes what is known here shows that the delta has spread.
+            if (auto found = outbox_.find(entry.key); found != outbox_.end() && found->second.pushesLeft > pushesKept)
+                --found->second.pushesLeft;
+        }
         break;
     case GossipKind::DigestRequest:
         answers.push_back(answerDigest(message));
--- a/src/membership/MemberTable.cpp
+++ b/src/membership/MemberTable.cpp
@@ -15,6 +15,10 @@
 // It cannot take the member out alone, so the news of it is limited.
 static constexpr std::chrono::seconds refutationInterval { 10 };
 
+// A partition changes the registrars many times within seconds, and each change
+// concerns every member with observations. New observations count at once.
+static constexpr std::chrono::milliseconds evaluationInterval { 250 };
+
 static bool isBefore(const MemberEntry& left, const MemberEntry& right)
 {
     return left.incarnation != right.incarnation ? left.incarnation < right.incarnation : left.version < right.version;
@@ -216,7 +220,9 @@
     bool isOut = false;
     if (!slot.entry.lapsedBy.empty() && slot.entry.key != self_) {
         const std::vector<MemberKey> registrars = chooseRegistrars(slot.entry.key, now);
-        isOut = !registrars.empty() && std::all_of(registrars.begin(), registrars.end(), [&slot](MemberKey registrar) {
+        // After a partition most entry VMs settle again, and for a while fewer
+        // than two of them may judge: one observation must not be enough then.
+        isOut = !registrars.empty() && registrars.size() == registrarsOf(slot.entry.key).size() && std::all_of(registrars.begin(), registrars.end(), [&slot](MemberKey registrar) {
             return std::binary_search(slot.entry.lapsedBy.begin(), slot.entry.lapsedBy.end(), registrar);
         });
     }
@@ -242,7 +248,8 @@
 
 void MemberTable::refresh(base::TimePoint now)
 {
-    if (mustEvaluate_ || (settlesAt_ != base::TimePoint {} && now >= settlesAt_)) {
+    if ((mustEvaluate_ || (settlesAt_ != base::TimePoint {} && now >= settlesAt_)) && now >= nextEvaluationAt_) {
+        nextEvaluationAt_ = now + evaluationInterval;
         if (now >= settlesAt_)
             settlesAt_ = {};
         mustEvaluate_ = false;
--- a/src/membership/Registrar.cpp
+++ b/src/membership/Registrar.cpp
@@ -15,12 +15,14 @@
 base::Result<Heartbeat> decodeHeartbeat(std::string_view bytes) { return decodeMessage<Heartbeat>(bytes); }
 base::Result<AnnounceAnswer> decodeAnnounceAnswer(std::string_view bytes) { return decodeMessage<AnnounceAnswer>(bytes); }
 
-std::uint32_t registrarsTag(const std::vector<PeerAddress>& registrars)
+std::uint32_t versionTag(std::uint64_t incarnation, std::uint64_t version) { return static_cast<std::uint32_t>(mix64(version ^ mix64(incarnation))); }
+
+std::uint16_t registrarsTag(const std::vector<PeerAddress>& registrars)
 {
     std::uint64_t tag = 0;
     for (const PeerAddress& peer : registrars)
         tag ^= base::hash64(peer.address, peer.port);
-    return static_cast<std::uint32_t>(tag);
+    return static_cast<std::uint16_t>(tag);
 }
 
 static std::vector<PeerAddress> addressesOf(const MemberTable& table, const std::vector<MemberKey>& keys)
@@ -89,7 +91,7 @@
 {
     const MemberEntry* entry = table_.find(heartbeat.member);
     AnnounceAnswer answer = makeAnswer(heartbeat.member);
-    if (!entry || !entry->facts || entry->incarnation != heartbeat.incarnation || entry->version != heartbeat.version) {
+    if (!entry || !entry->facts || versionTag(entry->incarnation, entry->version) != heartbeat.versionTag) {
         answer.mustAnnounce = true;
         return answer;
     }
@@ -102,8 +104,9 @@
 void Registrar::updateAssignments(base::TimePoint now)
 {
     const std::uint64_t generation = table_.registrarGeneration();
-    if (generation == generation_ && tableSize_ == table_.size())
+    if ((generation == generation_ && tableSize_ == table_.size()) || now < nextAssignmentAt_)
         return;
+    nextAssignmentAt_ = now + assignmentInterval;
     std::vector<MemberKey> nodes;
     for (const MemberTable::RegistrarNode& node : table_.registrarNodes())
         nodes.push_back(node.key);
@@ -116,6 +119,10 @@
     generation_ = generation;
     tableSize_ = table_.size();
 
+    const auto dataCentreOf = [this](MemberKey key) {
+        const std::vector<MemberTable::RegistrarNode>& all = table_.registrarNodes();
+        return std::lower_bound(all.begin(), all.end(), key, [](const MemberTable::RegistrarNode& node, MemberKey wanted) { return node.key < wanted; })->dataCentre;
+    };
     const auto isIn = [](const std::vector<MemberKey>& sorted, MemberKey key) { return std::binary_search(sorted.begin(), sorted.end(), key); };
     table_.forEach([&](const MemberEntry& entry, bool) {
         auto [found, isNew] = assignments_.try_emplace(entry.key);
@@ -130,7 +137,9 @@
             assignment.first = registrars.front();
         if (registrars.size() > 1) {
             assignment.second = registrars.back();
-            assignment.lowestScore = std::min(rendezvousScore(RendezvousUse::Registrar, entry.key, assignment.first), rendezvousScore(RendezvousUse::Registrar, entry.key, assignment.second));
+            // Two registrars in one data centre give way to any node of another one.
+            const bool isDiverse = dataCentreOf(assignment.first) != dataCentreOf(assignment.second);
+            assignment.lowestScore = !isDiverse ? 0 : std::min(rendezvousScore(RendezvousUse::Registrar, entry.key, assignment.first), rendezvousScore(RendezvousUse::Registrar, entry.key, assignment.second));
         }
         const bool isMine = entry.key != table_.self() && (assignment.first == table_.self() || assignment.second == table_.self());
         if (isMine)
@@ -155,7 +164,9 @@
         if (isCutOff || wasCutOff_)
             lease->second = std::max(lease->second, now + leaseDuration);
         else if (now >= lease->second) {
-            table_.observeLapsed(lease->first, table_.self(), now);
+            // The ranking may have changed since the last assignment.
+            if (isRegistrarOf(lease->first))
+                table_.observeLapsed(lease->first, table_.self(), now);
             // A version that only gossip brought gets a full lease as well.
             lease->second = now + leaseDuration;
         }
@@ -174,7 +185,7 @@
     const std::vector<PeerAddress> registrars = addressesOf(table, table.registrarsOf(table.self()));
     outgoing.reserve(registrars.size());
     for (const PeerAddress& peer : registrars)
-        outgoing.push_back({ peer, { table.self(), self.incarnation, self.version, registrarsTag(registrars) } });
+        outgoing.push_back({ peer, { table.self(), versionTag(self.incarnation, self.version), registrarsTag(registrars) } });
     return outgoing;
 }
 
--- a/tests/GossipTest.cpp
+++ b/tests/GossipTest.cpp
@@ -40,19 +40,21 @@
 // Guards against a delta that reaches a part of a fleet of the full size only, or too late.
 BOOST_AUTO_TEST_CASE(deltaSpreadsOver1500Tables)
 {
-    Fleet fleet(1'500, 8, 21, false);
-    fleet.lossRate = 0.2;
-    fleet.run(1s);
     std::chrono::milliseconds longest { 0 };
-    for (std::size_t index = 0; index < 8; ++index) {
-        longest = std::max(longest, spreadLeave(fleet, makeUpstream(index), index * 150));
-        fleet.run(2s);
+    std::size_t pending = 0;
+    for (std::uint64_t seed = 21; seed <= 24; ++seed) {
+        Fleet fleet(1'500, 8, seed, false);
+        fleet.lossRate = 0.2;
+        fleet.run(1s);
+        for (std::size_t index = 0; index < 8; ++index) {
+            longest = std::max(longest, spreadLeave(fleet, makeUpstream(index), index * 150));
+            fleet.run(2s);
+        }
+        for (const Fleet::Node& node : fleet.nodes)
+            pending += node.gossip->pendingDeltas();
     }
-    BOOST_TEST_MESSAGE("1,500 tables, 20% loss, seed 21, 8 leaves: known everywhere after " << longest.count() << " ms (longest), margin " << (leaveLimit - longest).count() << " ms");
+    BOOST_TEST_MESSAGE("1,500 tables, 20% loss, seeds 21 to 24, 8 leaves each: known everywhere after " << longest.count() << " ms (longest), margin " << (leaveLimit - longest).count() << " ms");
     BOOST_TEST((longest <= leaveLimit));
-    std::size_t pending = 0;
-    for (const Fleet::Node& node : fleet.nodes)
-        pending += node.gossip->pendingDeltas();
     BOOST_TEST(pending == 0U);
 }
 
@@ -122,37 +124,41 @@
 // Guards against two halves that never meet again, and against healthy members that old observations take out.
 BOOST_AUTO_TEST_CASE(partitionOfAnHourHeals)
 {
-    Fleet fleet(9, 33, 26);
-    fleet.run(5s);
-    // Six VMs reach all upstreams; three VMs reach each other only.
-    const auto isCutOff = [](std::size_t index) { return index >= 6 && index < 9; };
-    fleet.isLinked = [&](std::size_t from, std::size_t to) { return isCutOff(from) == isCutOff(to); };
-    fleet.run(1h);
-    std::size_t seenByMajority = 0;
-    for (const Fleet::Upstream& upstream : fleet.upstreams)
-        seenByMajority += fleet.nodes[0].table->isUsable(memberKey(upstream.facts.id));
-    BOOST_TEST(seenByMajority == fleet.upstreams.size());
-    BOOST_TEST(fleet.nodes[0].table->peersIn().size() == 5U);
-    BOOST_TEST(fleet.nodes[7].table->peersIn().size() == 2U);
+    // With the second seed an entry VM kept one as a member that did not report
+    // to it, because two registrars in one data centre were not replaced.
+    for (std::uint64_t seed : { 26U, 21'026U }) {
+        Fleet fleet(9, 33, seed);
+        fleet.run(5s);
+        // Six VMs reach all upstreams; three VMs reach each other only.
+        const auto isCutOff = [](std::size_t index) { return index >= 6 && index < 9; };
+        fleet.isLinked = [&](std::size_t from, std::size_t to) { return isCutOff(from) == isCutOff(to); };
+        fleet.run(1h);
+        std::size_t seenByMajority = 0;
+        for (const Fleet::Upstream& upstream : fleet.upstreams)
+            seenByMajority += fleet.nodes[0].table->isUsable(memberKey(upstream.facts.id));
+        BOOST_TEST(seenByMajority == fleet.upstreams.size());
+        BOOST_TEST(fleet.nodes[0].table->peersIn().size() == 5U);
+        BOOST_TEST(fleet.nodes[7].table->peersIn().size() == 2U);
 
-    fleet.isLinked = [](std::size_t, std::size_t) { return true; };
-    std::size_t wronglyOut = 0;
-    const auto isHealed = [&] {
-        std::size_t usable = 0;
-        for (const Fleet::Upstream& upstream : fleet.upstreams) {
-            const MemberKey key = memberKey(upstream.facts.id);
-            usable += fleet.count([key](const MemberTable& table) { return table.isUsable(key); });
-            for (std::size_t index = 0; index < 6; ++index)
-                wronglyOut += !fleet.nodes[index].table->isUsable(key);
-        }
-        const std::size_t complete = fleet.count([&](const MemberTable& table) { return table.peersIn().size() == 8 && table.digest() == fleet.nodes[0].table->digest(); });
-        return usable == fleet.upstreams.size() * fleet.nodes.size() && complete == fleet.nodes.size();
-    };
-    const auto passed = fleet.runUntil(isHealed, 60s);
-    BOOST_TEST_MESSAGE("partition healed after " << passed.count() << " ms; members wrongly out in the majority: " << wronglyOut);
-    BOOST_TEST((passed < 20s));
-    BOOST_TEST(wronglyOut == 0U);
-    fleet.run(30s);
-    BOOST_TEST(isHealed());
-    BOOST_TEST(wronglyOut == 0U);
+        fleet.isLinked = [](std::size_t, std::size_t) { return true; };
+        std::size_t wronglyOut = 0;
+        const auto isHealed = [&] {
+            std::size_t usable = 0;
+            for (const Fleet::Upstream& upstream : fleet.upstreams) {
+                const MemberKey key = memberKey(upstream.facts.id);
+                usable += fleet.count([key](const MemberTable& table) { return table.isUsable(key); });
+                for (std::size_t index = 0; index < 6; ++index)
+                    wronglyOut += !fleet.nodes[index].table->isUsable(key);
+            }
+            const std::size_t complete = fleet.count([&](const MemberTable& table) { return table.peersIn().size() == 8 && table.digest() == fleet.nodes[0].table->digest(); });
+            return usable == fleet.upstreams.size() * fleet.nodes.size() && complete == fleet.nodes.size();
+        };
+        const auto passed = fleet.runUntil(isHealed, 60s);
+        BOOST_TEST_MESSAGE("partition healed after " << passed.count() << " ms; members wrongly out in the majority: " << wronglyOut);
+        BOOST_TEST((passed < 20s));
+        BOOST_TEST(wronglyOut == 0U);
+        fleet.run(30s);
+        BOOST_TEST(isHealed());
+        BOOST_TEST(wronglyOut == 0U);
+    }
 }
--- a/tests/MembershipFleet.h
+++ b/tests/MembershipFleet.h
@@ -4,6 +4,7 @@
 #include "include/membership/Gossip.h"
 #include "include/membership/Registrar.h"
 
+#include <algorithm>
 #include <array>
 #include <deque>
 #include <functional>
@@ -205,7 +206,8 @@
 
     bool isDelivered(std::size_t from, std::size_t to) { return nodes[to].isUp && random_.unit() >= lossRate && isLinked(from, to); }
 
-    // Behaves as the platform's upstreams: heartbeats to two registrars, any entry VM when none answers.
+    // Behaves as docs/membership.md asks of upstreams: heartbeats to two registrars,
+    // other entry VMs at once when neither answers, new registrars at once when named.
     void runUpstream(std::size_t index)
     {
         Upstream& upstream = upstreams[index];
@@ -224,7 +226,7 @@
             if (upstream.mustAnnounce)
                 answer = registrar.onAnnouncement(upstream.facts, now());
             else
-                answer = registrar.onHeartbeat({ memberKey(upstream.facts.id), upstream.facts.incarnation, upstream.facts.version, registrarsTag(upstream.registrars) }, now());
+                answer = registrar.onHeartbeat({ memberKey(upstream.facts.id), versionTag(upstream.facts.incarnation, upstream.facts.version), registrarsTag(upstream.registrars) }, now());
             if (!answer)
                 return;
             if (answer->mustAnnounce || answer->mustRaiseVersion) {
@@ -236,10 +238,14 @@
         };
         for (const PeerAddress& target : targets)
             report(target);
-        if (!wasHeard) {
+        for (int tries = 0; !wasHeard && tries < 3; ++tries) {
             const MemberFacts& any = nodes[random_.below(nodes.size())].table->selfFacts();
             report({ any.address, any.controlPort });
         }
+        for (const PeerAddress& target : std::vector<PeerAddress>(upstream.registrars)) {
+            if (std::find(targets.begin(), targets.end(), target) == targets.end())
+                report(target);
+        }
     }
 
     const bool hasRegistrars_;
--- a/tests/MembershipTest.cpp
+++ b/tests/MembershipTest.cpp
@@ -167,7 +167,7 @@
         push.entries.push_back(randomEntry(random));
         page.entries.push_back(makeEntry(makeUpstream(random.below(9))));
     }
-    const std::vector<std::string> samples = { encode(push), encode(page), encode(contents), encode(makeUpstream(3)), encode(Heartbeat { 1, 2, 3, 4 }), encode(AnnounceAnswer {}), encode(FeedPoll { 1, 2, false }), encode(FeedAnswer {}) };
+    const std::vector<std::string> samples = { encode(push), encode(page), encode(contents), encode(makeUpstream(3)), encode(Heartbeat { 1, 2, 3 }), encode(AnnounceAnswer {}), encode(FeedPoll { 1, 2, false }), encode(FeedAnswer {}) };
     BOOST_TEST(decodeGossip(samples[0]).value().entries.size() == 4U);
     BOOST_TEST((decodeGossip(samples[1]).value().entries[0].factsDigest == page.entries[0].factsDigest));
     BOOST_TEST(!decodeGossip(samples[0] + "x"));
@@ -242,26 +242,32 @@
 // Guards against a member that stays in for ever, or healthy ones that go out, when both registrars die with it.
 BOOST_AUTO_TEST_CASE(bothRegistrarsDieAtOnce)
 {
-    Fleet fleet(9, 33, 16);
-    fleet.run(5s);
-    const MemberKey dead = memberKey(fleet.upstreams[7].facts.id);
-    std::size_t registrarCount = 0;
-    for (MemberKey registrar : fleet.nodes[0].table->registrarsOf(dead)) {
-        fleet.nodes[fleet.nodeIndex(registrar)].isUp = false;
-        ++registrarCount;
+    std::chrono::milliseconds longest { 0 };
+    // With the last three seeds upstreams that reported to new registrars only
+    // a second after they had learnt of them went out.
+    for (std::uint64_t seed : { 16U, 17U, 18U, 12'016U, 14'016U, 16'016U }) {
+        Fleet fleet(9, 33, seed);
+        fleet.run(5s);
+        const MemberKey dead = memberKey(fleet.upstreams[7].facts.id);
+        std::size_t registrarCount = 0;
+        for (MemberKey registrar : fleet.nodes[0].table->registrarsOf(dead)) {
+            fleet.nodes[fleet.nodeIndex(registrar)].isUp = false;
+            ++registrarCount;
+        }
+        fleet.upstreams[7].isUp = false;
+        std::size_t wronglyOut = 0;
+        const auto isDone = [&] {
+            for (const Fleet::Upstream& upstream : fleet.upstreams)
+                wronglyOut += upstream.isUp && countUsable(fleet, memberKey(upstream.facts.id)) != fleet.nodes.size() - registrarCount;
+            const std::size_t known = fleet.count([&](const MemberTable& table) { return table.isOut(dead) && table.peersOut().size() == registrarCount; });
+            return known == fleet.nodes.size() - registrarCount;
+        };
+        const auto passed = fleet.runUntil(isDone, 20s);
+        longest = std::max(longest, passed);
+        BOOST_TEST(wronglyOut == 0U);
     }
-    fleet.upstreams[7].isUp = false;
-    std::size_t wronglyOut = 0;
-    const auto isDone = [&] {
-        for (const Fleet::Upstream& upstream : fleet.upstreams)
-            wronglyOut += upstream.isUp && countUsable(fleet, memberKey(upstream.facts.id)) != fleet.nodes.size() - registrarCount;
-        const std::size_t known = fleet.count([&](const MemberTable& table) { return table.isOut(dead) && table.peersOut().size() == registrarCount; });
-        return known == fleet.nodes.size() - registrarCount;
-    };
-    const auto passed = fleet.runUntil(isDone, 20s);
-    BOOST_TEST_MESSAGE("two registrars and their member out everywhere after " << passed.count() << " ms");
-    BOOST_TEST((passed < 12s));
-    BOOST_TEST(wronglyOut == 0U);
+    BOOST_TEST_MESSAGE("two registrars and their member out everywhere after " << longest.count() << " ms (longest of 6 seeds)");
+    BOOST_TEST((longest < 12s));
 }
 
 // Guards against old news that overwrites a restarted member, and against one that old news takes out.
