Sum the control traffic of a node in the benchmark

Cause: the budget of 2 KB a second holds for all control traffic of a node.

Change: totals for a leaf, the mean and the fullest inner node, for three designs of the heartbeats, with incarnations as large as start times; the members of the fullest registrar.

--- a/bench/MembershipBench.cpp
+++ b/bench/MembershipBench.cpp
@@ -43,6 +43,16 @@
         points_[metric].emplace_back(static_cast<double>(nodes), value);
     }
 
+    // The value of a metric that was added for `nodes` before.
+    double at(const std::string& metric, std::size_t nodes) const
+    {
+        for (const auto& [size, value] : points_.at(metric)) {
+            if (size == static_cast<double>(nodes))
+                return value;
+        }
+        return 0;
+    }
+
     void printSlopes() const
     {
         for (const auto& [metric, points] : points_) {
@@ -181,29 +191,40 @@
     Fleet fleet(size, upstreams, benchSeed, false);
     MemberTable& table = *fleet.nodes[0].table;
     Registrar registrar(table);
-    const MemberFacts upstream = makeUpstream(3);
+    // Incarnations are start times in milliseconds in practice.
+    const MemberFacts upstream = makeUpstream(3, 1'765'000'000'000);
     const AnnounceAnswer answer = registrar.onAnnouncement(upstream, fleet.now());
-    const Heartbeat heartbeat { memberKey(upstream.id), upstream.incarnation, upstream.version, answer.registrarsTag };
+    const Heartbeat heartbeat { memberKey(upstream.id), versionTag(upstream.incarnation, upstream.version), answer.registrarsTag };
     const double announcement = wireBytes(encode(upstream).size());
     const double fullAnswer = wireBytes(encode(answer).size());
     const double emptyAnswer = wireBytes(1);
     const double beat = wireBytes(encode(heartbeat).size());
     const double received = 2 * upstreamsPerNode;
     series.add("first design: full announcements answered in full: upstream bytes a second", size, received * (announcement + fullAnswer));
-    series.add("first design: entry VM bytes a second", size, 2 * (wireBytes(encode(makeEntryVm(1)).size()) + fullAnswer));
+    series.add("first design: entry VM bytes a second", size, 2 * (wireBytes(encode(makeEntryVm(1, 1'765'000'000'000)).size()) + fullAnswer));
     series.add("second design: heartbeats with empty answers: upstream bytes a second", size, received * (beat + emptyAnswer));
     series.add("second design: entry VM bytes a second", size, 2 * (beat + emptyAnswer));
     series.add("third design: heartbeats answered on change: upstream bytes a second", size, received * beat);
     series.add("third design: entry VM bytes a second", size, 2 * beat);
     series.add("registrar messages received a second", size, received + 2);
 
+    std::map<MemberKey, std::size_t> load;
+    table.forEach([&](const MemberEntry& entry, bool) {
+        for (MemberKey key : table.registrarsOf(entry.key))
+            ++load[key];
+    });
+    std::size_t most = 0;
+    for (const auto& [key, count] : load)
+        most = std::max(most, count);
+    series.add("registrar members of the fullest VM", size, static_cast<double>(most));
+
     // One minute of a registrar's work.
     registrar.tick(fleet.now(), false);
     std::vector<Heartbeat> members;
     table.forEach([&](const MemberEntry& entry, bool) {
         const auto registrars = table.registrarsOf(entry.key);
         if (entry.key != table.self() && std::find(registrars.begin(), registrars.end(), table.self()) != registrars.end())
-            members.push_back({ entry.key, entry.incarnation, entry.version, 0 });
+            members.push_back({ entry.key, versionTag(entry.incarnation, entry.version), 0 });
     });
     for (Heartbeat& each : members)
         each.registrarsTag = registrar.onHeartbeat(each, fleet.now()).value_or(AnnounceAnswer {}).registrarsTag;
@@ -228,13 +249,13 @@
     constexpr std::uint64_t restarts = 20;
     for (std::uint64_t restart = 0; restart < restarts; ++restart) {
         MemberFacts facts = makeEntryVm(1, restart + 2);
-        facts.isLeaving = true;
-        table.merge(makeEntry(facts), now);
-        registrar.tick(now, false);
-        facts.isLeaving = false;
-        ++facts.version;
-        table.merge(makeEntry(facts), now);
-        registrar.tick(now, false);
+        for (const bool isLeaving : { true, false }) {
+            facts.isLeaving = isLeaving;
+            ++facts.version;
+            table.merge(makeEntry(facts), now);
+            now += assignmentInterval;
+            registrar.tick(now, false);
+        }
     }
     const double perRestart = (processorSeconds() - churnStart) / restarts;
     series.add("registrar processor milliseconds a restart of an entry VM", size, perRestart * 1e3);
@@ -316,6 +337,26 @@
     }
 }
 
+// Sums the parts of a node's traffic. Traffic between nodes counts where it is
+// sent, traffic with upstreams in both directions.
+static void sumBudget(Series& series, std::size_t size)
+{
+    const double gossip = series.at("gossip idle bytes a second", size) + series.at("gossip churn bytes a second", size);
+    const double leaf = series.at("relay bytes sent a second by a leaf at 0.5 ms", size);
+    const double mean = series.at("relay bytes both ways a second of a leaf at 0.5 ms", size);
+    const double inner = series.at("relay bytes sent a second by the fullest inner node at 0.5 ms", size);
+    const std::pair<const char*, double> designs[] = {
+        { "first design", series.at("first design: full announcements answered in full: upstream bytes a second", size) + series.at("first design: entry VM bytes a second", size) },
+        { "second design", series.at("second design: heartbeats with empty answers: upstream bytes a second", size) + series.at("second design: entry VM bytes a second", size) },
+        { "third design", series.at("third design: heartbeats answered on change: upstream bytes a second", size) + series.at("third design: entry VM bytes a second", size) },
+    };
+    for (const auto& [name, heartbeats] : designs) {
+        series.add(fmt::format("{}: total bytes a second of a leaf", name), size, gossip + heartbeats + leaf);
+        series.add(fmt::format("{}: mean total bytes a second a node", name), size, gossip + heartbeats + mean);
+        series.add(fmt::format("{}: total bytes a second of the fullest inner node", name), size, gossip + heartbeats + inner);
+    }
+}
+
 using Subsets = std::vector<std::vector<MemberKey>>;
 
 static Subsets rendezvousSubsets(const std::vector<std::size_t>& vms, const std::vector<MemberFacts>& engines)
@@ -420,6 +461,8 @@
         benchHeartbeats(series, size);
     for (std::size_t size : sizes)
         benchRelay(series, size);
+    for (std::size_t size : sizes)
+        sumBudget(series, size);
     for (std::size_t size : sizes)
         benchSubset(series, size);
     for (std::size_t members : { 50U, 550U, 2'200U, 8'200U })
