Move the completion service behind links and test whole sessions

Cause: the decisions about streams could only be run with sockets, so no golden session and no failure at an exact position could be tested.

Change: CompletionService is now the module serving, with EngineLinks and Answer as interfaces; ChannelPool and HttpAnswer implement them.

--- a/src/entry/Answer.h
+++ b/include/serving/Answer.h
@@ -3,26 +3,12 @@
 #include "include/base/Error.h"
 #include "include/streams/StreamSession.h"
 
-#include <cpprest/http_msg.h>
+namespace arbutus::serving {
 
-#include <functional>
-#include <memory>
-#include <string>
-
-namespace arbutus::entry {
-
-// The field names in which an API variant gives its text.
-struct AnswerFormat;
-
-const AnswerFormat& completionFormat();
-const AnswerFormat& chatFormat();
-
-// The caller's end of one stream: collects or streams the tokens and ends with
-// exactly one of finish() and fail(). Not safe to use from several threads.
+// The caller's end of one stream: takes the tokens and ends with exactly one of
+// finish() and fail(). Not safe to use from several threads.
 class Answer {
 public:
-    // `onGone` is called from any thread when the caller went away before the end.
-    static std::unique_ptr<Answer> Make(web::http::http_request, const AnswerFormat&, bool isStreamed, std::string requestId, std::string model, std::function<void()> onGone);
     virtual ~Answer() = default;
 
     // Returns false when the caller does not take the token.
@@ -36,4 +22,4 @@
     virtual void onFail(const base::Error&, base::TimePoint now) = 0;
 };
 
-} // namespace arbutus::entry
+} // namespace arbutus::serving
--- a/src/entry/CompletionService.h
+++ b/include/serving/CompletionService.h
@@ -7,10 +7,10 @@
 #include "include/routing/Admission.h"
 #include "include/routing/CrashSuspects.h"
 #include "include/routing/PipelineSelector.h"
+#include "include/serving/Answer.h"
+#include "include/serving/EngineLinks.h"
 #include "include/state/Configuration.h"
 #include "include/streams/StreamSession.h"
-#include "src/entry/Answer.h"
-#include "src/entry/ChannelPool.h"
 
 #include <functional>
 #include <map>
@@ -21,7 +21,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace arbutus::entry {
+namespace arbutus::serving {
 
 using ConfigurationPointer = std::shared_ptr<const state::Configuration>;
 
@@ -46,7 +46,6 @@
         std::size_t maxQueued = 4096;
         // A step that takes longer is given up, and its stage left out.
         std::chrono::nanoseconds stallLimit = std::chrono::milliseconds(1000);
-        std::chrono::nanoseconds channelSilenceLimit = std::chrono::milliseconds(1000);
         std::uint64_t seed = 1;
     };
 
@@ -69,8 +68,9 @@
         std::uint64_t engineDeaths = 0;
     };
 
-    CompletionService(const base::Clock&, base::Timeline&, const Options&, Reports);
-    ~CompletionService();
+    CompletionService(const base::Clock&, base::Timeline&, const Options&, EngineLinks&, Reports);
+    CompletionService(const CompletionService&) = delete;
+    CompletionService& operator=(const CompletionService&) = delete;
 
     void setConfiguration(ConfigurationPointer);
     // States the engines that may be used, and where the fleet's other facts say
@@ -85,10 +85,13 @@
     // Starts what is due: queued requests, resumes, expired steps. Call it every 10 ms.
     void tick();
 
+    // What the links report: an engine may be used, is lost, has sent a message.
+    void engineReady(const FactsPointer&);
+    void engineLost(const std::string& engine);
+    void engineMessage(const std::string& engine, const streams::ChannelMessage&);
+
     std::size_t openCount() const;
-    std::size_t readyEngineCount() const { return channels_.readyCount(); }
     Counters counters() const;
-    void close();
 
 private:
     struct ActiveStream {
@@ -144,9 +147,6 @@
     void finish(ActiveStream&, streams::FinishReason);
     void end(ActiveStream&, bool didComplete);
 
-    void engineReady(const FactsPointer&);
-    void engineLost(const std::string& engine);
-    void engineMessage(const std::string& engine, const streams::ChannelMessage&);
     void receiveResult(const std::string& engine, const streams::StageResult&);
     void noteLoad(const std::string& engine, const streams::EngineLoad&);
     void syncEngine(Engine&);
@@ -158,6 +158,7 @@
     const base::Clock& clock_;
     base::Timeline& timeline_;
     const Options options_;
+    EngineLinks& links_;
     const Reports reports_;
     mutable base::RankedMutex mutex_;
     ConfigurationPointer configuration_;
@@ -169,8 +170,6 @@
     std::map<std::string, Engine> engines_;
     std::uint64_t nextAdmissionId_ = 1;
     Counters counters_;
-    // Last, so that its callbacks end before the tables go.
-    ChannelPool channels_;
 };
 
-} // namespace arbutus::entry
+} // namespace arbutus::serving
--- a/src/entry/CallerApi.cpp
+++ b/src/entry/CallerApi.cpp
@@ -48,7 +48,7 @@
     return nullptr;
 }
 
-CallerApi::CallerApi(const base::Clock& clock, base::Timeline& timeline, const Options& options, CompletionService& completions, ServiceCalls& services, base::WorkerPool& workers, Gate gate)
+CallerApi::CallerApi(const base::Clock& clock, base::Timeline& timeline, const Options& options, serving::CompletionService& completions, ServiceCalls& services, base::WorkerPool& workers, Gate gate)
     : clock_(clock)
     , timeline_(timeline)
     , options_(options)
@@ -153,7 +153,7 @@
     }
     ++parsing_;
     request.extract_string(true).then([this, request, team, requestId, &format, promptOf](pplx::task<std::string> task) mutable {
-        CompletionRequest completion;
+        serving::CompletionRequest completion;
         bool isStreamed = false;
         try {
             auto body = value::parse(task.get());
@@ -175,7 +175,7 @@
             refuse(request, requestId, team, configuration.error());
         else {
             completions_.submit(completion, [&](std::function<void()> onGone) {
-                return Answer::Make(request, format, isStreamed, requestId, completion.model, std::move(onGone));
+                return makeHttpAnswer(request, format, isStreamed, requestId, completion.model, std::move(onGone));
             });
         }
         --parsing_;
--- a/src/entry/CallerApi.h
+++ b/src/entry/CallerApi.h
@@ -3,7 +3,8 @@
 #include "include/base/Clock.h"
 #include "include/base/Error.h"
 #include "include/base/WorkerPool.h"
-#include "src/entry/CompletionService.h"
+#include "include/serving/CompletionService.h"
+#include "src/entry/HttpAnswer.h"
 #include "src/entry/ServiceCalls.h"
 
 #include <atomic>
@@ -29,12 +30,12 @@
     // What the rest of the process says about taking new work.
     struct Gate {
         // An error when no new work may be taken, ShuttingDown or StaleConfiguration.
-        std::function<base::Result<ConfigurationPointer>()> admit;
+        std::function<base::Result<serving::ConfigurationPointer>()> admit;
         std::function<void(const std::string& team, const std::string& service, const std::string& key, const base::Error&)> orderRefused;
         std::function<void(const std::string& team, base::ErrorKind)> refused;
     };
 
-    CallerApi(const base::Clock&, base::Timeline&, const Options&, CompletionService&, ServiceCalls&, base::WorkerPool&, Gate);
+    CallerApi(const base::Clock&, base::Timeline&, const Options&, serving::CompletionService&, ServiceCalls&, base::WorkerPool&, Gate);
 
     // Handles the request if its path is one of the callers' interface; returns
     // false, leaving the request alone, if it is not.
@@ -63,7 +64,7 @@
     const base::Clock& clock_;
     base::Timeline& timeline_;
     const Options options_;
-    CompletionService& completions_;
+    serving::CompletionService& completions_;
     ServiceCalls& services_;
     base::WorkerPool& workers_;
     const Gate gate_;
--- a/src/entry/ChannelPool.cpp
+++ b/src/entry/ChannelPool.cpp
@@ -24,7 +24,7 @@
 
 ChannelPool::~ChannelPool() { close(); }
 
-void ChannelPool::setEngines(const std::vector<FactsPointer>& engines)
+void ChannelPool::onSetEngines(const std::vector<FactsPointer>& engines)
 {
     std::vector<std::shared_ptr<http::EngineChannel>> closing;
     {
@@ -107,7 +107,7 @@
     }
 }
 
-bool ChannelPool::send(const std::string& engine, const streams::ChannelMessage& message)
+bool ChannelPool::onSend(const std::string& engine, const streams::ChannelMessage& message)
 {
     std::shared_ptr<http::EngineChannel> channel;
     {
--- a/src/entry/ChannelPool.h
+++ b/src/entry/ChannelPool.h
@@ -3,7 +3,7 @@
 #include "include/base/Clock.h"
 #include "include/base/RankedMutex.h"
 #include "include/http/EngineChannel.h"
-#include "include/membership/Member.h"
+#include "include/serving/EngineLinks.h"
 
 #include <functional>
 #include <map>
@@ -13,11 +13,11 @@
 
 namespace arbutus::entry {
 
-using FactsPointer = std::shared_ptr<const membership::MemberFacts>;
+using serving::FactsPointer;
 
 // The channels of this VM to its engines. A channel counts as ready after its
 // first load report. Safe to use from several threads.
-class ChannelPool {
+class ChannelPool final : public serving::EngineLinks {
 public:
     // Called without any lock of the pool held.
     struct Listener {
@@ -30,14 +30,7 @@
     // `processName` makes channel names unique among processes and restarts. A
     // channel without any message for `silenceLimit` is lost.
     ChannelPool(const base::Clock&, std::string processName, std::chrono::nanoseconds silenceLimit, Listener);
-    ~ChannelPool();
-
-    // States which engines shall have a channel. Channels to engines that are no
-    // longer named stay until the engine ends them, since they may carry streams.
-    void setEngines(const std::vector<FactsPointer>&);
-
-    // Returns false when there is no open channel to `engine`.
-    bool send(const std::string& engine, const streams::ChannelMessage&);
+    ~ChannelPool() override;
 
     // Opens missing channels and gives up silent ones.
     void tick();
@@ -57,6 +50,10 @@
         base::TimePoint reopenAt;
     };
 
+    bool onSend(const std::string& engine, const streams::ChannelMessage&) override;
+    // Channels to engines that are no longer named stay until the engine ends
+    // them, since they may carry streams.
+    void onSetEngines(const std::vector<FactsPointer>&) override;
     void open(const std::string& engine, Slot&);
     void receive(const std::string& engine, std::uint64_t generation, const streams::ChannelMessage&);
     void ended(const std::string& engine, std::uint64_t generation);
--- a/src/entry/EntryProcess.cpp
+++ b/src/entry/EntryProcess.cpp
@@ -22,6 +22,8 @@
 static constexpr std::size_t timelineCapacity = 20000;
 static constexpr std::size_t workerThreads = 32;
 static constexpr std::size_t maxQueuedCalls = 1024;
+// Engines report their load at least every 500 ms.
+static constexpr std::chrono::milliseconds channelSilenceLimit(1000);
 static constexpr std::chrono::milliseconds tickInterval(10);
 static constexpr int ticksPerControlTick = 2;
 static constexpr std::chrono::milliseconds housekeepingInterval(500);
@@ -146,7 +148,11 @@
     , timeline_(clock_, config_.vm, timelineCapacity)
     , state_(clock_, timeline_, config_.replicaUrls, config_.clusterKey, config_.vm, config_.callers.incarnation)
     , reporter_(clock_, state_, config_.vm)
-    , completions_(clock_, timeline_, config_.streams,
+    , channels_(clock_, fmt::format("{}-{:x}", config_.vm, config_.streams.seed), channelSilenceLimit,
+          { [this](const FactsPointer& facts) { completions_.engineReady(facts); },
+              [this](const std::string& engine, const streams::ChannelMessage& message) { completions_.engineMessage(engine, message); },
+              [this](const std::string& engine) { completions_.engineLost(engine); } })
+    , completions_(clock_, timeline_, config_.streams, channels_,
           { [this](const std::string& fingerprint, const FactsPointer& engine, bool wasAlone) { reporter_.report(state::RecordCrash { fingerprint, engine->id, engine->incarnation, wasAlone }); },
               [this](const std::string& fingerprint, const FactsPointer& engine) { reporter_.report(state::ClearCrash { fingerprint, engine->id, engine->incarnation }); },
               [this](const std::string& team, ErrorKind kind) { reporter_.countRefusal(team, kind); } })
@@ -177,7 +183,7 @@
     options.replicas = config_.replicas;
     options.seed = config_.streams.seed;
     ControlPlane::Listener listener {
-        [this](const ConfigurationPointer& configuration) { completions_.setConfiguration(configuration); },
+        [this](const serving::ConfigurationPointer& configuration) { completions_.setConfiguration(configuration); },
         [this](const std::vector<FactsPointer>& engines, std::vector<FactsPointer> services) {
             completions_.setEngines(engines);
             services_.setUpstreams(std::move(services));
@@ -203,7 +209,7 @@
         tickThread_.join();
     if (housekeepingThread_.joinable())
         housekeepingThread_.join();
-    completions_.close();
+    channels_.close();
     server_.reset();
     plane_.reset();
 }
@@ -285,7 +291,7 @@
     });
 }
 
-Result<ConfigurationPointer> EntryProcess::admit() const
+Result<serving::ConfigurationPointer> EntryProcess::admit() const
 {
     if (refusesNew_)
         return makeError(ErrorKind::ShuttingDown, "this VM is shutting down");
@@ -321,7 +327,7 @@
         { "results_dropped_total", "Results that nothing waited for.", MetricKind::Counter, static_cast<double>(counters.droppedResults) },
         { "engine_deaths_total", "Channels lost while streams ran on them.", MetricKind::Counter, static_cast<double>(counters.engineDeaths) },
         { "requests_open", "Requests not yet answered.", MetricKind::Gauge, static_cast<double>(callers_.openCount()) },
-        { "engines_ready", "Engines with a working channel.", MetricKind::Gauge, static_cast<double>(completions_.readyEngineCount()) },
+        { "engines_ready", "Engines with a working channel.", MetricKind::Gauge, static_cast<double>(channels_.readyCount()) },
         { "ledger_writes_pending", "Writes to the order ledger that wait for a quorum.", MetricKind::Gauge, static_cast<double>(services_.pendingWriteCount()) },
         { "reports_pending", "Reports that wait for a quorum.", MetricKind::Gauge, static_cast<double>(reporter_.waitingCount()) },
         { "reports_dropped_total", "Reports dropped because too many waited.", MetricKind::Counter, static_cast<double>(reporter_.droppedCount()) },
@@ -342,7 +348,7 @@
     body["fresh"] = value::boolean(plane_->isFresh());
     body["draining"] = value::boolean(isDraining_);
     body["open"] = value::number(static_cast<std::uint64_t>(callers_.openCount()));
-    body["enginesReady"] = value::number(static_cast<std::uint64_t>(completions_.readyEngineCount()));
+    body["enginesReady"] = value::number(static_cast<std::uint64_t>(channels_.readyCount()));
     std::vector<value> replicas;
     for (const auto& url : config_.replicaUrls)
         replicas.push_back(value::string(url));
@@ -427,6 +433,7 @@
 void EntryProcess::runTicks()
 {
     for (int count = 0; !isStopping_; ++count) {
+        channels_.tick();
         completions_.tick();
         if (!(count % ticksPerControlTick))
             plane_->tick();
--- a/src/entry/EntryProcess.h
+++ b/src/entry/EntryProcess.h
@@ -6,8 +6,9 @@
 #include "include/base/WorkerPool.h"
 #include "include/http/AdminServer.h"
 #include "include/http/HttpServer.h"
+#include "include/serving/CompletionService.h"
 #include "src/entry/CallerApi.h"
-#include "src/entry/CompletionService.h"
+#include "src/entry/ChannelPool.h"
 #include "src/entry/ControlPlane.h"
 #include "src/entry/ServiceCalls.h"
 #include "src/entry/StateClient.h"
@@ -49,7 +50,7 @@
         http::TlsFiles tls;
         std::chrono::nanoseconds drainAccept {};
         CallerApi::Options callers;
-        CompletionService::Options streams;
+        serving::CompletionService::Options streams;
     };
 
     explicit EntryProcess(Config);
@@ -59,7 +60,7 @@
     void addPages();
     void handle(web::http::http_request);
     void handleAnnounce(web::http::http_request);
-    base::Result<ConfigurationPointer> admit() const;
+    base::Result<serving::ConfigurationPointer> admit() const;
     std::string notReadyReason() const;
     std::string metrics() const;
     web::json::value status() const;
@@ -74,7 +75,8 @@
     base::Timeline timeline_;
     StateClient state_;
     StateReporter reporter_;
-    CompletionService completions_;
+    ChannelPool channels_;
+    serving::CompletionService completions_;
     ServiceCalls services_;
     // Runs service calls and administration calls, which block.
     base::WorkerPool workers_;
--- a/src/entry/Answer.cpp
+++ b/src/entry/HttpAnswer.cpp
@@ -1,4 +1,4 @@
-#include "src/entry/Answer.h"
+#include "src/entry/HttpAnswer.h"
 
 #include "include/http/EventStream.h"
 #include "include/http/Problem.h"
@@ -88,7 +88,7 @@
         std::function<void()> onGone;
     };
 
-    class CollectedAnswer final : public Answer {
+    class CollectedAnswer final : public serving::Answer {
     public:
         explicit CollectedAnswer(AnswerContext context)
             : context_(std::move(context))
@@ -121,7 +121,7 @@
         std::string text_;
     };
 
-    class StreamedAnswer final : public Answer {
+    class StreamedAnswer final : public serving::Answer {
     public:
         explicit StreamedAnswer(AnswerContext context)
             : context_(std::move(context))
@@ -176,7 +176,7 @@
 
 } // namespace
 
-std::unique_ptr<Answer> Answer::Make(http_request request, const AnswerFormat& format, bool isStreamed, std::string requestId, std::string model, std::function<void()> onGone)
+std::unique_ptr<serving::Answer> makeHttpAnswer(const http_request& request, const AnswerFormat& format, bool isStreamed, std::string requestId, std::string model, std::function<void()> onGone)
 {
     AnswerContext context { request, format, std::move(requestId), std::move(model), std::move(onGone) };
     if (isStreamed)
--- a/src/entry/CompletionService.cpp
+++ b/src/serving/CompletionService.cpp
@@ -1,4 +1,4 @@
-#include "src/entry/CompletionService.h"
+#include "include/serving/CompletionService.h"
 
 #include "include/base/Digest.h"
 #include "include/base/LockRanks.h"
@@ -9,7 +9,7 @@
 #include <algorithm>
 #include <array>
 
-namespace arbutus::entry {
+namespace arbutus::serving {
 
 using base::Error;
 using base::ErrorKind;
@@ -63,26 +63,19 @@
     return result;
 }
 
-CompletionService::CompletionService(const base::Clock& clock, base::Timeline& timeline, const Options& options, Reports reports)
+CompletionService::CompletionService(const base::Clock& clock, base::Timeline& timeline, const Options& options, EngineLinks& links, Reports reports)
     : clock_(clock)
     , timeline_(timeline)
     , options_(options)
+    , links_(links)
     , reports_(std::move(reports))
     , mutex_(base::lock_rank::entryStreams)
     , admission_(admissionOptions(options))
     , selector_(options.vm, options.dataCentre, {}, options.seed)
     , suspects_(maxSuspectRecords)
-    , channels_(clock, fmt::format("{}-{:x}", options.vm, options.seed), options.channelSilenceLimit,
-          { [this](const FactsPointer& facts) { engineReady(facts); },
-              [this](const std::string& engine, const streams::ChannelMessage& message) { engineMessage(engine, message); },
-              [this](const std::string& engine) { engineLost(engine); } })
 {
 }
 
-CompletionService::~CompletionService() { close(); }
-
-void CompletionService::close() { channels_.close(); }
-
 void CompletionService::setConfiguration(ConfigurationPointer configuration)
 {
     RankedLock lock(mutex_);
@@ -131,7 +124,7 @@
                 selector_.setLeaving(id, true);
         }
     }
-    channels_.setEngines(engines);
+    links_.setEngines(engines);
 }
 
 // Makes the selector agree with what is known about the engine.
@@ -349,11 +342,11 @@
 void CompletionService::dispatch(ActiveStream& stream, const streams::Dispatch& dispatch)
 {
     stream.stepSentAt = clock_.now();
-    if (channels_.send(dispatch.engine, dispatch.step)) {
+    if (links_.send(dispatch.engine, dispatch.step)) {
         stream.didSend = true;
         return;
     }
-    // The channel has just ended; engineLost() ends the attempt, or the step deadline does.
+    // The link has just ended; engineLost() ends the attempt, or the step deadline does.
 }
 
 void CompletionService::engineMessage(const std::string& engine, const streams::ChannelMessage& message)
@@ -442,7 +435,7 @@
 void CompletionService::sendCancellations(ActiveStream& stream)
 {
     for (const auto& cancellation : stream.session.takeCancellations())
-        channels_.send(cancellation.engine, streams::CancelStream { stream.request.id, cancellation.attempt });
+        links_.send(cancellation.engine, streams::CancelStream { stream.request.id, cancellation.attempt });
 }
 
 void CompletionService::scheduleResume(ActiveStream& stream, const std::vector<std::string>& avoided, const std::string& reason)
@@ -567,7 +560,6 @@
 
 void CompletionService::tick()
 {
-    channels_.tick();
     RankedLock lock(mutex_);
     auto now = clock_.now();
     for (const auto& refusal : admission_.takeExpired(now)) {
@@ -637,4 +629,4 @@
     return counters_;
 }
 
-} // namespace arbutus::entry
+} // namespace arbutus::serving
--- /dev/null
+++ b/tests/ServingFleet.h
@@ -0,0 +1,284 @@
+#pragma once
+
+#include "include/serving/CompletionService.h"
+#include "tools/fakes/common/ReferenceModel.h"
+#include "tools/fakes/engine/EngineCore.h"
+
+#include <fmt/format.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace arbutus::test {
+
+// What a caller got.
+struct ReceivedAnswer {
+    std::string text;
+    bool didFinish = false;
+    std::optional<base::Error> error;
+    int ends = 0;
+    base::TimePoint lastTokenAt;
+    std::chrono::nanoseconds longestGap {};
+};
+
+// One entry VM's CompletionService before engines in the same process, under a
+// virtual clock. Steps reach an engine at once; results come back when the
+// engine's stated step time has passed, in the order of time, then of name.
+class ServingFleet final : private serving::EngineLinks {
+public:
+    explicit ServingFleet(std::size_t slots = 256)
+        : timeline_(clock_, "entry-1", 100000)
+        , service_(clock_, timeline_, makeOptions(slots), *this,
+              { [this](const std::string& fingerprint, const serving::FactsPointer& engine, bool) { crashes.push_back(engine->id + " " + fingerprint.substr(0, 8)); },
+                  [](const std::string&, const serving::FactsPointer&) {},
+                  [this](const std::string& team, base::ErrorKind kind) { refusals.push_back(fmt::format("{} {}", team, base::errorRule(kind).name)); } })
+    {
+        auto configuration = std::make_shared<state::Configuration>();
+        configuration->revision = 1;
+        configuration->sheetRevision = 1;
+        configuration->sheet = std::make_shared<const sheet::Sheet>(sheet::Sheet::Make(
+            "kind,team,model,version,adapter,priority,weight,max_running,max_rate,upstreams,service,repeatable,layers\n"
+            "model,fiere,scriba,4.2,,8,3,200,1000,large,,,6\n"
+            "model,listini,scriba,4.2,,4,1,200,1000,large,,,6\n")
+                                                                        .value());
+        service_.setConfiguration(configuration);
+    }
+
+    // Adds an engine that holds layers `first` to `last` of 6.
+    void addEngine(const std::string& id, std::uint32_t first, std::uint32_t last, const std::string& crashWord = "")
+    {
+        fakes::EngineSpec spec;
+        spec.firstLayer = first;
+        spec.lastLayer = last;
+        spec.layerCount = 6;
+        spec.crashWord = crashWord;
+        auto facts = std::make_shared<membership::MemberFacts>();
+        facts->id = id;
+        facts->dataCentre = "catania";
+        facts->accelerator = "large";
+        facts->holdings.push_back({ "scriba", "4.2", first, last });
+        auto engine = std::make_unique<Engine>(fakes::EngineCore(spec));
+        engine->core.addModel("scriba", "4.2");
+        engine->facts = facts;
+        engines_[id] = std::move(engine);
+        announce();
+        service_.engineReady(facts);
+        service_.engineMessage(id, streams::EngineLoad {});
+    }
+
+    // The engine's process dies: what it was running and queueing is gone.
+    void killEngine(const std::string& id)
+    {
+        trace.push_back(fmt::format("{} engine {} dies", stamp(), id));
+        engines_.erase(id);
+        announce();
+        service_.engineLost(id);
+    }
+
+    void setLeaving(const std::string& id)
+    {
+        auto facts = std::make_shared<membership::MemberFacts>(*engines_.at(id)->facts);
+        facts->isLeaving = true;
+        engines_.at(id)->facts = facts;
+        announce();
+    }
+
+    void stall(const std::string& id) { engines_.at(id)->isStalled = true; }
+    // Results of this engine are kept back until release().
+    void holdResults(const std::string& id) { engines_.at(id)->holdsResults = true; }
+    // Delivers what was kept back, newest first and each twice.
+    void release(const std::string& id)
+    {
+        auto held = std::exchange(engines_.at(id)->held, {});
+        engines_.at(id)->holdsResults = false;
+        for (auto it = held.rbegin(); it != held.rend(); ++it) {
+            service_.engineMessage(id, *it);
+            service_.engineMessage(id, *it);
+        }
+    }
+
+    ReceivedAnswer& submit(const std::string& id, const std::string& prompt, std::uint32_t maxTokens, const std::string& team = "fiere", std::chrono::nanoseconds timeout = std::chrono::seconds(60))
+    {
+        trace.push_back(fmt::format("{} request {} team={} prompt=\"{}\" tokens={}", stamp(), id, team, prompt, maxTokens));
+        serving::CompletionRequest request;
+        request.id = id;
+        request.team = team;
+        request.model = "scriba";
+        request.prompt = prompt;
+        request.maxTokens = maxTokens;
+        request.deadline = clock_.now() + timeout;
+        auto& answer = answers_[id];
+        service_.submit(request, [&](std::function<void()> onGone) {
+            onGone_[id] = std::move(onGone);
+            return std::make_unique<RecordingAnswer>(*this, id, answer);
+        });
+        return answer;
+    }
+
+    void callerLeaves(const std::string& id) { onGone_.at(id)(); }
+
+    // Runs until `end` of virtual time or until `isDone`.
+    void run(
+        std::chrono::nanoseconds duration, const std::function<bool()>& isDone = [] { return false; })
+    {
+        auto end = clock_.now() + duration;
+        while (clock_.now() < end && !isDone()) {
+            runEngines();
+            clock_.advance(std::chrono::milliseconds(1));
+            if (!(++ticks_ % 10))
+                service_.tick();
+        }
+    }
+
+    bool isIdle() const { return !service_.openCount(); }
+    std::string expected(const std::string& prompt, std::uint32_t maxTokens) const { return fakes::expectedText("scriba", "4.2", "", prompt, 6, maxTokens); }
+    fakes::EngineCore& engine(const std::string& id) { return engines_.at(id)->core; }
+    bool hasEngine(const std::string& id) const { return engines_.count(id); }
+    serving::CompletionService& service() { return service_; }
+    base::Timeline& timeline() { return timeline_; }
+    base::TimePoint now() const { return clock_.now(); }
+
+    // One line for each message and each caller's event.
+    std::vector<std::string> trace;
+    std::vector<std::string> crashes;
+    std::vector<std::string> refusals;
+
+private:
+    struct Engine {
+        explicit Engine(fakes::EngineCore engineCore)
+            : core(std::move(engineCore))
+        {
+        }
+
+        fakes::EngineCore core;
+        serving::FactsPointer facts;
+        bool isStalled = false;
+        bool holdsResults = false;
+        std::vector<streams::StageResult> held;
+        std::optional<fakes::Batch> batch;
+        base::TimePoint batchDueAt;
+    };
+
+    class RecordingAnswer final : public serving::Answer {
+    public:
+        RecordingAnswer(ServingFleet& fleet, std::string id, ReceivedAnswer& received)
+            : fleet_(fleet)
+            , id_(std::move(id))
+            , received_(received)
+        {
+            received_.lastTokenAt = fleet.now();
+        }
+
+    private:
+        bool onToken(const streams::Token& token) override
+        {
+            received_.text += token.text;
+            received_.longestGap = std::max<std::chrono::nanoseconds>(received_.longestGap, fleet_.now() - received_.lastTokenAt);
+            received_.lastTokenAt = fleet_.now();
+            fleet_.trace.push_back(fmt::format("{} answer {} token{}", fleet_.stamp(), id_, token.text));
+            return true;
+        }
+
+        void onFinish(streams::FinishReason reason, std::size_t, std::size_t tokens) override
+        {
+            received_.didFinish = true;
+            ++received_.ends;
+            fleet_.trace.push_back(fmt::format("{} answer {} finish={} tokens={}", fleet_.stamp(), id_, reason == streams::FinishReason::Stop ? "stop" : "length", tokens));
+        }
+
+        void onFail(const base::Error& error, base::TimePoint) override
+        {
+            received_.error = error;
+            ++received_.ends;
+            fleet_.trace.push_back(fmt::format("{} answer {} error={} notRun={}", fleet_.stamp(), id_, base::errorRule(error.kind).name, base::notRunText(base::errorRule(error.kind).statement)));
+        }
+
+        ServingFleet& fleet_;
+        const std::string id_;
+        ReceivedAnswer& received_;
+    };
+
+    static serving::CompletionService::Options makeOptions(std::size_t slots)
+    {
+        serving::CompletionService::Options options;
+        options.vm = "entry-1";
+        options.dataCentre = "catania";
+        options.slots = slots;
+        return options;
+    }
+
+    std::string stamp() const
+    {
+        return fmt::format("{:7}us", std::chrono::duration_cast<std::chrono::microseconds>(clock_.now().time_since_epoch() - std::chrono::hours(1)).count());
+    }
+
+    void announce()
+    {
+        std::vector<serving::FactsPointer> usable;
+        for (const auto& [id, engine] : engines_) {
+            if (!engine->facts->isLeaving)
+                usable.push_back(engine->facts);
+        }
+        service_.setEngines(usable);
+    }
+
+    bool onSend(const std::string& id, const streams::ChannelMessage& message) override
+    {
+        auto found = engines_.find(id);
+        if (found == engines_.end())
+            return false;
+        if (const auto* step = std::get_if<streams::StageStep>(&message)) {
+            trace.push_back(fmt::format("{} step {} -> {} attempt={} position={} count={} layers={}-{}", stamp(), step->name.stream, id, step->name.attempt, step->name.position, step->name.count, step->name.firstLayer, step->name.lastLayer));
+            found->second->core.submit("entry-1", *step);
+        } else if (const auto* cancel = std::get_if<streams::CancelStream>(&message))
+            found->second->core.cancel(cancel->stream, cancel->attempt);
+        return true;
+    }
+
+    void onSetEngines(const std::vector<serving::FactsPointer>&) override { }
+
+    void runEngines()
+    {
+        std::vector<std::string> ids;
+        for (const auto& [id, engine] : engines_)
+            ids.push_back(id);
+        for (const auto& id : ids) {
+            if (engines_.count(id))
+                runEngine(id, *engines_.at(id));
+        }
+    }
+
+    void runEngine(const std::string& id, Engine& engine)
+    {
+        if (engine.batch && clock_.now() >= engine.batchDueAt) {
+            auto batch = std::move(*engine.batch);
+            engine.batch.reset();
+            for (auto& routed : batch.results) {
+                // A result may end a stream and with it other work of the engine.
+                if (engine.holdsResults)
+                    engine.held.push_back(std::move(routed.result));
+                else
+                    service_.engineMessage(id, std::move(routed.result));
+            }
+        }
+        if (engine.batch || engine.isStalled || !engine.core.hasWork())
+            return;
+        engine.batch = engine.core.runBatch();
+        engine.batchDueAt = clock_.now() + engine.batch->duration;
+        if (engine.batch->crashes)
+            killEngine(id);
+    }
+
+    base::VirtualClock clock_;
+    base::Timeline timeline_;
+    std::map<std::string, std::unique_ptr<Engine>> engines_;
+    std::map<std::string, ReceivedAnswer> answers_;
+    std::map<std::string, std::function<void()>> onGone_;
+    std::uint64_t ticks_ = 0;
+    serving::CompletionService service_;
+};
+
+} // namespace arbutus::test
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -1,6 +1,8 @@
 #!/usr/bin/env bash
 # Runs the formatter and the linter over the project's own sources.
-# With file names as arguments, only over those.
+# With file names as arguments, only over those. A file that was found clean is
+# not looked at again until it, a header of the project that it includes, or the
+# linter's settings change; build/tidy/ remembers.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 if [ $# -gt 0 ]; then
@@ -11,6 +13,19 @@
 [ ${#files[@]} -eq 0 ] && exit 0
 clang-format --dry-run -Werror "${files[@]}"
 [ -f build/compile_commands.json ] || cmake -S . -B build -G Ninja >/dev/null
-printf '%s\n' "${files[@]}" | { grep '\.cpp$' || true; } | xargs -r -P "$(nproc)" -n 1 clang-tidy -p build --quiet 2>&1 |
-    { grep -v -E '^[0-9]+ warnings? (generated|treated)|^Suppressed|^Use -header-filter' || true; } | tee build/tidy.log
-if grep -qE '(error|warning):' build/tidy.log; then exit 1; fi
+mkdir -p build/tidy
+
+lint() {
+    local key
+    key=$({ clang-tidy --version; cat .clang-tidy; g++ -std=c++17 -I. -MM "$1" | tr -d '\\' | tr ' ' '\n' | grep '\.\(cpp\|h\)$' | xargs cat; } 2>/dev/null | sha256sum | cut -d' ' -f1)
+    [ -f "build/tidy/$key" ] && return 0
+    local output
+    if output=$(clang-tidy -p build --quiet "$1" 2>/dev/null) && ! grep -qE '(error|warning):' <<<"$output"; then
+        touch "build/tidy/$key"
+    else
+        echo "$output"
+        return 1
+    fi
+}
+export -f lint
+printf '%s\n' "${files[@]}" | { grep '\.cpp$' || true; } | xargs -r -P "$(nproc)" -I{} bash -c 'lint {}'
