Reword comments, log lines and error texts in plain technical English

Cause: some comments and log lines were figurative ("news", "told", "in company", "strangers"), and a few did not match the code: the digest of an order covers the content type too, a failed exchange was logged as a missing answer, and storage-full also stands for bounds.

Change: Replace them without a change of behaviour, keeping reasons and figures.

The build and the tests had not been run when this was committed.

--- a/bench/MembershipBench.cpp
+++ b/bench/MembershipBench.cpp
@@ -117,7 +117,7 @@
     series.add("gossip idle messages a second", size, static_cast<double>(idle.messages) / nodes / 10);
     series.add("gossip idle bytes a second", size, static_cast<double>(idle.bytes) / nodes / 10);
 
-    // Each event is a restart: the news of leaving, two observations, the new incarnation.
+    // Each event is a restart: the delta about leaving, two observations, the new incarnation.
     constexpr std::size_t events = 3;
     constexpr double eventSeconds = 9;
     double eventBytes = 0;
--- a/include/base/Clock.h
+++ b/include/base/Clock.h
@@ -24,7 +24,7 @@
     WallTime onWallNow() const override;
 };
 
-// A clock that moves only when told to.
+// A clock that advances only by explicit calls.
 class VirtualClock final : public Clock {
 public:
     void advance(std::chrono::nanoseconds step) { elapsed_ += step; }
@@ -33,7 +33,7 @@
     TimePoint onNow() const override;
     WallTime onWallNow() const override;
 
-    // Starts above zero, so that "a while ago" stays representable.
+    // Starts above zero, so that earlier times stay representable.
     std::chrono::nanoseconds elapsed_ { std::chrono::hours(1) };
 };
 
--- a/include/base/Logger.h
+++ b/include/base/Logger.h
@@ -28,7 +28,7 @@
     std::string value;
 };
 
-// Writes one line an event to standard error: level, the prefix of the part, a
+// Writes one line per event to standard error: level, the component's prefix, a
 // short sentence, then key=value fields. Safe to use from several threads.
 class Logger {
 public:
--- a/include/base/StopSignal.h
+++ b/include/base/StopSignal.h
@@ -6,7 +6,7 @@
 // and ignores SIGPIPE. Call it first in main.
 void blockStopSignals();
 
-// Whether a signal is there that waitForStopSignal() would return at once.
+// Whether a stop signal is pending, so that waitForStopSignal() would return at once.
 bool isStopSignalPending();
 
 // Waits for SIGINT or SIGTERM and returns its number.
--- a/include/consensus/Messages.h
+++ b/include/consensus/Messages.h
@@ -31,7 +31,7 @@
 namespace arbutus::consensus {
 
 // Names one data folder of one replica. A wiped disk gets a new disk number and
-// is therefore another member: promises of the old disk are not expected of it.
+// is therefore another member, which is not bound by votes of the old disk.
 struct ReplicaKey {
     std::uint64_t replica = 0;
     std::uint64_t disk = 0;
--- a/include/membership/MemberTable.h
+++ b/include/membership/MemberTable.h
@@ -57,8 +57,8 @@
     MemberKey self() const { return self_; }
     const MemberFacts& selfFacts() const { return *slots_.at(self_).entry.facts; }
 
-    // Merges what a peer or the member itself stated. News that two registrars
-    // lapsed this process raises its version at once, news of one registrar at
+    // Merges what a peer or the member itself stated. If two registrars observed this
+    // process as lapsed, its version rises at once; for one registrar it rises at
     // most every 10 s.
     MergeOutcome merge(const MemberEntry&, base::TimePoint now);
     // Merges a first copy of a peer's table: its entry VMs count as settled.
--- a/include/orders/OrderExecutor.h
+++ b/include/orders/OrderExecutor.h
@@ -21,7 +21,7 @@
     std::string body;
     base::TimePoint deadline;
 
-    // Digest of method, path and body; two requests with one key must agree on it.
+    // Digest of method, path, content type and body; two requests with one key must agree on it.
     std::string digest() const;
 };
 
--- a/include/routing/PipelineSelector.h
+++ b/include/routing/PipelineSelector.h
@@ -33,7 +33,7 @@
     bool isLeaving = false;
 };
 
-// What a cache event said; it may be late, and others may be missing.
+// The content of a cache event; it may be late, and others may be missing.
 struct PrefixHint {
     std::string engine;
     std::size_t cachedTokens = 0;
--- a/include/routing/UpstreamLoad.h
+++ b/include/routing/UpstreamLoad.h
@@ -11,7 +11,7 @@
 
 namespace arbutus::routing {
 
-// What an engine said about itself. It lags: `reportedAt` is the time on this
+// The load as an engine reported it. It lags: `reportedAt` is the time on this
 // VM's clock to which the numbers refer (receipt time less half a round trip).
 struct LoadReport {
     std::size_t running = 0;
--- a/include/state/Commands.h
+++ b/include/state/Commands.h
@@ -50,7 +50,7 @@
 
 struct ClaimOrder {
     OrderKey order;
-    // SHA-256 of method, path and body, 64 hexadecimal digits.
+    // SHA-256 of method, path, content type and body, 64 hexadecimal digits.
     std::string bodyDigest;
     // Random; never used again by any entry process.
     std::uint64_t claimNumber = 0;
--- a/include/storage/DiskIdentity.h
+++ b/include/storage/DiskIdentity.h
@@ -5,7 +5,7 @@
 namespace arbutus::storage {
 
 // The random number of a data folder. A voter is identified by it, so a wiped
-// disk cannot vote on behalf of the one that made promises.
+// disk cannot vote in place of the one that voted before.
 class DiskIdentity {
 public:
     // Reads the number, or stores `candidate` in a folder without one. Fails with
--- a/include/storage/HardStateStore.h
+++ b/include/storage/HardStateStore.h
@@ -4,7 +4,7 @@
 
 namespace arbutus::storage {
 
-// What a replica must not forget between two messages.
+// The part of a replica's state that must survive a restart unchanged.
 struct HardState {
     std::uint64_t term = 0;
     // The candidate that got the vote in `term`; empty when there is none.
--- a/include/streams/Step.h
+++ b/include/streams/Step.h
@@ -79,7 +79,7 @@
     MSGPACK_DEFINE(name, activation, token, isEnd, error, load)
 };
 
-// Tells an engine to free what it holds for an attempt; 0 stands for every attempt.
+// Makes an engine free what it holds for an attempt; 0 stands for every attempt.
 struct CancelStream {
     std::string stream;
     std::uint32_t attempt = 0;
--- a/src/base/Error.cpp
+++ b/src/base/Error.cpp
@@ -8,7 +8,7 @@
 static constexpr std::array errorRules {
     ErrorRule { ErrorKind::Unauthorized, "unauthorized", 401, false, RunStatement::NotRun, "The bearer token is missing or not known." },
     ErrorRule { ErrorKind::Forbidden, "forbidden", 403, false, RunStatement::NotRun, "The sheet does not allow this team to make the call." },
-    ErrorRule { ErrorKind::InvalidRequest, "invalid-request", 400, false, RunStatement::NotRun, "The request cannot be read or has a bad field." },
+    ErrorRule { ErrorKind::InvalidRequest, "invalid-request", 400, false, RunStatement::NotRun, "The request cannot be read or has an invalid field." },
     ErrorRule { ErrorKind::UnknownModel, "unknown-model", 404, false, RunStatement::NotRun, "The sheet does not give this team the model." },
     ErrorRule { ErrorKind::UnknownService, "unknown-service", 404, false, RunStatement::NotRun, "The sheet does not give this team the service." },
     ErrorRule { ErrorKind::NotFound, "not-found", 404, false, RunStatement::NotRun, "No such path or object." },
@@ -27,15 +27,15 @@
     ErrorRule { ErrorKind::StreamFailed, "stream-failed", 502, true, RunStatement::Ran, "The answer could not be completed on any pipeline." },
     ErrorRule { ErrorKind::RequestTimeout, "request-timeout", 504, true, RunStatement::Unknown, "The deadline passed after the request had been sent." },
     ErrorRule { ErrorKind::UpstreamFailed, "upstream-failed", 502, false, RunStatement::Unknown, "The upstream did not answer; whether it ran the call is unknown." },
-    ErrorRule { ErrorKind::SheetInvalid, "sheet-invalid", 422, false, RunStatement::NotRun, "The sheet has bad rows; nothing was changed." },
+    ErrorRule { ErrorKind::SheetInvalid, "sheet-invalid", 422, false, RunStatement::NotRun, "The sheet has invalid rows; nothing was changed." },
     ErrorRule { ErrorKind::SheetConflict, "sheet-conflict", 409, false, RunStatement::NotRun, "Another sheet was accepted first; nothing was changed." },
-    ErrorRule { ErrorKind::StorageFull, "storage-full", 507, true, RunStatement::NotRun, "The disk of the state is full; reads go on." },
+    ErrorRule { ErrorKind::StorageFull, "storage-full", 507, true, RunStatement::NotRun, "The disk of the state, or a bound of the state, is full; reads continue." },
     ErrorRule { ErrorKind::StorageCorrupt, "storage-corrupt", 500, false, RunStatement::NotRun, "A file of the state is damaged before its tail." },
     ErrorRule { ErrorKind::StorageFailed, "storage-failed", 500, false, RunStatement::Unknown, "Reading, writing or syncing a file of the state failed." },
     ErrorRule { ErrorKind::NotLeader, "not-leader", 503, true, RunStatement::NotRun, "This replica is not the leader." },
     ErrorRule { ErrorKind::PeerRejected, "peer-rejected", 403, false, RunStatement::NotRun, "A peer could not prove that it belongs to this deployment." },
     ErrorRule { ErrorKind::MalformedFrame, "malformed-frame", 400, false, RunStatement::NotRun, "A frame from a peer cannot be decoded." },
-    ErrorRule { ErrorKind::InvalidSetting, "invalid-setting", 500, false, RunStatement::NotRun, "A setting is missing or has a bad value." },
+    ErrorRule { ErrorKind::InvalidSetting, "invalid-setting", 500, false, RunStatement::NotRun, "A setting is missing or has an invalid value." },
     ErrorRule { ErrorKind::Internal, "internal", 500, false, RunStatement::Unknown, "An unexpected fault inside the process." },
 };
 
--- a/src/consensus/ReplicaCore.cpp
+++ b/src/consensus/ReplicaCore.cpp
@@ -302,7 +302,7 @@
 bool ReplicaCore::acceptLeader(const Message& message)
 {
     if (message.term < term_) {
-        // Tells a deposed leader the newer term; the body carries no promise.
+        // States the newer term to a deposed leader; the body confirms nothing.
         send(message.from, HeartbeatResponse { 0 });
         return false;
     }
--- a/src/consensus/ReplicaCoreLeader.cpp
+++ b/src/consensus/ReplicaCoreLeader.cpp
@@ -260,7 +260,7 @@
         uncommittedBytes_ -= std::min(uncommittedBytes_, size);
     }
     if (isChangeCommitted && !configuration().isVoter(settings_.self)) {
-        // Tells the others of the commit before this replica stops leading.
+        // Sends the commit index to the others before this replica stops leading.
         sendHeartbeats();
         becomeFollower(term_, std::nullopt);
     }
--- a/src/ctl/Commands.cpp
+++ b/src/ctl/Commands.cpp
@@ -119,7 +119,7 @@
     return ExitCode::Success;
 }
 
-// Returns the URLs of every entry VM that the asked one knows, itself included.
+// Returns the URLs of all entry VMs that the queried one knows, itself included.
 static Result<std::vector<std::string>> entryUrls(const AdminClient& client)
 {
     BOOST_OUTCOME_TRY(vms, client.get("vms"));
--- a/src/ctl/Commands.h
+++ b/src/ctl/Commands.h
@@ -10,7 +10,7 @@
 // Exit codes, for scripts.
 enum class ExitCode {
     Success = 0,
-    // The command was carried out and says no: a bad sheet, a refused change.
+    // The command was carried out and its answer is a refusal: an invalid sheet, a refused change.
     Refused = 1,
     // The command line or a setting is wrong.
     Usage = 2,
--- a/src/ctl/CtlMain.cpp
+++ b/src/ctl/CtlMain.cpp
@@ -43,7 +43,7 @@
     return nullptr;
 }
 
-// Takes --json and --help out of the arguments, wherever they stand.
+// Removes `flag` from the arguments, at any position. Returns whether it was there.
 static bool takeFlag(std::vector<const char*>& arguments, std::string_view flag)
 {
     auto it = std::find(arguments.begin(), arguments.end(), flag);
--- a/src/entry/CallerApi.h
+++ b/src/entry/CallerApi.h
@@ -26,7 +26,7 @@
         std::map<std::string, std::string> teams;
     };
 
-    // What the rest of the process says about taking new work.
+    // Functions of the process that decide on new work and record refusals.
     struct Gate {
         // An error when no new work may be taken, ShuttingDown or StaleConfiguration.
         std::function<base::Result<ConfigurationPointer>()> admit;
--- a/src/entry/CompletionService.h
+++ b/src/entry/CompletionService.h
@@ -50,7 +50,7 @@
         std::uint64_t seed = 1;
     };
 
-    // What is told to the rest of the process; called with the mutex held, so
+    // Reports to the rest of the process; called with the mutex held, so
     // the functions only queue.
     struct Reports {
         std::function<void(const std::string& fingerprint, const FactsPointer& engine, bool wasAlone)> crash;
@@ -169,7 +169,7 @@
     std::map<std::string, Engine> engines_;
     std::uint64_t nextAdmissionId_ = 1;
     Counters counters_;
-    // Last, so that its callbacks end before the tables go.
+    // Declared last, so that its callbacks end before the tables are destroyed.
     ChannelPool channels_;
 };
 
--- a/src/entry/ControlPlane.h
+++ b/src/entry/ControlPlane.h
@@ -44,7 +44,7 @@
         std::function<void(std::shared_ptr<const state::Configuration>)> onConfiguration;
         // The usable upstreams that this VM keeps channels to or may call.
         std::function<void(std::vector<FactsPointer> engines, std::vector<FactsPointer> services)> onUpstreams;
-        // An entry VM has gone; told once for each incarnation.
+        // An entry VM is out; called once for each incarnation.
         std::function<void(const std::string& vm, std::uint64_t incarnation)> onEntryGone;
     };
 
@@ -69,7 +69,7 @@
     std::vector<MemberView> members() const;
     transport::TransportTotals totals() const;
 
-    // Tells the other VMs that this one is going.
+    // States to the other VMs that this one is leaving.
     void leave();
 
 private:
--- a/src/entry/EntryMain.cpp
+++ b/src/entry/EntryMain.cpp
@@ -14,7 +14,7 @@
     base::Logger logger("entry");
     auto settings = base::Settings::Make(argc, argv, entry::EntryProcess::settingSpecs());
     if (!settings) {
-        logger.error("The settings are bad.", { { "reason", settings.error().detail } });
+        logger.error("The settings are invalid.", { { "reason", settings.error().detail } });
         return 2;
     }
     auto process = entry::EntryProcess::Make(settings.value());
@@ -23,7 +23,7 @@
         return 2;
     }
     base::waitForStopSignal();
-    // A second signal tells what would be lost, a third one ends the process.
+    // A second signal logs what would be lost, a third one ends the process.
     std::thread([&] {
         base::waitForStopSignal();
         logger.warning("Still draining; one more signal ends the process.", { { "loss", process.value()->describeLoss() } });
--- a/src/entry/EntryProcess.cpp
+++ b/src/entry/EntryProcess.cpp
@@ -192,7 +192,7 @@
     server_ = std::move(server);
     tickThread_ = std::thread([this] { runTicks(); });
     housekeepingThread_ = std::thread([this] { runHousekeeping(); });
-    logger.info("Taking requests.", { { "vm", config_.vm }, { "address", options.self.address } });
+    logger.info("Accepting requests.", { { "vm", config_.vm }, { "address", options.self.address } });
     return base::outcome::success();
 }
 
--- a/src/entry/EntryProcess.h
+++ b/src/entry/EntryProcess.h
@@ -28,7 +28,7 @@
     static base::Result<std::unique_ptr<EntryProcess>> Make(const base::Settings&);
     ~EntryProcess();
 
-    // Fails /readyz, goes on taking requests for the stated time, then refuses
+    // Fails /readyz, accepts requests for a further --drain-accept-ms, then refuses
     // new ones and waits until every request is answered.
     void drain();
     // What would be lost if the process ended now, as one sentence.
--- a/src/entry/ServiceCalls.cpp
+++ b/src/entry/ServiceCalls.cpp
@@ -96,10 +96,10 @@
             return OrderAnswer { response->status, std::move(response->contentType), std::move(response->body) };
         if (std::holds_alternative<http::ConnectionRefused>(result))
             return NotSent {};
-        logger.warning("An upstream did not answer.", { { "upstream", upstream.id }, { "reason", std::get<http::ExchangeBroken>(result).reason } });
+        logger.warning("An exchange with an upstream failed; whether the call ran is unknown.", { { "upstream", upstream.id }, { "reason", std::get<http::ExchangeBroken>(result).reason } });
         return OutcomeUnknown {};
     } catch (const web::uri_exception&) {
-        // The path or the announced address is not a URL; nothing was sent.
+        // The path is not part of a URL; nothing was sent.
         return NotSent {};
     }
 }
--- a/src/entry/StateReporter.h
+++ b/src/entry/StateReporter.h
@@ -13,8 +13,8 @@
 
 namespace arbutus::entry {
 
-// Commits what this process has to report, in order and without holding up who
-// reports it: crashes, refusals, entry VMs that have gone. Reports that cannot be
+// Commits what this process has to report, in order and without blocking the thread
+// that reports it: crashes, refusals, entry VMs that are out. Reports that cannot be
 // committed wait, up to a bound, until a quorum answers. Safe to use from
 // several threads.
 class StateReporter {
--- a/src/membership/Gossip.cpp
+++ b/src/membership/Gossip.cpp
@@ -8,7 +8,7 @@
 namespace arbutus::membership {
 
 // One comparison in five tries a peer that is out, or a seed: two halves of a
-// fleet that consider each other out would otherwise never meet again.
+// fleet that consider each other out would otherwise never exchange tables again.
 static constexpr std::uint32_t comparesPerReunion = 5;
 static constexpr std::chrono::seconds pageDeadline { 1 };
 
@@ -403,7 +403,7 @@
         if (!isAwaited)
             break;
         noteAnswer(message.sequence);
-        // Peers hold these entries already: they are not news to spread.
+        // Peers hold these entries already, so they are not spread again.
         collectChanges();
         const std::uint64_t versionBefore = table_.selfFacts().version;
         for (const MemberEntry& entry : message.entries)
--- a/src/membership/MemberTable.cpp
+++ b/src/membership/MemberTable.cpp
@@ -12,7 +12,7 @@
 static constexpr std::size_t registrarsPerMember = 2;
 
 // One registrar behind a bad link observes a lapse again after each refutation.
-// It cannot take the member out alone, so the news of it is limited.
+// It cannot take the member out alone, so refutations are limited.
 static constexpr std::chrono::seconds refutationInterval { 10 };
 
 // A partition changes the registrars many times within seconds, and each change
@@ -112,7 +112,7 @@
         if (incoming.key == self_ && incoming.facts && !hasSameAddress(*known.facts, *incoming.facts))
             return refuse(MergeOutcome::RefusedAddress);
         if (incoming.key == self_) {
-            // News from before a restart whose clock went back: continue above it.
+            // An entry from before a restart whose clock went back: continue above it.
             MemberFacts facts = *known.facts;
             facts.incarnation = incoming.incarnation;
             facts.version = incoming.version + 1;
@@ -141,7 +141,7 @@
         refuteIfLapsed(now);
         return MergeOutcome::Changed;
     }
-    // Old news of a member that is gone stays a tombstone.
+    // An old entry of a member that is out stays a tombstone.
     if (wasTombstone && slot.isOut && slot.entry.facts) {
         MemberEntry tombstone = slot.entry;
         tombstone.facts = nullptr;
--- a/src/membership/Registrar.cpp
+++ b/src/membership/Registrar.cpp
@@ -44,7 +44,7 @@
     if (const MemberEntry* entry = table_.find(member)) {
         const bool isObservedHere = std::binary_search(entry->lapsedBy.begin(), entry->lapsedBy.end(), table_.self());
         // An observation of another registrar alone is not refuted: over a bad
-        // link it would return with every lease and be news each time.
+        // link it would return with every lease and spread again each time.
         answer.mustRaiseVersion = isObservedHere || table_.isOut(member);
     }
     return answer;
--- a/src/membership/RelayTree.cpp
+++ b/src/membership/RelayTree.cpp
@@ -91,7 +91,7 @@
     if (!best && root_ && !suspendedUntil_.count(*root_))
         best = root_;
     if (!best) {
-        // Everyone was asked in vain: start again from the first choice.
+        // Every candidate failed: start again from the first choice.
         suspendedUntil_.clear();
         return std::nullopt;
     }
--- a/src/replica/ReplicaApi.cpp
+++ b/src/replica/ReplicaApi.cpp
@@ -15,7 +15,7 @@
 using base::Result;
 using rpc::Parameters;
 
-// Callers give up after 1.5 s; a result that comes later has no reader.
+// Callers give up after 1.5 s and ignore a later result.
 static constexpr std::chrono::milliseconds commandPatience(1400);
 static constexpr std::size_t maxListedOrders = 1000;
 
--- a/src/replica/ReplicaMain.cpp
+++ b/src/replica/ReplicaMain.cpp
@@ -11,7 +11,7 @@
     base::Logger logger("state");
     auto settings = base::Settings::Make(argc, argv, replica::ReplicaProcess::settingSpecs());
     if (!settings) {
-        logger.error("The settings are bad.", { { "reason", settings.error().detail } });
+        logger.error("The settings are invalid.", { { "reason", settings.error().detail } });
         return 2;
     }
     auto process = replica::ReplicaProcess::Make(settings.value());
--- a/src/replica/ReplicaNode.cpp
+++ b/src/replica/ReplicaNode.cpp
@@ -68,7 +68,7 @@
 }
 
 // A failed write or sync leaves unknown content on the disk; only a restart,
-// which reads it again, can tell what is there.
+// which reads it again, can determine what is there.
 void ReplicaNode::abandon(const Error& error)
 {
     logger.error("The storage failed; the process ends.", { { "reason", error.detail } });
--- a/src/routing/Admission.cpp
+++ b/src/routing/Admission.cpp
@@ -85,7 +85,7 @@
 }
 
 // Returns the wait of a request that joins the queue of `team` now, behind
-// `promisedTokens` that are expected to come back: the longest of what the
+// `promisedTokens` that are expected to be resent: the longest of what the
 // queues ahead, the rate left by other teams, the team's own running limit and
 // the observed service of its queue let expect.
 double Admission::waitSeconds(const TeamQueue& team, double promisedTokens, base::TimePoint now) const
--- a/src/routing/CrashSuspects.cpp
+++ b/src/routing/CrashSuspects.cpp
@@ -52,7 +52,7 @@
         return *found->second;
     }
     if (records_.size() >= maxRecords_) {
-        // A blamed request is worth more than a suspect, which most likely is
+        // The record of a blamed request is kept longer than that of a suspect, which most likely is
         // innocent. A request in a turn is kept: its stream waits for the turn.
         auto victim = std::find_if(records_.begin(), records_.end(), [](const Entry& entry) { return entry.turn == Turn::None && !isBlamed(entry.record); });
         if (victim == records_.end())
@@ -94,7 +94,7 @@
     return outcome;
 }
 
-// One more death in company must not blame an innocent request.
+// One more death together with other requests must not blame an innocent one.
 bool CrashSuspects::mayShare(const Record& record) { return record.deaths + 1 < deathsToBlame; }
 
 std::vector<std::vector<std::string>> CrashSuspects::takeTurns(std::size_t emptyEngines)
--- a/src/routing/TeamQueue.cpp
+++ b/src/routing/TeamQueue.cpp
@@ -75,7 +75,7 @@
 
 void TeamQueue::push(const Queued& request, double virtualTime)
 {
-    // A team that was idle has no claim on the past.
+    // A team does not accumulate service while it is idle.
     if (queue_.empty()) {
         startTag_ = std::max(startTag_, virtualTime);
         servedFrom_ = request.queuedAt;
--- a/src/routing/TeamQueue.h
+++ b/src/routing/TeamQueue.h
@@ -22,7 +22,7 @@
 
     TeamQueue(const TeamRule&, std::uint64_t order, base::TimePoint now);
 
-    // A team that its running limit held back has no claim on the past.
+    // A team does not accumulate service while its running limit holds it back.
     void setRule(const TeamRule&, double virtualTime, base::TimePoint now);
     void markRemoved() { isRemoved_ = true; }
     bool isRemoved() const { return isRemoved_; }
@@ -57,13 +57,13 @@
     // was served lately.
     double drainSeconds(double extraTokens, double expectedRate, base::TimePoint now) const;
 
-    // Remembers that the request was told to come back at `at`. The time
-    // promised first stands when it comes back earlier, and no request is
+    // Keeps `at` as the time that the request was given for its resend. The time
+    // promised first stands when the resend comes earlier, and no request is
     // promised an earlier time than the one before, whose place it might take.
     base::TimePoint promise(std::uint64_t fingerprint, std::size_t tokens, base::TimePoint at, base::TimePoint now);
-    // Returns true, once, when the request comes back at its promised time.
+    // Returns true, once, for a resend at its promised time.
     bool redeem(std::uint64_t fingerprint, base::TimePoint now);
-    // Requests and tokens that are expected to come back, from the promises that
+    // Requests and tokens that are expected to be resent, from the promises that
     // stand and the share of promises that was redeemed before.
     double promisedRequests() const { return static_cast<double>(promises_.size()) * redeemedShare_; }
     double promisedTokens() const { return static_cast<double>(promisedTokens_) * redeemedShare_; }
--- a/src/routing/UpstreamLoad.cpp
+++ b/src/routing/UpstreamLoad.cpp
@@ -6,7 +6,7 @@
 
 namespace arbutus::routing {
 
-// All results of one batch arrive together and say the same thing; one sample
+// All results of one batch arrive together with the same information; one sample
 // for each batch keeps a single slow batch from filling the window, and from
 // becoming the rule for the whole kind.
 static constexpr std::chrono::nanoseconds shortestSampleGap = std::chrono::milliseconds(10);
--- a/src/storage/SegmentedLog.cpp
+++ b/src/storage/SegmentedLog.cpp
@@ -318,7 +318,7 @@
     segment.file = std::move(file);
     auto written = segment.file->append(encodeSegmentHeader(base));
     if (!written) {
-        // A file left behind would stand in the way of the next segment.
+        // A file left behind would conflict with the next segment.
         auto removed = disk_.remove(segment.name);
         if (!removed)
             return finishChange(std::move(removed).error());
--- a/src/transport/Handshake.h
+++ b/src/transport/Handshake.h
@@ -11,7 +11,7 @@
 // frame confirms the keys; both have kind 0.
 constexpr std::string_view greeting = "ARB1";
 constexpr unsigned char handshakeKind = 0;
-// Strangers cannot make the server store more than this.
+// Bound of what an unauthenticated peer can make the server store.
 constexpr std::size_t maxHelloBytes = 256;
 constexpr std::size_t readChunkBytes = 8192;
 
--- a/tools/fakes/engine/EngineMain.cpp
+++ b/tools/fakes/engine/EngineMain.cpp
@@ -36,7 +36,7 @@
     base::Logger logger("engine");
     auto settings = base::Settings::Make(argc, argv, settingSpecs());
     if (!settings) {
-        logger.error("The settings are bad.", { { "reason", settings.error().detail } });
+        logger.error("The settings are invalid.", { { "reason", settings.error().detail } });
         return 2;
     }
     auto engine = fakes::EngineServer::Make(settings.value());
--- a/tools/fakes/engine/EngineServer.cpp
+++ b/tools/fakes/engine/EngineServer.cpp
@@ -193,7 +193,7 @@
         due = std::max(due, std::chrono::steady_clock::now() - std::chrono::milliseconds(1));
         Batch batch = core_.runBatch();
         if (batch.crashes || (batchesToDeath_ && !(*batchesToDeath_)--)) {
-            logger.error("Crashing as told.");
+            logger.error("Crashing because of an injected fault.");
             std::_Exit(86);
         }
         due += std::chrono::duration_cast<std::chrono::nanoseconds>(batch.duration * slowness_);
--- a/tools/fakes/orders/OrdersMain.cpp
+++ b/tools/fakes/orders/OrdersMain.cpp
@@ -114,12 +114,12 @@
             { "entries", "URLs of entry VMs to announce to", std::nullopt },
         });
     if (!settings) {
-        logger.error("The settings are bad.", { { "reason", settings.error().detail } });
+        logger.error("The settings are invalid.", { { "reason", settings.error().detail } });
         return 2;
     }
     auto port = settings.value().integer("port", 1, 65535);
     if (!port) {
-        logger.error("The settings are bad.", { { "reason", port.error().detail } });
+        logger.error("The settings are invalid.", { { "reason", port.error().detail } });
         return 2;
     }
     OrderService service(settings.value().text("service"));
