--- a/include/serving/CompletionService.h
+++ b/include/serving/CompletionService.h
@@ -49,7 +49,7 @@
         std::uint64_t seed = 1;
     };
 
-    // What is told to the rest of the process; called with the mutex held, so
+    // Reports to the rest of the process; called with the mutex held, so
     // the functions only queue.
     struct Reports {
         std::function<void(const std::string& fingerprint, const FactsPointer& engine, bool wasAlone)> crash;
