Decide which engines load and unload the sheet's versions

Cause: an accepted sheet names model versions, but nothing made the engines hold them; fleets worked only with engines started by hand with every version.

Change: the module placement. PlacementPlanner compares the sheet with what engines announce and gives orders: a new version beside the old one, the ranges with the fewest holders first, at most a stated number of downloads, an old version only after every layer range has enough engines with the new one and a grace time has passed, retries with backoff. ControllerLease turns fencing numbers of the replicated state into the right to give orders: 5 s from the send time of the last number, and a wait of 5.5 s after every number that does not follow directly on the holder's last one.

Figures: build/bin/PlacementTest passes 13 cases; virtual clock, no random numbers. The first run failed in FailingEngineBacksOffAndDoesNotBlockTheOthers, because the fake engine of the test refused unloads as well as loads; the fake now fails its loads only, as the case states.

--- a/include/membership/Rendezvous.h
+++ b/include/membership/Rendezvous.h
@@ -21,6 +21,7 @@
     RelayLevel,
     RelayParent,
     Subset,
+    Controller,
 };
 
 // Returns the score of `node` for `object`; the highest score wins.
--- /dev/null
+++ b/src/placement/PlacementPlanner.cpp
@@ -0,0 +1,272 @@
+#include "include/placement/PlacementPlanner.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace arbutus::placement {
+
+// In the sheet, stands for upstreams of every class.
+static constexpr const char* anyClass = "any";
+static constexpr std::uint32_t maxBackoffDoublings = 10;
+
+// What the sheet asks of the engines, and who shares a layer range.
+struct PlacementPlanner::Survey {
+    using RangeKey = std::tuple<std::string, std::string, std::uint32_t, std::uint32_t>;
+
+    // By accelerator.
+    std::map<std::string, std::set<ModelVersion>> wanted;
+    // By accelerator, model, first and last layer.
+    std::map<RangeKey, std::set<const EngineView*>> ranges;
+
+    bool isWanted(const std::string& accelerator, const ModelVersion& version) const { return wanted.at(accelerator).count(version); }
+};
+
+std::string_view toString(Action action) { return action == Action::Load ? "load" : "unload"; }
+
+static bool holds(const EngineView& engine, const std::pair<std::string, std::string>& version)
+{
+    return std::any_of(engine.holdings.begin(), engine.holdings.end(), [&](const auto& holding) { return holding.model == version.first && holding.version == version.second; });
+}
+
+PlacementPlanner::Survey PlacementPlanner::survey(const sheet::Sheet& sheet, const std::vector<EngineView>& engines) const
+{
+    Survey result;
+    for (const auto& engine : engines) {
+        if (auto [wanted, isNew] = result.wanted.try_emplace(engine.accelerator); isNew) {
+            for (const auto& row : sheet.modelRows()) {
+                if (row.upstreams.empty() || row.upstreams == anyClass || row.upstreams == engine.accelerator)
+                    wanted->second.insert({ row.model, row.version });
+            }
+        }
+        for (const auto& holding : engine.holdings)
+            result.ranges[{ engine.accelerator, holding.model, holding.firstLayer, holding.lastLayer }].insert(&engine);
+    }
+    return result;
+}
+
+std::vector<Order> PlacementPlanner::plan(const sheet::Sheet& sheet, const std::vector<EngineView>& engines, std::uint64_t fencingNumber, base::TimePoint now)
+{
+    fencingNumber_ = fencingNumber;
+    Survey found = survey(sheet, engines);
+    settle(found, engines, now);
+    std::vector<Order> orders;
+    planLoads(found, engines, orders, now);
+    planUnloads(found, engines, orders, now);
+    return orders;
+}
+
+// Ends executed orders whose effect is reported, and forgets what no longer applies.
+void PlacementPlanner::settle(const Survey& found, const std::vector<EngineView>& engines, base::TimePoint now)
+{
+    std::map<std::string, const EngineView*> byId;
+    for (const auto& engine : engines)
+        byId[engine.id] = &engine;
+    auto engineOf = [&](const std::string& id) {
+        auto it = byId.find(id);
+        return it == byId.end() ? nullptr : it->second;
+    };
+    for (auto it = inFlight_.begin(); it != inFlight_.end();) {
+        InFlight entry = it->second;
+        const Order& order = entry.order;
+        const EngineView* engine = engineOf(it->first);
+        bool hasRestarted = engine && engine->incarnation != order.engineIncarnation;
+        bool hasEffect = engine && holds(*engine, { order.model, order.version }) == (order.action == Action::Load);
+        bool isOverdue = entry.isExecuted && !hasEffect && now >= entry.reportBy;
+        // An order to an engine that is out stays in flight until its call ends.
+        bool isOver = hasRestarted || (entry.isExecuted && (hasEffect || !engine || isOverdue));
+        it = isOver ? inFlight_.erase(it) : std::next(it);
+        if (isOver && engine && !hasRestarted && isOverdue)
+            noteFailure(order, "the engine does not report the effect of the order", now);
+    }
+    for (auto it = failures_.begin(); it != failures_.end();) {
+        const FailedOrder& failure = it->second;
+        const EngineView* engine = engineOf(failure.engine);
+        ModelVersion version { failure.model, failure.version };
+        bool isLoad = failure.action == Action::Load;
+        bool applies = engine && engine->incarnation == failure.engineIncarnation && holds(*engine, version) != isLoad && found.isWanted(engine->accelerator, version) == isLoad;
+        it = applies ? std::next(it) : failures_.erase(it);
+    }
+}
+
+// An engine that is busy may serve more slowly or, where it cannot hold two
+// versions, not at all, so a range keeps the stated number of others. A range
+// of one engine has no others and is changed regardless.
+bool PlacementPlanner::hasRoomForChange(const Survey& found, const EngineView& engine) const
+{
+    for (const auto& [key, members] : found.ranges) {
+        if (!engine.isServing || !members.count(&engine))
+            continue;
+        std::size_t serving = 0;
+        std::size_t remaining = 0;
+        for (const auto* member : members) {
+            serving += member->isServing;
+            remaining += member->isServing && member != &engine && !inFlight_.count(member->id);
+        }
+        if (remaining < std::min(options_.minServing, serving - 1))
+            return false;
+    }
+    return true;
+}
+
+bool PlacementPlanner::mayTry(const EngineView& engine, Action action, const ModelVersion& version, base::TimePoint now) const
+{
+    if (inFlight_.count(engine.id))
+        return false;
+    auto failure = failures_.find({ engine.id, action, version.first, version.second });
+    return failure == failures_.end() || now >= failure->second.retryAt;
+}
+
+void PlacementPlanner::give(const EngineView& engine, Action action, const ModelVersion& version, std::vector<Order>& orders)
+{
+    Order order { nextOrderId_++, fencingNumber_, engine.id, engine.incarnation, action, version.first, version.second };
+    inFlight_[engine.id] = { order, false, {} };
+    orders.push_back(std::move(order));
+}
+
+std::size_t PlacementPlanner::downloadCount() const
+{
+    return static_cast<std::size_t>(std::count_if(inFlight_.begin(), inFlight_.end(), [](const auto& entry) { return entry.second.order.action == Action::Load && !entry.second.isExecuted; }));
+}
+
+// Ranges with the fewest engines of a new version come first, so that every
+// range can serve it early.
+void PlacementPlanner::planLoads(const Survey& found, const std::vector<EngineView>& engines, std::vector<Order>& orders, base::TimePoint now)
+{
+    auto holderCount = [&](const EngineView& engine, const ModelVersion& version) {
+        std::size_t count = 0;
+        for (const auto& [key, members] : found.ranges) {
+            if (std::get<0>(key) != engine.accelerator || std::get<1>(key) != version.first || !members.count(&engine))
+                continue;
+            for (const auto* member : members) {
+                auto flight = inFlight_.find(member->id);
+                bool isLoading = flight != inFlight_.end() && flight->second.order.action == Action::Load && flight->second.order.model == version.first && flight->second.order.version == version.second;
+                count += isLoading || holds(*member, version);
+            }
+        }
+        return count;
+    };
+    while (downloadCount() < options_.maxDownloads) {
+        const EngineView* best = nullptr;
+        ModelVersion bestVersion;
+        std::size_t bestCount = 0;
+        for (const auto& engine : engines) {
+            for (const auto& version : found.wanted.at(engine.accelerator)) {
+                if (holds(engine, version) || !mayTry(engine, Action::Load, version, now) || !hasRoomForChange(found, engine))
+                    continue;
+                std::size_t count = holderCount(engine, version);
+                if (!best || count < bestCount) {
+                    best = &engine;
+                    bestVersion = version;
+                    bestCount = count;
+                }
+            }
+        }
+        if (!best)
+            return;
+        give(*best, Action::Load, bestVersion, orders);
+    }
+}
+
+// An old version is dispensable when every layer range of its model has enough
+// engines that hold all the versions which the sheet names instead.
+bool PlacementPlanner::isDispensable(const Survey& found, const std::string& accelerator, const ModelVersion& old) const
+{
+    std::vector<ModelVersion> successors;
+    for (const auto& version : found.wanted.at(accelerator)) {
+        if (version.first == old.first)
+            successors.push_back(version);
+    }
+    if (successors.empty())
+        return true;
+    for (const auto& [key, members] : found.ranges) {
+        if (std::get<0>(key) != accelerator || std::get<1>(key) != old.first)
+            continue;
+        std::size_t serving = 0;
+        std::size_t ready = 0;
+        for (const auto* member : members) {
+            serving += member->isServing;
+            ready += member->isServing && std::all_of(successors.begin(), successors.end(), [&](const auto& version) { return holds(*member, version); });
+        }
+        if (ready < std::min(options_.minServing, serving))
+            return false;
+    }
+    return true;
+}
+
+void PlacementPlanner::planUnloads(const Survey& found, const std::vector<EngineView>& engines, std::vector<Order>& orders, base::TimePoint now)
+{
+    std::map<std::tuple<std::string, std::string, std::string>, base::TimePoint> since;
+    for (const auto& engine : engines) {
+        for (const auto& holding : engine.holdings) {
+            ModelVersion version { holding.model, holding.version };
+            std::tuple<std::string, std::string, std::string> key { engine.accelerator, holding.model, holding.version };
+            if (found.isWanted(engine.accelerator, version) || !isDispensable(found, engine.accelerator, version))
+                continue;
+            auto known = dispensableSince_.find(key);
+            base::TimePoint start = known == dispensableSince_.end() ? now : known->second;
+            since[key] = start;
+            if (now >= start + options_.unloadGrace && mayTry(engine, Action::Unload, version, now) && hasRoomForChange(found, engine))
+                give(engine, Action::Unload, version, orders);
+        }
+    }
+    dispensableSince_ = std::move(since);
+}
+
+void PlacementPlanner::noteFailure(const Order& order, const std::string& detail, base::TimePoint now)
+{
+    auto& failure = failures_[{ order.engine, order.action, order.model, order.version }];
+    auto doublings = std::min(failure.failures, maxBackoffDoublings);
+    auto delay = std::min(options_.maxRetryDelay, options_.firstRetryDelay * (std::int64_t { 1 } << doublings));
+    failure = { order.engine, order.engineIncarnation, order.action, order.model, order.version, failure.failures + 1, now + delay, detail };
+}
+
+void PlacementPlanner::finish(std::uint64_t orderId, bool hasSucceeded, const std::string& detail, base::TimePoint now)
+{
+    auto it = std::find_if(inFlight_.begin(), inFlight_.end(), [&](const auto& entry) { return entry.second.order.id == orderId; });
+    if (it == inFlight_.end())
+        return;
+    if (hasSucceeded) {
+        it->second.isExecuted = true;
+        it->second.reportBy = now + options_.reportPatience;
+        return;
+    }
+    noteFailure(it->second.order, detail, now);
+    inFlight_.erase(it);
+}
+
+void PlacementPlanner::reset()
+{
+    inFlight_.clear();
+    failures_.clear();
+    dispensableSince_.clear();
+}
+
+bool PlacementPlanner::isConverged(const sheet::Sheet& sheet, const std::vector<EngineView>& engines) const
+{
+    if (!inFlight_.empty())
+        return false;
+    Survey found = survey(sheet, engines);
+    return std::all_of(engines.begin(), engines.end(), [&](const EngineView& engine) {
+        const auto& wanted = found.wanted.at(engine.accelerator);
+        return std::all_of(wanted.begin(), wanted.end(), [&](const auto& version) { return holds(engine, version); })
+            && std::all_of(engine.holdings.begin(), engine.holdings.end(), [&](const auto& holding) { return wanted.count({ holding.model, holding.version }); });
+    });
+}
+
+std::vector<Order> PlacementPlanner::ordersInFlight() const
+{
+    std::vector<Order> orders;
+    for (const auto& [engine, entry] : inFlight_)
+        orders.push_back(entry.order);
+    return orders;
+}
+
+std::vector<FailedOrder> PlacementPlanner::failedOrders() const
+{
+    std::vector<FailedOrder> failures;
+    for (const auto& [key, failure] : failures_)
+        failures.push_back(failure);
+    return failures;
+}
+
+} // namespace arbutus::placement
--- /dev/null
+++ b/tests/PlacementTest.cpp
@@ -0,0 +1,351 @@
+#include "include/placement/ControllerLease.h"
+#include "include/placement/PlacementPlanner.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <functional>
+
+using namespace arbutus;
+using namespace arbutus::placement;
+using namespace std::chrono_literals;
+
+static sheet::Sheet sheetWith(const std::string& version, const std::string& upstreams = "large")
+{
+    auto sheet = sheet::Sheet::Make("kind,team,model,version,adapter,priority,weight,max_running,max_rate,upstreams,service,repeatable,layers\n"
+                                    "model,fiere,scriba,"
+        + version + ",,6,4,48,40," + upstreams + ",,,48\n");
+    BOOST_REQUIRE(sheet);
+    return sheet.value();
+}
+
+// Engines that carry out an order after a fixed time, and a planner that is
+// asked once a second.
+struct Fleet {
+    struct Engine {
+        EngineView view;
+        std::uint32_t first = 0;
+        std::uint32_t last = 0;
+        // Its loads fail.
+        bool isFailing = false;
+    };
+    struct Running {
+        Order order;
+        base::TimePoint doneAt;
+    };
+
+    PlacementPlanner::Options options;
+    PlacementPlanner planner;
+    base::TimePoint now { 1h };
+    std::map<std::string, Engine> engines;
+    std::vector<Running> running;
+    std::size_t mostDownloads = 0;
+    std::vector<Order> log;
+
+    explicit Fleet(PlacementPlanner::Options given)
+        : options(given)
+        , planner(given)
+    {
+    }
+
+    void add(const std::string& id, std::uint32_t first, std::uint32_t last, const std::vector<std::string>& versions)
+    {
+        engines[id] = { { id, "large", 1, true, {} }, first, last, false };
+        for (const auto& version : versions)
+            apply(engines[id], Action::Load, version);
+    }
+
+    static void apply(Engine& engine, Action action, const std::string& version)
+    {
+        auto& holdings = engine.view.holdings;
+        holdings.erase(std::remove_if(holdings.begin(), holdings.end(), [&](const auto& holding) { return holding.version == version; }), holdings.end());
+        if (action == Action::Load)
+            holdings.push_back({ "scriba", version, engine.first, engine.last });
+    }
+
+    void step(const sheet::Sheet& sheet)
+    {
+        now += 1s;
+        for (auto it = running.begin(); it != running.end();) {
+            if (it->doneAt > now) {
+                ++it;
+                continue;
+            }
+            auto& engine = engines[it->order.engine];
+            bool isFine = !(engine.isFailing && it->order.action == Action::Load) && engine.view.incarnation == it->order.engineIncarnation;
+            if (isFine)
+                apply(engine, it->order.action, it->order.version);
+            planner.finish(it->order.id, isFine, "failed as told", now);
+            it = running.erase(it);
+        }
+        std::vector<EngineView> views;
+        for (const auto& [id, engine] : engines)
+            views.push_back(engine.view);
+        for (const auto& order : planner.plan(sheet, views, 7, now)) {
+            log.push_back(order);
+            running.push_back({ order, now + (order.action == Action::Load ? 3s : 1s) });
+        }
+        mostDownloads = std::max(mostDownloads, static_cast<std::size_t>(std::count_if(running.begin(), running.end(), [](const auto& entry) { return entry.order.action == Action::Load; })));
+    }
+
+    // Steps until the engines hold exactly `version`; returns the seconds taken, or -1.
+    int converge(
+        const sheet::Sheet& sheet, const std::string& version, int limit, const std::function<void()>& check = [] {})
+    {
+        for (int second = 0; second < limit; ++second) {
+            step(sheet);
+            check();
+            bool isDone = std::all_of(engines.begin(), engines.end(), [&](const auto& entry) {
+                const auto& holdings = entry.second.view.holdings;
+                return entry.second.isFailing || (holdings.size() == 1 && holdings[0].version == version);
+            });
+            if (isDone && running.empty())
+                return second;
+        }
+        return -1;
+    }
+
+    // Engines of the range that hold any version and are not busy.
+    std::size_t quietCount(std::uint32_t first) const
+    {
+        return static_cast<std::size_t>(std::count_if(engines.begin(), engines.end(), [&](const auto& entry) {
+            bool isBusy = std::any_of(running.begin(), running.end(), [&](const auto& change) { return change.order.engine == entry.first; });
+            return entry.second.first == first && !entry.second.view.holdings.empty() && !isBusy;
+        }));
+    }
+
+    bool holds(const std::string& id, const std::string& version) const
+    {
+        const auto& holdings = engines.at(id).view.holdings;
+        return std::any_of(holdings.begin(), holdings.end(), [&](const auto& holding) { return holding.version == version; });
+    }
+};
+
+static Fleet makeFleet(const std::vector<std::string>& versions, std::size_t minServing = 1, std::size_t maxDownloads = 2)
+{
+    PlacementPlanner::Options options;
+    options.unloadGrace = 10s;
+    options.minServing = minServing;
+    options.maxDownloads = maxDownloads;
+    Fleet fleet(options);
+    for (int i = 0; i < 9; ++i) {
+        auto first = static_cast<std::uint32_t>(i % 3 * 16);
+        fleet.add("engine-" + std::to_string(i), first, first + 15, versions);
+    }
+    return fleet;
+}
+
+// Guards against a roll-out that takes a layer range below the minimum, also
+// when many downloads are allowed at once.
+BOOST_AUTO_TEST_CASE(NewVersionKeepsTheMinimumOfEachLayerRange)
+{
+    for (std::size_t downloads : { 1, 2, 9 }) {
+        auto fleet = makeFleet({ "1" }, 2, downloads);
+        int taken = fleet.converge(sheetWith("2"), "2", 300, [&] {
+            for (std::uint32_t first : { 0, 16, 32 })
+                BOOST_REQUIRE_GE(fleet.quietCount(first), 2);
+        });
+        BOOST_TEST(taken >= 0);
+    }
+}
+
+// Guards against removing the old version before every range can serve the new
+// one, and against ending streams of the old version within the grace time.
+BOOST_AUTO_TEST_CASE(OldVersionStaysUntilEveryRangeHasTheNewOneAndTheGraceEnds)
+{
+    auto fleet = makeFleet({ "1" });
+    for (auto& [id, engine] : fleet.engines)
+        engine.isFailing = engine.first == 32;
+    for (int second = 0; second < 60; ++second)
+        fleet.step(sheetWith("2"));
+    BOOST_TEST(std::none_of(fleet.log.begin(), fleet.log.end(), [](const auto& order) { return order.action == Action::Unload; }));
+    for (auto& [id, engine] : fleet.engines)
+        engine.isFailing = false;
+    std::optional<base::TimePoint> readyAt;
+    int taken = fleet.converge(sheetWith("2"), "2", 300, [&] {
+        bool isReady = fleet.holds("engine-2", "2") || fleet.holds("engine-5", "2") || fleet.holds("engine-8", "2");
+        if (isReady && !readyAt)
+            readyAt = fleet.now;
+        bool unloads = std::any_of(fleet.running.begin(), fleet.running.end(), [](const auto& entry) { return entry.order.action == Action::Unload; });
+        BOOST_REQUIRE(!unloads || (readyAt && fleet.now >= *readyAt + 10s));
+    });
+    BOOST_TEST(taken >= 0);
+}
+
+// Guards against overloading the rate-limited weight store.
+BOOST_AUTO_TEST_CASE(DownloadsStayWithinTheLimit)
+{
+    auto fleet = makeFleet({}, 1, 3);
+    BOOST_TEST(fleet.converge(sheetWith("1"), "1", 100) >= 0);
+    BOOST_TEST(fleet.mostDownloads == 3);
+}
+
+// Guards against an engine that restarts empty and stays without its model,
+// also when it restarts in the middle of its load.
+BOOST_AUTO_TEST_CASE(RestartedEmptyEngineIsLoadedAgain)
+{
+    auto fleet = makeFleet({ "1" });
+    for (int restart = 0; restart < 2; ++restart) {
+        auto& view = fleet.engines["engine-4"].view;
+        view.holdings.clear();
+        ++view.incarnation;
+        fleet.step(sheetWith("1"));
+        BOOST_REQUIRE_EQUAL(fleet.log.size(), restart + 1);
+        BOOST_TEST(fleet.log.back().engine == "engine-4");
+        BOOST_TEST(fleet.log.back().engineIncarnation == view.incarnation);
+    }
+    BOOST_TEST(fleet.converge(sheetWith("1"), "1", 20) >= 0);
+}
+
+// Guards against an engine whose loads fail and that takes the download slots
+// of the others, and against retries without delay.
+BOOST_AUTO_TEST_CASE(FailingEngineBacksOffAndDoesNotBlockTheOthers)
+{
+    auto fleet = makeFleet({ "1" }, 1, 1);
+    fleet.engines["engine-0"].isFailing = true;
+    BOOST_TEST(fleet.converge(sheetWith("2"), "2", 200) >= 0);
+    auto failed = fleet.planner.failedOrders();
+    BOOST_REQUIRE_EQUAL(failed.size(), 1);
+    BOOST_TEST(failed[0].engine == "engine-0");
+    BOOST_TEST(failed[0].detail == "failed as told");
+    std::size_t before = fleet.log.size();
+    for (int second = 0; second < 300; ++second)
+        fleet.step(sheetWith("2"));
+    // One attempt a minute, once the delay has reached its limit.
+    BOOST_TEST(fleet.log.size() - before <= 6);
+    BOOST_TEST(fleet.log.size() - before >= 3);
+    fleet.engines["engine-0"].isFailing = false;
+    BOOST_TEST(fleet.converge(sheetWith("2"), "2", 200) >= 0);
+    BOOST_TEST(fleet.planner.failedOrders().empty());
+}
+
+// Guards against a roll-out that is stuck, or ends with a mix of versions, when
+// the next sheet arrives in the middle of it.
+BOOST_AUTO_TEST_CASE(SheetThatChangesDuringRollOutConverges)
+{
+    for (int changeAt : { 1, 4, 9, 20, 25, 30 }) {
+        for (const char* last : { "1", "3" }) {
+            auto fleet = makeFleet({ "1" });
+            for (int second = 0; second < changeAt; ++second)
+                fleet.step(sheetWith("2"));
+            BOOST_TEST(fleet.converge(sheetWith(last), last, 300, [&] {
+                for (std::uint32_t first : { 0, 16, 32 })
+                    BOOST_REQUIRE_GE(fleet.quietCount(first), 1);
+            }) >= 0);
+        }
+    }
+}
+
+// Guards against loads on engines of another class than the sheet's row names.
+BOOST_AUTO_TEST_CASE(EnginesOfAnotherClassAreNotLoaded)
+{
+    auto fleet = makeFleet({});
+    fleet.engines["engine-3"].view.accelerator = "small";
+    for (int second = 0; second < 60; ++second)
+        fleet.step(sheetWith("1"));
+    BOOST_TEST(fleet.engines["engine-3"].view.holdings.empty());
+    BOOST_TEST(fleet.holds("engine-0", "1"));
+    BOOST_TEST(fleet.converge(sheetWith("1", "any"), "1", 60) >= 0);
+}
+
+// Guards against damage that stays after a former controller's late orders
+// reached engines that ignore fencing numbers.
+BOOST_AUTO_TEST_CASE(LateOrdersOfTheFormerControllerAreRepaired)
+{
+    auto fleet = makeFleet({ "2" });
+    fleet.step(sheetWith("2"));
+    BOOST_TEST(fleet.log.empty());
+    Fleet::apply(fleet.engines["engine-1"], Action::Unload, "2");
+    Fleet::apply(fleet.engines["engine-5"], Action::Load, "1");
+    BOOST_TEST(fleet.converge(sheetWith("2"), "2", 30) >= 0);
+    BOOST_TEST(fleet.log.size() == 2);
+}
+
+// Guards against an engine that accepts an order and never carries it out.
+BOOST_AUTO_TEST_CASE(ExecutedOrderWithoutEffectCountsAsFailure)
+{
+    PlacementPlanner planner { PlacementPlanner::Options() };
+    base::TimePoint now(1h);
+    std::vector<EngineView> engines { { "engine-0", "large", 1, true, {} } };
+    auto orders = planner.plan(sheetWith("1"), engines, 7, now);
+    BOOST_REQUIRE_EQUAL(orders.size(), 1);
+    BOOST_TEST(orders[0].fencingNumber == 7);
+    planner.finish(orders[0].id, true, "", now);
+    BOOST_TEST(planner.plan(sheetWith("1"), engines, 7, now + 3s).empty());
+    BOOST_TEST(planner.plan(sheetWith("1"), engines, 7, now + 4s).empty());
+    BOOST_REQUIRE_EQUAL(planner.failedOrders().size(), 1);
+    BOOST_TEST(planner.plan(sheetWith("1"), engines, 7, now + 5s).size() == 1);
+}
+
+// Guards against two controllers that act at once: the former one, cut off
+// right after its last number, and its successor. Their clocks run apart by
+// almost the stated drift, which is simulated by a lease that lasts longer.
+BOOST_AUTO_TEST_CASE(CutOffControllerIsSilentBeforeItsSuccessorActs)
+{
+    base::TimePoint start(1h);
+    ControllerLease::Options slow;
+    slow.length = 5450ms;
+    ControllerLease former(slow);
+    ControllerLease successor;
+    former.grant(1, start, start + 10ms);
+    former.grant(2, start + 6s, start + 6010ms);
+    BOOST_TEST(former.numberAt(start + 6010ms).value_or(0) == 2);
+    successor.grant(3, start + 5900ms, start + 6020ms);
+    std::uint64_t number = 4;
+    bool hasActed = false;
+    for (auto time = start + 6020ms; time < start + 60s; time += 10ms) {
+        if (successor.needsNumber(time))
+            successor.grant(number++, time, time);
+        BOOST_REQUIRE(!(former.numberAt(time) && successor.numberAt(time)));
+        hasActed = hasActed || successor.numberAt(time);
+    }
+    BOOST_TEST(hasActed);
+    BOOST_TEST(!former.numberAt(start + 6s + slow.length));
+}
+
+// Guards against two VMs that both take themselves for the candidate, because
+// their member tables differ, and act in turn between each other's numbers.
+BOOST_AUTO_TEST_CASE(ContendersDoNotActAtOnce)
+{
+    base::TimePoint start(1h);
+    ControllerLease first;
+    ControllerLease second;
+    std::uint64_t number = 0;
+    bool hasSecondActed = false;
+    for (auto time = start; time < start + 60s; time += 100ms) {
+        // The second one contends from 20 s to 40 s, the first one until 30 s.
+        if (time < start + 30s && first.needsNumber(time))
+            first.grant(++number, time, time);
+        if (time == start + 30s)
+            first.release();
+        if (time >= start + 20s && time < start + 40s && second.needsNumber(time))
+            second.grant(++number, time, time);
+        BOOST_REQUIRE(!(first.numberAt(time) && second.numberAt(time)));
+        hasSecondActed = hasSecondActed || second.numberAt(time);
+    }
+    BOOST_TEST(hasSecondActed);
+}
+
+// Guards against a lease that is counted from the receipt of a late answer.
+BOOST_AUTO_TEST_CASE(LeaseCountsFromTheSendTime)
+{
+    ControllerLease lease;
+    base::TimePoint start(1h);
+    lease.grant(1, start, start);
+    lease.grant(2, start + 10s, start + 14s);
+    BOOST_TEST(lease.numberAt(start + 14999ms).value_or(0) == 2);
+    BOOST_TEST(!lease.numberAt(start + 15s));
+}
+
+// Guards against entry VMs that choose different candidates from one member
+// list, and against moving the role when another VM leaves.
+BOOST_AUTO_TEST_CASE(CandidateDependsOnlyOnTheSetOfVms)
+{
+    std::vector<std::string> vms { "entry-1", "entry-2", "entry-3", "entry-4" };
+    auto candidate = candidateOf(vms);
+    std::reverse(vms.begin(), vms.end());
+    BOOST_TEST(candidateOf(vms) == candidate);
+    vms.erase(std::find_if(vms.begin(), vms.end(), [&](const auto& vm) { return vm != candidate; }));
+    BOOST_TEST(candidateOf(vms) == candidate);
+    BOOST_TEST(candidateOf({}).empty());
+}
