Let the entry VMs give placement orders to the engines

Cause: the placement decisions had no driver and no weight store to try them with.

Change: PlacementController asks the planner each second on the candidate VM and sends the orders, checking the lease right before each send. Numbers are taken only while engines and sheet differ, because each one is an audited log entry.

Requests for a new version are refused until each layer range has it, which routing has to solve.

--- a/src/ctl/Commands.cpp
+++ b/src/ctl/Commands.cpp
@@ -198,6 +198,40 @@
     return ExitCode::Success;
 }
 
+// Shows what each entry VM knows about the placement; only the controller's
+// has orders.
+static ExitCode showPlacement(const CommandContext& context)
+{
+    auto urls = entryUrls(context.client);
+    if (!urls)
+        return reportError(urls.error());
+    std::vector<std::vector<std::string>> vms { { "VM", "CONTROLLER", "NUMBER", "SHEET", "CONVERGED" } };
+    std::vector<std::vector<std::string>> orders { { "UPSTREAM", "ACTION", "MODEL", "VERSION", "STATE" } };
+    std::vector<value> list;
+    for (const auto& url : urls.value()) {
+        auto reply = AdminClient(url, context.token).get("placement");
+        if (!reply) {
+            vms.push_back({ url, "?", "?", "?", "unreachable" });
+            continue;
+        }
+        const auto& status = reply.value();
+        vms.push_back({ textOf(status, "vm"), textOf(status, "controller"), textOf(status, "number"), textOf(status, "sheetRevision"), textOf(status, "converged") });
+        for (const char* part : { "inFlight", "failed" }) {
+            for (const auto& order : status.at(part).as_array())
+                orders.push_back({ textOf(order, "upstream"), textOf(order, "action"), textOf(order, "model"), textOf(order, "version"), order.has_field("detail") ? fmt::format("failed {} times: {}", textOf(order, "failures"), textOf(order, "detail")) : "in flight" });
+        }
+        list.push_back(status);
+    }
+    if (context.printsJson) {
+        printJson(value::array(list));
+        return ExitCode::Success;
+    }
+    printTable(vms);
+    if (orders.size() > 1)
+        printTable(orders);
+    return ExitCode::Success;
+}
+
 // Prints the reply of a state method; a refusal gives the exit code 1.
 static ExitCode callState(const CommandContext& context, const std::string& method, const rpc::Parameters& parameters)
 {
@@ -348,6 +382,7 @@
         { "sheet show", "", "print the sheet in force", 0, 0, false, &showSheet },
         { "upstreams", "", "list upstreams", 0, 0, false, &listUpstreams },
         { "vms", "", "list entry VMs and replicas", 0, 0, false, &listVms },
+        { "placement", "", "show the controller and its orders to engines", 0, 0, false, &showPlacement },
         { "drain", "UPSTREAM on|off", "give an upstream no new work, or give it work again", 2, 2, false, &drain },
         { "orders show", "TEAM SERVICE KEY", "show one order", 3, 3, false, &showOrder },
         { "orders resolve", "TEAM SERVICE KEY ran|not-run", "state what became of an unknown order", 4, 4, false, &resolveOrder },
--- a/src/entry/EntryProcess.cpp
+++ b/src/entry/EntryProcess.cpp
@@ -29,7 +29,7 @@
 
 std::vector<base::SettingSpec> EntryProcess::settingSpecs()
 {
-    return {
+    std::vector<base::SettingSpec> specs {
         { "id", "name of this VM", std::nullopt },
         { "address", "IP number to listen on", std::nullopt },
         { "port", "port of the HTTP interface", "8080" },
@@ -48,6 +48,9 @@
         { "slots", "model requests that may run at a time on this VM", "256" },
         { "stall-ms", "shortest time after which a step without an answer is given up", "1000" },
     };
+    auto placement = PlacementController::settingSpecs();
+    specs.insert(specs.end(), placement.begin(), placement.end());
+    return specs;
 }
 
 static Result<std::vector<std::vector<std::string>>> addressList(const base::Settings& settings, const std::string& name, std::size_t parts)
@@ -119,6 +122,8 @@
     BOOST_OUTCOME_TRY(stall, settings.milliseconds("stall-ms", milliseconds(10), std::chrono::hours(1)));
     BOOST_OUTCOME_TRY(slots, settings.integer("slots", 1, 1000000));
     config.drainAccept = drainAccept;
+    BOOST_OUTCOME_TRY(placement, PlacementController::readOptions(settings));
+    config.placement = placement;
 
     // A restart must never reuse a claim number or a request id of an earlier run.
     std::random_device device;
@@ -186,6 +191,7 @@
     };
     BOOST_OUTCOME_TRY(plane, ControlPlane::Make(clock_, timeline_, options, std::move(listener)));
     plane_ = std::move(plane);
+    placement_ = std::make_unique<PlacementController>(clock_, timeline_, state_, *plane_, config_.vm, config_.placement);
     // Claims of an earlier run of this process will never be sent.
     reporter_.report(state::DeclareEntryGone { config_.vm, config_.callers.incarnation - 1 });
     BOOST_OUTCOME_TRY(server, http::HttpServer::Make(config_.address, config_.port, config_.tls, [this](http_request request) { handle(request); }));
@@ -205,6 +211,7 @@
         housekeepingThread_.join();
     completions_.close();
     server_.reset();
+    placement_.reset();
     plane_.reset();
 }
 
@@ -213,6 +220,7 @@
     admin_.addPage("GET", "status", [this](const http_request& request) { request.reply(status_codes::OK, status()); });
     admin_.addPage("GET", "upstreams", [this](const http_request& request) { request.reply(status_codes::OK, upstreams()); });
     admin_.addPage("GET", "vms", [this](const http_request& request) { request.reply(status_codes::OK, vms()); });
+    admin_.addPage("GET", "placement", [this](const http_request& request) { request.reply(status_codes::OK, placement_->status()); });
     admin_.addPage("POST", "state/", [this](const http_request& request) { callState(request); });
 }
 
--- a/src/entry/EntryProcess.h
+++ b/src/entry/EntryProcess.h
@@ -9,6 +9,7 @@
 #include "src/entry/CallerApi.h"
 #include "src/entry/CompletionService.h"
 #include "src/entry/ControlPlane.h"
+#include "src/entry/PlacementController.h"
 #include "src/entry/ServiceCalls.h"
 #include "src/entry/StateClient.h"
 #include "src/entry/StateReporter.h"
@@ -50,6 +51,7 @@
         std::chrono::nanoseconds drainAccept {};
         CallerApi::Options callers;
         CompletionService::Options streams;
+        PlacementController::Options placement;
     };
 
     explicit EntryProcess(Config);
@@ -81,6 +83,7 @@
     CallerApi callers_;
     http::AdminServer admin_;
     std::unique_ptr<ControlPlane> plane_;
+    std::unique_ptr<PlacementController> placement_;
     std::unique_ptr<http::HttpServer> server_;
     std::atomic<bool> isDraining_ { false };
     std::atomic<bool> refusesNew_ { false };
--- /dev/null
+++ b/src/entry/PlacementController.cpp
@@ -0,0 +1,246 @@
+#include "src/entry/PlacementController.h"
+
+#include "include/base/LockRanks.h"
+#include "include/base/Logger.h"
+#include "include/http/PlainClient.h"
+
+#include <algorithm>
+
+namespace arbutus::entry {
+
+using base::ErrorKind;
+using base::makeError;
+using base::RankedLock;
+using base::Result;
+using web::json::value;
+
+static constexpr base::Logger logger("placement");
+static constexpr std::chrono::milliseconds tickInterval(1000);
+static constexpr std::chrono::milliseconds stopCheckInterval(50);
+static constexpr std::chrono::seconds statePatience(2);
+// A load lasts as long as its download from the rate-limited weight store.
+static constexpr std::chrono::seconds orderPatience(120);
+static constexpr std::size_t senderThreads = 8;
+static constexpr std::size_t maxQueuedOrders = 1024;
+
+std::vector<base::SettingSpec> PlacementController::settingSpecs()
+{
+    return {
+        { "placement", "on or off: whether this VM may order engines to load and unload versions", "on" },
+        { "placement-downloads", "loads that may run at a time in the whole system", "2" },
+        { "placement-min-serving", "engines of each layer range that are left out of a change", "1" },
+        { "placement-grace-ms", "time for which a dispensable version is kept; longer than --request-timeout-ms", "65000" },
+    };
+}
+
+Result<PlacementController::Options> PlacementController::readOptions(const base::Settings& settings)
+{
+    Options options;
+    const auto& text = settings.text("placement");
+    if (text != "on" && text != "off")
+        return makeError(ErrorKind::InvalidSetting, "--placement is neither on nor off");
+    BOOST_OUTCOME_TRY(downloads, settings.integer("placement-downloads", 1, 1000));
+    BOOST_OUTCOME_TRY(minServing, settings.integer("placement-min-serving", 1, 10000));
+    BOOST_OUTCOME_TRY(grace, settings.milliseconds("placement-grace-ms", std::chrono::seconds(0), std::chrono::hours(24)));
+    options.isEnabled = text == "on";
+    options.planner.maxDownloads = static_cast<std::size_t>(downloads);
+    options.planner.minServing = static_cast<std::size_t>(minServing);
+    options.planner.unloadGrace = grace;
+    return options;
+}
+
+PlacementController::PlacementController(const base::Clock& clock, base::Timeline& timeline, StateClient& state, const ControlPlane& plane, std::string vm, const Options& options)
+    : clock_(clock)
+    , timeline_(timeline)
+    , state_(state)
+    , plane_(plane)
+    , vm_(std::move(vm))
+    , options_(options)
+    , mutex_(base::lock_rank::routing)
+    , planner_(options.planner)
+    , senders_(senderThreads, maxQueuedOrders)
+{
+    if (options_.isEnabled)
+        thread_ = std::thread([this] { run(); });
+}
+
+PlacementController::~PlacementController()
+{
+    isStopping_ = true;
+    if (thread_.joinable())
+        thread_.join();
+}
+
+void PlacementController::run()
+{
+    auto due = clock_.now();
+    while (!isStopping_) {
+        if (clock_.now() >= due) {
+            tick();
+            due = clock_.now() + tickInterval;
+        }
+        std::this_thread::sleep_for(stopCheckInterval);
+    }
+}
+
+std::vector<placement::EngineView> PlacementController::engines(const state::Configuration& configuration, const std::vector<ControlPlane::MemberView>& members) const
+{
+    std::vector<placement::EngineView> engines;
+    for (const auto& member : members) {
+        const auto& facts = *member.facts;
+        if (member.state == "in" && facts.kind == membership::MemberKind::Upstream && facts.services.empty())
+            engines.push_back({ facts.id, facts.accelerator, facts.incarnation, !configuration.drainedUpstreams.count(facts.id), facts.holdings });
+    }
+    return engines;
+}
+
+// Takes a fencing number when one is due. Returns false when the state granted none.
+bool PlacementController::renewLease()
+{
+    auto sentAt = clock_.now();
+    {
+        RankedLock lock(mutex_);
+        if (!lease_.needsNumber(sentAt))
+            return true;
+    }
+    auto reply = state_.propose(state::TakeFencingNumber { "placement", vm_ }, sentAt + statePatience);
+    if (!reply || !reply.value().count("number")) {
+        logger.warning("The state granted no fencing number.", { { "reason", reply ? "malformed reply" : reply.error().detail } });
+        return false;
+    }
+    RankedLock lock(mutex_);
+    lease_.grant(std::strtoull(reply.value().at("number").c_str(), nullptr, 10), sentAt, clock_.now());
+    return true;
+}
+
+void PlacementController::tick()
+{
+    auto configuration = plane_.configuration();
+    // Without an accepted sheet nothing is known about what to unload.
+    if (!configuration || !configuration->sheetRevision || !plane_.isFresh())
+        return;
+    auto members = plane_.members();
+    std::vector<std::string> vms;
+    for (const auto& member : members) {
+        if (member.state == "in" && member.facts->kind == membership::MemberKind::EntryVm)
+            vms.push_back(member.facts->id);
+    }
+    auto views = engines(*configuration, members);
+    {
+        RankedLock lock(mutex_);
+        candidate_ = placement::candidateOf(vms);
+        sheetRevision_ = configuration->sheetRevision;
+        isConverged_ = planner_.isConverged(*configuration->sheet, views);
+        if (candidate_ != vm_) {
+            lease_.release();
+            planner_.reset();
+            return;
+        }
+        // Every number is an audited entry of the log, so none is taken without need.
+        if (isConverged_) {
+            planner_.reset();
+            return;
+        }
+        for (const auto& member : members)
+            addresses_[member.facts->id] = member.facts->address;
+    }
+    if (!renewLease())
+        return;
+    std::vector<placement::Order> orders;
+    {
+        RankedLock lock(mutex_);
+        auto now = clock_.now();
+        auto number = lease_.numberAt(now);
+        if (!number)
+            return;
+        orders = planner_.plan(*configuration->sheet, views, *number, now);
+    }
+    for (const auto& order : orders) {
+        if (!senders_.post([this, order] { carryOut(order); })) {
+            RankedLock lock(mutex_);
+            planner_.finish(order.id, false, "too many orders are waiting", clock_.now());
+        }
+    }
+}
+
+static std::string describeFailure(const http::PlainResult& result)
+{
+    if (const auto* response = std::get_if<http::PlainResponse>(&result))
+        return response->status == web::http::status_codes::OK ? "" : fmt::format("status {}: {}", response->status, response->body);
+    if (const auto* broken = std::get_if<http::ExchangeBroken>(&result))
+        return "the exchange broke off: " + broken->reason;
+    return "the connection was refused";
+}
+
+void PlacementController::carryOut(const placement::Order& order)
+{
+    std::map<std::string, std::string> fields { { "upstream", order.engine }, { "action", std::string(toString(order.action)) }, { "model", order.model }, { "version", order.version }, { "number", std::to_string(order.fencingNumber) } };
+    std::string address;
+    {
+        RankedLock lock(mutex_);
+        // The lease may have ended while the order waited for a thread.
+        if (!lease_.numberAt(clock_.now())) {
+            planner_.finish(order.id, false, "the lease ended before the order was sent", clock_.now());
+            return;
+        }
+        address = addresses_[order.engine];
+    }
+    timeline_.record("placement-order", fields);
+    logger.info("Ordering a change.", { { "upstream", order.engine }, { "action", toString(order.action) }, { "model", order.model }, { "version", order.version }, { "number", order.fencingNumber } });
+    value body = value::object();
+    body["fencingNumber"] = value::number(order.fencingNumber);
+    body["action"] = value::string(std::string(toString(order.action)));
+    body["model"] = value::string(order.model);
+    body["version"] = value::string(order.version);
+    web::http::http_request request(web::http::methods::POST);
+    request.set_request_uri("/engine/v1/commands");
+    request.set_body(body);
+    std::string failure = describeFailure(http::exchangeOnce(address, request, clock_.now() + orderPatience));
+    fields["result"] = failure.empty() ? "done" : failure;
+    timeline_.record("placement-done", fields);
+    if (!failure.empty())
+        logger.warning("An order failed.", { { "upstream", order.engine }, { "action", toString(order.action) }, { "model", order.model }, { "version", order.version }, { "reason", failure } });
+    RankedLock lock(mutex_);
+    planner_.finish(order.id, failure.empty(), failure, clock_.now());
+}
+
+template <typename T>
+static value toJson(const T& order)
+{
+    value entry = value::object();
+    entry["upstream"] = value::string(order.engine);
+    entry["action"] = value::string(std::string(toString(order.action)));
+    entry["model"] = value::string(order.model);
+    entry["version"] = value::string(order.version);
+    return entry;
+}
+
+value PlacementController::status() const
+{
+    auto now = clock_.now();
+    RankedLock lock(mutex_);
+    std::vector<value> open;
+    for (const auto& order : planner_.ordersInFlight()) {
+        open.push_back(toJson(order));
+        open.back()["number"] = value::number(order.fencingNumber);
+    }
+    std::vector<value> failed;
+    for (const auto& failure : planner_.failedOrders()) {
+        failed.push_back(toJson(failure));
+        failed.back()["failures"] = value::number(failure.failures);
+        failed.back()["detail"] = value::string(failure.detail);
+        failed.back()["retryInMs"] = value::number(std::max<std::int64_t>(0, std::chrono::duration_cast<std::chrono::milliseconds>(failure.retryAt - now).count()));
+    }
+    value body = value::object();
+    body["vm"] = value::string(vm_);
+    body["enabled"] = value::boolean(options_.isEnabled);
+    body["controller"] = value::string(candidate_);
+    body["number"] = value::number(lease_.numberAt(now).value_or(0));
+    body["sheetRevision"] = value::number(sheetRevision_);
+    body["converged"] = value::boolean(isConverged_);
+    body["inFlight"] = value::array(open);
+    body["failed"] = value::array(failed);
+    return body;
+}
+
+} // namespace arbutus::entry
--- /dev/null
+++ b/src/entry/PlacementController.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "include/base/Clock.h"
+#include "include/base/RankedMutex.h"
+#include "include/base/Settings.h"
+#include "include/base/Timeline.h"
+#include "include/base/WorkerPool.h"
+#include "include/placement/ControllerLease.h"
+#include "include/placement/PlacementPlanner.h"
+#include "src/entry/ControlPlane.h"
+#include "src/entry/StateClient.h"
+
+#include <cpprest/json.h>
+
+#include <atomic>
+#include <string>
+#include <thread>
+
+namespace arbutus::entry {
+
+// Gives the engines the orders that bring the sheet into force, while this VM
+// is the controller. Safe to use from several threads.
+class PlacementController {
+public:
+    struct Options {
+        bool isEnabled = true;
+        placement::PlacementPlanner::Options planner;
+    };
+
+    static std::vector<base::SettingSpec> settingSpecs();
+    static base::Result<Options> readOptions(const base::Settings&);
+
+    PlacementController(const base::Clock&, base::Timeline&, StateClient&, const ControlPlane&, std::string vm, const Options&);
+    // Waits for the orders that are being carried out.
+    ~PlacementController();
+
+    web::json::value status() const;
+
+private:
+    void run();
+    void tick();
+    bool renewLease();
+    void carryOut(const placement::Order&);
+    std::vector<placement::EngineView> engines(const state::Configuration&, const std::vector<ControlPlane::MemberView>&) const;
+
+    const base::Clock& clock_;
+    base::Timeline& timeline_;
+    StateClient& state_;
+    const ControlPlane& plane_;
+    const std::string vm_;
+    const Options options_;
+    mutable base::RankedMutex mutex_;
+    placement::ControllerLease lease_;
+    placement::PlacementPlanner planner_;
+    std::string candidate_;
+    bool isConverged_ = false;
+    std::uint64_t sheetRevision_ = 0;
+    // By engine.
+    std::map<std::string, std::string> addresses_;
+    std::atomic<bool> isStopping_ { false };
+    base::WorkerPool senders_;
+    std::thread thread_;
+};
+
+} // namespace arbutus::entry
--- /dev/null
+++ b/tools/fakes/weights/WeightsMain.cpp
@@ -0,0 +1,121 @@
+#include "include/base/Logger.h"
+#include "include/base/Settings.h"
+#include "include/base/StopSignal.h"
+#include "include/http/HttpServer.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <mutex>
+#include <thread>
+
+using namespace arbutus;
+using web::http::http_request;
+using web::http::status_codes;
+using web::json::value;
+
+namespace {
+
+// A weight store whose downloads share one rate. It sends a few bytes for each
+// download and answers when the stated size would have been transferred.
+class WeightStore {
+public:
+    WeightStore(std::int64_t rate, std::int64_t size, std::vector<std::string> missing)
+        : rate_(static_cast<double>(rate))
+        , size_(static_cast<double>(size))
+        , missing_(std::move(missing))
+    {
+    }
+
+    void handle(http_request request)
+    {
+        auto parts = base::splitText(request.relative_uri().path(), '/');
+        if (parts.size() == 3 && parts[1] == "fake")
+            request.reply(status_codes::OK, state());
+        else if (parts.size() != 4 || parts[1] != "weights" || std::find(missing_.begin(), missing_.end(), parts[2] + ":" + parts[3]) != missing_.end())
+            request.reply(status_codes::NotFound);
+        else
+            download(request, parts[2], parts[3]);
+    }
+
+private:
+    void download(http_request request, const std::string& model, const std::string& version)
+    {
+        begin();
+        double left = size_;
+        while (left > 0) {
+            std::this_thread::sleep_for(step);
+            std::lock_guard lock(mutex_);
+            left -= rate_ * std::chrono::duration<double>(step).count() / static_cast<double>(open_);
+        }
+        {
+            std::lock_guard lock(mutex_);
+            --open_;
+        }
+        request.reply(status_codes::OK, fmt::format("weights of {} {}", model, version));
+    }
+
+    void begin()
+    {
+        std::lock_guard lock(mutex_);
+        ++downloads_;
+        ++open_;
+        mostOpen_ = std::max(mostOpen_, open_);
+    }
+
+    value state()
+    {
+        std::lock_guard lock(mutex_);
+        value state = value::object();
+        state["downloads"] = value::number(downloads_);
+        state["open"] = value::number(open_);
+        state["mostOpen"] = value::number(mostOpen_);
+        return state;
+    }
+
+    static constexpr std::chrono::milliseconds step { 10 };
+    const double rate_;
+    const double size_;
+    const std::vector<std::string> missing_;
+    std::mutex mutex_;
+    std::uint64_t downloads_ = 0;
+    std::uint64_t open_ = 0;
+    std::uint64_t mostOpen_ = 0;
+};
+
+} // namespace
+
+int main(int argc, const char** argv)
+{
+    base::blockStopSignals();
+    base::Logger logger("weight-store");
+    auto settings = base::Settings::Make(argc, argv,
+        {
+            { "address", "IP number to listen on", "127.0.0.1" },
+            { "port", "port to listen on", std::nullopt },
+            { "rate", "bytes per second that all downloads share", "1000000000" },
+            { "size", "bytes of one version's weights", "1000000000" },
+            { "missing", "versions that it does not have: model:version,...", "" },
+        });
+    if (!settings) {
+        logger.error("The settings are bad.", { { "reason", settings.error().detail } });
+        return 2;
+    }
+    auto port = settings.value().integer("port", 1, 65535);
+    auto rate = settings.value().integer("rate", 1, std::int64_t { 1 } << 50);
+    auto size = settings.value().integer("size", 0, std::int64_t { 1 } << 50);
+    for (const auto* number : { &port, &rate, &size }) {
+        if (!*number) {
+            logger.error("The settings are bad.", { { "reason", number->error().detail } });
+            return 2;
+        }
+    }
+    WeightStore store(rate.value(), size.value(), settings.value().list("missing"));
+    auto server = http::HttpServer::Make(settings.value().text("address"), static_cast<int>(port.value()), {}, [&](http_request request) { store.handle(request); });
+    if (!server) {
+        logger.error("The start failed.", { { "reason", server.error().detail } });
+        return 2;
+    }
+    base::waitForStopSignal();
+    return 0;
+}
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -49,7 +49,7 @@
     fleet_run "entry-$1" "$FLEET_BIN/arbutus-entry" --id="entry-$1" --address="$(fleet_address "$1" 20)" \
         --data-centre="$(fleet_centre "$1")" --replicas="${replicas%,}" --seeds="${seeds%,}" \
         --cluster-key-file="$FLEET_DIR/cluster.key" --admin-token-file="$FLEET_DIR/admin.token" \
-        --team-tokens-file="$FLEET_DIR/team.tokens" ${FLEET_ENTRY_FLAGS:-}
+        --team-tokens-file="$FLEET_DIR/team.tokens" --placement="${FLEET_PLACEMENT:-off}" ${FLEET_ENTRY_FLAGS:-}
 }
 
 fleet_entry_url() { echo "http://$(fleet_address "$1" 20):8080"; }
