--- a/tests/PlacementTest.cpp
+++ b/tests/PlacementTest.cpp
@@ -172,6 +172,23 @@
     BOOST_TEST(taken >= 0);
 }
 
+// Guards against a roll-out that finishes one layer range while another one has
+// no engine with the new version, so that no pipeline can serve it.
+BOOST_AUTO_TEST_CASE(EveryRangeGetsTheNewVersionEarly)
+{
+    PlacementPlanner::Options options;
+    options.maxDownloads = 1;
+    Fleet fleet(options);
+    for (const char* id : { "a0", "a1", "a2" })
+        fleet.add(id, 0, 15, { "1" });
+    for (const char* id : { "b0", "b1" })
+        fleet.add(id, 16, 31, { "1" });
+    while (fleet.log.size() < 2)
+        fleet.step(sheetWith("2"));
+    BOOST_TEST(fleet.log[0].engine == "a0");
+    BOOST_TEST(fleet.log[1].engine == "b0");
+}
+
 // Guards against overloading the rate-limited weight store.
 BOOST_AUTO_TEST_CASE(DownloadsStayWithinTheLimit)
 {
