Shift the addresses of a fleet by a setting

Two fleets on one machine used the same loopback addresses. FLEET_SHIFT is added to the second byte of each address; its default of 0 changes nothing.

--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -2,15 +2,17 @@
 # Functions that start and stop a small fleet on loopback addresses, for the
 # demo and for measurements. Source it; every process it starts is ended by
 # fleet_stop, by its process id.
-# 127.1.0.x is Catania, 127.2.0.x is Palermo and 127.3.0.x is Ragusa.
+# 127.1.0.x is Catania, 127.2.0.x is Palermo and 127.3.0.x is Ragusa; FLEET_SHIFT
+# is added to the second byte, so that several fleets run on one machine.
 
 FLEET_BIN=${FLEET_BIN:-build/bin}
 FLEET_DIR=""
 FLEET_ENTRIES=${FLEET_ENTRIES:-3}
+FLEET_SHIFT=${FLEET_SHIFT:-0}
 declare -A FLEET_PIDS=()
 FLEET_CENTRES=(catania palermo ragusa)
 
-fleet_address() { echo "127.$((($1 - 1) % 3 + 1)).0.$(($2 + ($1 - 1) / 3))"; }
+fleet_address() { echo "127.$((($1 - 1) % 3 + 1 + FLEET_SHIFT)).0.$(($2 + ($1 - 1) / 3))"; }
 fleet_centre() { echo "${FLEET_CENTRES[$((($1 - 1) % 3))]}"; }
 
 fleet_prepare() {
