Keep the first configuration of the replicas on disk

Cause: the voters that the first replicas agree on were held in memory only; the log begins after them. The scenario replica_deaths of tools/failures.sh found no leader after two of three replicas were killed and restarted, and many_sheets none after all three were.

Change: the hard state file also holds the first configuration, written before the core starts. Folders written by earlier builds have to be initialised anew.

ReplicaStorageTest shows the fault without processes.

--- a/src/replica/ReplicaNode.cpp
+++ b/src/replica/ReplicaNode.cpp
@@ -53,10 +53,12 @@
         thread_.join();
 }
 
-Result<void> ReplicaNode::start(consensus::Configuration bootstrap)
+Result<void> ReplicaNode::start(const consensus::Configuration& bootstrap)
 {
+    if (!bootstrap.voters.empty()) {
+        BOOST_OUTCOME_TRYV(storage_->saveBootstrap(bootstrap));
+    }
     BOOST_OUTCOME_TRY(durable, storage_->load());
-    durable.bootstrap = std::move(bootstrap);
     if (durable.snapshot)
         applySnapshot(*durable.snapshot);
     consensus::ReplicaSettings settings;
--- a/src/replica/ReplicaNode.h
+++ b/src/replica/ReplicaNode.h
@@ -65,7 +65,7 @@
 
     // Starts the loop. `bootstrap` is the first configuration of a new
     // deployment; empty for a folder that has state or waits to be added.
-    base::Result<void> start(consensus::Configuration bootstrap);
+    base::Result<void> start(const consensus::Configuration& bootstrap);
 
     void receive(consensus::Message);
 
--- a/src/replica/ReplicaStorage.cpp
+++ b/src/replica/ReplicaStorage.cpp
@@ -20,14 +20,20 @@
     return std::string(buffer.data(), buffer.size());
 }
 
-static Result<consensus::Snapshot> unpackSnapshot(const std::string& bytes)
+static Result<std::pair<std::string, std::string>> unpackPair(const std::string& bytes, const std::string& what)
 {
     std::pair<std::string, std::string> parts;
     try {
         msgpack::unpack(bytes.data(), bytes.size()).get().convert(parts);
     } catch (const std::exception& exception) {
-        return makeError(ErrorKind::StorageCorrupt, std::string("a snapshot cannot be decoded: ") + exception.what());
+        return makeError(ErrorKind::StorageCorrupt, what + " cannot be decoded: " + exception.what());
     }
+    return parts;
+}
+
+static Result<consensus::Snapshot> unpackSnapshot(const std::string& bytes)
+{
+    BOOST_OUTCOME_TRY(parts, unpackPair(bytes, "a snapshot"));
     BOOST_OUTCOME_TRY(meta, consensus::decode<consensus::SnapshotMeta>(parts.first));
     return consensus::Snapshot { meta, std::make_shared<const std::string>(std::move(parts.second)) };
 }
@@ -39,12 +45,19 @@
     result->disk_ = std::move(disk);
     BOOST_OUTCOME_TRY(recovered, storage::recoverStorage(*result->disk_, candidateDisk));
     result->recovered_.emplace(std::move(recovered));
+    if (const auto& saved = result->recovered_->hardState.state(); !saved.vote.empty()) {
+        BOOST_OUTCOME_TRY(parts, unpackPair(saved.vote, "the hard state"));
+        BOOST_OUTCOME_TRY(hardState, consensus::decode<consensus::HardState>(parts.first));
+        BOOST_OUTCOME_TRY(bootstrap, consensus::decode<consensus::Configuration>(parts.second));
+        result->hardState_ = hardState;
+        result->bootstrap_ = std::move(bootstrap);
+    }
     return result;
 }
 
 bool ReplicaStorage::isBlank() const
 {
-    return !recovered_->hardState.state().term && !recovered_->snapshot && !recovered_->log->lastIndex();
+    return bootstrap_.voters.empty() && !recovered_->hardState.state().term && !recovered_->snapshot && !recovered_->log->lastIndex();
 }
 
 Result<std::optional<consensus::Snapshot>> ReplicaStorage::loadSnapshot() const
@@ -60,11 +73,8 @@
     consensus::DurableState state;
     BOOST_OUTCOME_TRY(snapshot, loadSnapshot());
     state.snapshot = std::move(snapshot);
-    const auto& saved = recovered_->hardState.state();
-    if (!saved.vote.empty()) {
-        BOOST_OUTCOME_TRY(hardState, consensus::decode<consensus::HardState>(saved.vote));
-        state.hardState = hardState;
-    }
+    state.hardState = hardState_;
+    state.bootstrap = bootstrap_;
     const auto& log = *recovered_->log;
     for (auto next = log.firstIndex(); next <= log.lastIndex();) {
         BOOST_OUTCOME_TRY(records, log.read(next, log.lastIndex(), readBatchBytes));
@@ -77,6 +87,23 @@
     return state;
 }
 
+Result<void> ReplicaStorage::saveHardState()
+{
+    storage::HardState state;
+    state.term = hardState_.term;
+    // The core's hard state and the first configuration travel in the store's opaque field.
+    msgpack::sbuffer buffer;
+    msgpack::pack(buffer, std::make_pair(consensus::encode(hardState_), consensus::encode(bootstrap_)));
+    state.vote.assign(buffer.data(), buffer.size());
+    return recovered_->hardState.save(state);
+}
+
+Result<void> ReplicaStorage::saveBootstrap(const consensus::Configuration& configuration)
+{
+    bootstrap_ = configuration;
+    return saveHardState();
+}
+
 Result<void> ReplicaStorage::writeSnapshot(const consensus::Output& output)
 {
     const auto& meta = output.snapshot->meta;
@@ -89,11 +116,8 @@
 Result<void> ReplicaStorage::write(const consensus::Output& output)
 {
     if (output.hardState) {
-        storage::HardState state;
-        state.term = output.hardState->term;
-        // The whole hard state of the core travels in the store's opaque field.
-        state.vote = consensus::encode(*output.hardState);
-        BOOST_OUTCOME_TRYV(recovered_->hardState.save(state));
+        hardState_ = *output.hardState;
+        BOOST_OUTCOME_TRYV(saveHardState());
     }
     if (output.snapshot) {
         BOOST_OUTCOME_TRYV(writeSnapshot(output));
--- a/src/replica/ReplicaStorage.h
+++ b/src/replica/ReplicaStorage.h
@@ -21,6 +21,10 @@
     // Nothing was ever agreed on with this folder.
     bool isBlank() const;
 
+    // Durably stores the first configuration of the deployment. The log begins
+    // after it, so a restart needs it until a snapshot holds a later one.
+    base::Result<void> saveBootstrap(const consensus::Configuration&);
+
     // Reads everything that the core needs to start.
     base::Result<consensus::DurableState> load() const;
     // Returns the state machine's part of the recovered snapshot, if there is one.
@@ -43,9 +47,12 @@
     ReplicaStorage() = default;
 
     base::Result<void> writeSnapshot(const consensus::Output&);
+    base::Result<void> saveHardState();
 
     std::unique_ptr<storage::Disk> disk_;
     std::optional<storage::RecoveredStorage> recovered_;
+    consensus::HardState hardState_;
+    consensus::Configuration bootstrap_;
 };
 
 } // namespace arbutus::replica
--- /dev/null
+++ b/tests/ReplicaStorageTest.cpp
@@ -0,0 +1,67 @@
+#include "src/replica/ReplicaStorage.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <cstdlib>
+#include <filesystem>
+
+using namespace arbutus;
+
+namespace {
+
+struct Folder {
+    Folder()
+    {
+        std::string name = (std::filesystem::temp_directory_path() / "arbutus-replica-XXXXXX").string();
+        BOOST_REQUIRE(mkdtemp(name.data()));
+        path = name;
+    }
+    ~Folder() { std::filesystem::remove_all(path); }
+
+    std::unique_ptr<replica::ReplicaStorage> open() const
+    {
+        auto storage = replica::ReplicaStorage::Make(path, 77);
+        BOOST_REQUIRE(storage);
+        return std::move(storage).value();
+    }
+
+    std::string path;
+};
+
+} // namespace
+
+// Guards against replicas that restart before their first snapshot and know no
+// voters, so that none of them ever stands for election.
+BOOST_AUTO_TEST_CASE(restartKeepsTheFirstConfiguration)
+{
+    Folder folder;
+    consensus::Configuration first;
+    first.voters = { { 1, 77 }, { 2, 88 }, { 3, 99 } };
+    BOOST_TEST(folder.open()->isBlank());
+    BOOST_REQUIRE(folder.open()->saveBootstrap(first));
+    BOOST_TEST(!folder.open()->isBlank());
+    auto state = folder.open()->load();
+    BOOST_REQUIRE(state);
+    BOOST_TEST((state.value().bootstrap.voters == first.voters));
+}
+
+// Guards against a vote that overwrites the first configuration, and the reverse.
+BOOST_AUTO_TEST_CASE(voteAndFirstConfigurationAreKeptTogether)
+{
+    Folder folder;
+    consensus::Configuration first;
+    first.voters = { { 1, 77 } };
+    {
+        auto storage = folder.open();
+        BOOST_REQUIRE(storage->saveBootstrap(first));
+        consensus::Output output;
+        output.hardState.emplace();
+        output.hardState->term = 5;
+        BOOST_REQUIRE(storage->write(output));
+        BOOST_REQUIRE(storage->sync());
+    }
+    auto state = folder.open()->load();
+    BOOST_REQUIRE(state);
+    BOOST_TEST(state.value().hardState.term == 5u);
+    BOOST_TEST((state.value().bootstrap.voters == first.voters));
+}
