Keep a wiped disk from taking its old replica's seat

Cause: a replica reported itself blank for as long as it had not restarted since it was initialised. A disk that was wiped meanwhile therefore found only blank peers, derived a first configuration with its own new number and took itself for a voter: scenario disk_wiped of tools/failures.sh saw it as pre-candidate.

Change: an introduction also names the voters that the replica knows. A disk that is one of them adopts them, any other waits to be added as a learner.

Before: disk_wiped failed "it has not voted" (role pre-candidate). After: it stays a follower; disk_wiped passes, 16 checks.

--- a/include/control/Frames.h
+++ b/include/control/Frames.h
@@ -46,9 +46,12 @@
 struct ReplicaIntroduction {
     std::uint64_t replica = 0;
     std::uint64_t disk = 0;
+    // Nothing was ever agreed on with the disk of the replica.
     bool isBlank = false;
+    // The voters that the replica knows, as replica and disk; empty before it knows any.
+    std::vector<std::pair<std::uint64_t, std::uint64_t>> voters;
 
-    MSGPACK_DEFINE(replica, disk, isBlank)
+    MSGPACK_DEFINE(replica, disk, isBlank, voters)
 };
 std::string packIntroduction(const ReplicaIntroduction&);
 base::Result<ReplicaIntroduction> unpackIntroduction(std::string_view bytes);
--- a/src/replica/ReplicaProcess.cpp
+++ b/src/replica/ReplicaProcess.cpp
@@ -148,6 +148,14 @@
     return base::outcome::success();
 }
 
+control::ReplicaIntroduction ReplicaProcess::introduction() const
+{
+    control::ReplicaIntroduction result { config_.replica, node_->diskNumber(), node_->isBlank(), {} };
+    for (const auto& voter : node_->status().configuration.voters)
+        result.voters.emplace_back(voter.replica, voter.disk);
+    return result;
+}
+
 std::optional<control::ReplicaIntroduction> ReplicaProcess::askPeer(const Peer& peer)
 {
     auto answer = clients_.at(peer.replica)->call(static_cast<std::uint8_t>(FrameKind::ReplicaHello), control::packTimed({}, ""), clock_.now() + introductionPatience);
@@ -160,11 +168,14 @@
 }
 
 // All first replicas have to be blank and reachable, so they all derive the same
-// configuration from their introductions. A disk that finds a replica with state
-// joins as a learner when an operator adds it.
+// configuration from their introductions. A replica that is late finds voters that
+// are agreed already and adopts them if it is one of them. A wiped disk is none of
+// them, even when the others have not restarted since they were blank, and joins
+// as a learner when an operator adds it.
 Result<consensus::Configuration> ReplicaProcess::agreeOnFirstConfiguration()
 {
     while (!base::isStopSignalPending()) {
+        consensus::Configuration agreed;
         consensus::Configuration configuration;
         bool isAnyInitialised = false;
         for (const auto& peer : config_.peers) {
@@ -175,6 +186,11 @@
             auto introduction = askPeer(peer);
             if (!introduction)
                 continue;
+            if (!introduction->voters.empty()) {
+                for (const auto& [replica, disk] : introduction->voters)
+                    agreed.voters.push_back({ replica, disk });
+                return agreed.isVoter({ config_.replica, node_->diskNumber() }) ? agreed : consensus::Configuration();
+            }
             isAnyInitialised = isAnyInitialised || !introduction->isBlank;
             configuration.voters.push_back({ introduction->replica, introduction->disk });
         }
@@ -213,7 +229,7 @@
         return std::nullopt;
     }
     case FrameKind::ReplicaHello:
-        return control::packIntroduction({ config_.replica, node_->diskNumber(), node_->isBlank() });
+        return control::packIntroduction(introduction());
     case FrameKind::FeedPoll:
         return handlePoll(timed.value().body, reply);
     case FrameKind::Gossip:
--- a/src/replica/ReplicaProcess.h
+++ b/src/replica/ReplicaProcess.h
@@ -55,6 +55,7 @@
     // Waits until every first replica has introduced itself, or one of them has
     // state. Returns the first configuration, empty for a disk that joins later.
     base::Result<consensus::Configuration> agreeOnFirstConfiguration();
+    control::ReplicaIntroduction introduction() const;
     std::optional<control::ReplicaIntroduction> askPeer(const Peer&);
 
     std::optional<std::string> handleFrame(const transport::Frame&, const transport::FrameServer::Reply&);
