Serve a model request under the configuration that was found fresh

Cause: the gate checked that the control plane's configuration was fresh, but the request was accepted under the copy in the completion service, which the control thread replaces up to one tick (20 ms) later. An entry VM that had been frozen or cut off for longer than 3 s could, within that tick, take a request under the old sheet although a newer one was already proven.

Change: the gate's configuration is passed to the acceptance of the request.

--- a/src/entry/CallerApi.cpp
+++ b/src/entry/CallerApi.cpp
@@ -174,7 +174,7 @@
         if (auto configuration = gate_.admit(); !configuration)
             refuse(request, requestId, team, configuration.error());
         else {
-            completions_.submit(completion, [&](std::function<void()> onGone) {
+            completions_.submit(completion, configuration.value(), [&](std::function<void()> onGone) {
                 return Answer::Make(request, format, isStreamed, requestId, completion.model, std::move(onGone));
             });
         }
--- a/src/entry/CompletionService.cpp
+++ b/src/entry/CompletionService.cpp
@@ -169,11 +169,9 @@
     return now + limit;
 }
 
-Result<std::unique_ptr<CompletionService::ActiveStream>> CompletionService::accept(const CompletionRequest& request)
+Result<std::unique_ptr<CompletionService::ActiveStream>> CompletionService::accept(const CompletionRequest& request, const state::Configuration& configuration)
 {
-    if (!configuration_)
-        return makeError(ErrorKind::StaleConfiguration, "no sheet has been received yet");
-    const auto* row = configuration_->sheet->findModel(request.team, request.model);
+    const auto* row = configuration.sheet->findModel(request.team, request.model);
     if (!row)
         return makeError(ErrorKind::UnknownModel, fmt::format("the sheet does not give team {} the model {}", request.team, request.model));
     streams::StreamSpec spec;
@@ -212,12 +210,12 @@
     answer.fail(error, clock_.now());
 }
 
-void CompletionService::submit(const CompletionRequest& request, const MakeAnswer& makeAnswer)
+void CompletionService::submit(const CompletionRequest& request, const ConfigurationPointer& configuration, const MakeAnswer& makeAnswer)
 {
     auto answer = makeAnswer([this, id = request.id] { callerGone(id); });
     RankedLock lock(mutex_);
     ++counters_.requests;
-    auto accepted = accept(request);
+    auto accepted = accept(request, *configuration);
     if (!accepted) {
         refuse(*answer, request, accepted.error());
         return;
--- a/src/entry/CompletionService.h
+++ b/src/entry/CompletionService.h
@@ -77,10 +77,11 @@
     // that one is leaving.
     void setEngines(const std::vector<FactsPointer>&);
 
-    // Takes the request. `makeAnswer` is called once, with a function to call
+    // Takes the request under the given sheet, which the caller has found to be
+    // current. `makeAnswer` is called once, with a function to call
     // when the caller goes away; the answer is ended in every case.
     using MakeAnswer = std::function<std::unique_ptr<Answer>(std::function<void()> onGone)>;
-    void submit(const CompletionRequest&, const MakeAnswer& makeAnswer);
+    void submit(const CompletionRequest&, const ConfigurationPointer&, const MakeAnswer& makeAnswer);
 
     // Starts what is due: queued requests, resumes, expired steps. Call it every 10 ms.
     void tick();
@@ -127,7 +128,7 @@
         std::string reservedFor;
     };
 
-    base::Result<std::unique_ptr<ActiveStream>> accept(const CompletionRequest&);
+    base::Result<std::unique_ptr<ActiveStream>> accept(const CompletionRequest&, const state::Configuration&);
     void refuse(Answer&, const CompletionRequest&, const base::Error&);
     void startAdmitted();
     void startAttempt(ActiveStream&);
