Let an operator compare the replicas

The call status is answered by the leader alone, so nothing showed whether a restarted replica came back equal. Every replica now serves GET /admin/v1/replica with its applied index, sheet revision, role, voters and the digest of its last audit record; equal applied indexes have equal digests.

--- a/src/replica/ReplicaApi.cpp
+++ b/src/replica/ReplicaApi.cpp
@@ -164,14 +164,19 @@
     return names;
 }
 
-Parameters ReplicaApi::status() const
+Parameters ReplicaApi::describe() const
 {
     static constexpr std::array<const char*, 4> roles { "follower", "pre-candidate", "candidate", "leader" };
     auto status = node_.status();
+    return { { "replica", nameOf(status.self) }, { "role", roles[static_cast<std::size_t>(status.role)] }, { "term", std::to_string(status.term) }, { "commitIndex", std::to_string(status.commitIndex) }, { "appliedIndex", std::to_string(status.appliedIndex) }, { "lastIndex", std::to_string(status.lastIndex) }, { "voters", namesOf(status.configuration.voters) }, { "learners", namesOf(status.configuration.learners) }, { "sheetRevision", std::to_string(status.sheetRevision) }, { "auditHead", state::toHex(status.auditHead) }, { "syncs", std::to_string(status.syncCount) }, { "snapshots", std::to_string(status.snapshotCount) }, { "diskFull", status.isFull ? "yes" : "no" } };
+}
+
+Parameters ReplicaApi::status() const
+{
     // Operators ask for the leader's view.
-    if (status.role != consensus::Role::Leader)
+    if (node_.status().role != consensus::Role::Leader)
         fail(ErrorKind::NotLeader, "this replica does not lead");
-    return { { "replica", nameOf(status.self) }, { "role", roles[static_cast<std::size_t>(status.role)] }, { "term", std::to_string(status.term) }, { "commitIndex", std::to_string(status.commitIndex) }, { "appliedIndex", std::to_string(status.appliedIndex) }, { "lastIndex", std::to_string(status.lastIndex) }, { "voters", namesOf(status.configuration.voters) }, { "learners", namesOf(status.configuration.learners) }, { "syncs", std::to_string(status.syncCount) }, { "snapshots", std::to_string(status.snapshotCount) }, { "diskFull", status.isFull ? "yes" : "no" } };
+    return describe();
 }
 
 Parameters ReplicaApi::changeReplicas(const Parameters& parameters)
--- a/src/replica/ReplicaApi.h
+++ b/src/replica/ReplicaApi.h
@@ -15,6 +15,9 @@
 
     rpc::RpcDispatcher& dispatcher() { return dispatcher_; }
 
+    // What this replica knows of itself, whether or not it leads. May be called from any thread.
+    rpc::Parameters describe() const;
+
 private:
     using Query = rpc::Parameters (*)(const state::StateMachine&, const rpc::Parameters&);
 
--- a/src/replica/ReplicaNode.cpp
+++ b/src/replica/ReplicaNode.cpp
@@ -401,6 +401,8 @@
     status.snapshotCount = snapshotCount_;
     status.isFull = isFull_;
     status.feedRevision = machine_->configuration().revision;
+    status.sheetRevision = machine_->configuration().sheetRevision;
+    status.auditHead = machine_->audit().head();
     status.provedAt = provedAt_;
     RankedLock lock(mutex_);
     status_ = std::move(status);
--- a/src/replica/ReplicaNode.h
+++ b/src/replica/ReplicaNode.h
@@ -34,6 +34,9 @@
     std::uint64_t snapshotCount = 0;
     bool isFull = false;
     std::uint64_t feedRevision = 0;
+    std::uint64_t sheetRevision = 0;
+    // Digest of the last audit record; replicas with equal applied indexes have equal digests.
+    state::RawDigest auditHead {};
     // The last time at which this replica proved that it leads.
     std::optional<base::TimePoint> provedAt;
 };
--- a/src/replica/ReplicaProcess.cpp
+++ b/src/replica/ReplicaProcess.cpp
@@ -3,6 +3,7 @@
 #include "include/base/LockRanks.h"
 #include "include/base/Logger.h"
 #include "include/base/StopSignal.h"
+#include "include/http/JsonText.h"
 #include "include/http/Metrics.h"
 #include "include/http/Problem.h"
 #include "include/http/RpcOverHttp.h"
@@ -126,6 +127,9 @@
                                 clock_, timeline_, nodeOptions, [this](const consensus::Message& message) { send(message); }, [this](const ReplicaStatus& status, const state::StateMachine& machine) { answerPolls(status, machine); }));
     node_ = std::move(node);
     api_ = std::make_unique<ReplicaApi>(clock_, *node_);
+    // Unlike the control call "status", which the leader alone answers, this page
+    // lets an operator compare the replicas with each other.
+    admin_.addPage("GET", "replica", [this](web::http::http_request request) { request.reply(web::http::status_codes::OK, http::toJson(api_->describe())); });
 
     transport::FrameServerOptions frames;
     frames.address = config_.address;
