Wait for a peer that is still starting before the voters are known

A blank replica that met a peer which had run before, but had not yet loaded its voters, started without a configuration and, though it might be one of the voters, could not stand for election until its next restart. It now asks again until the peer names its voters.

--- a/src/replica/ReplicaProcess.cpp
+++ b/src/replica/ReplicaProcess.cpp
@@ -181,25 +181,22 @@
     while (!base::isStopSignalPending()) {
         consensus::Configuration agreed;
         consensus::Configuration configuration;
-        bool isAnyInitialised = false;
         for (const auto& peer : config_.peers) {
             if (peer.replica == config_.replica) {
                 configuration.voters.push_back({ config_.replica, node_->diskNumber() });
                 continue;
             }
             auto introduction = askPeer(peer);
-            if (!introduction)
+            // A peer that has run before and does not know its voters yet is still starting.
+            if (!introduction || (introduction->voters.empty() && !introduction->isBlank))
                 continue;
             if (!introduction->voters.empty()) {
                 for (const auto& [replica, disk] : introduction->voters)
                     agreed.voters.push_back({ replica, disk });
                 return agreed.isVoter({ config_.replica, node_->diskNumber() }) ? agreed : consensus::Configuration();
             }
-            isAnyInitialised = isAnyInitialised || !introduction->isBlank;
             configuration.voters.push_back({ introduction->replica, introduction->disk });
         }
-        if (isAnyInitialised)
-            return consensus::Configuration();
         if (configuration.voters.size() == config_.peers.size()) {
             std::sort(configuration.voters.begin(), configuration.voters.end());
             return configuration;
