Check the death of each order runner on its own

The first order of the scenario was sent in a way that ignored its answer. The scenario now checks its answer, and that the surviving runner did not get it.

--- a/tools/failures.sh
+++ b/tools/failures.sh
@@ -400,13 +400,14 @@
 }
 
 order_service_death() {
-    local status i
+    local i
     start_fleet 3
-    # The one runner left dies after it executed; the other must not get the order.
+    # Each runner dies after the order that it executes. Their counts end with
+    # them, so a count after the restart shows an order that was sent again.
     for i in 1 2; do order_fault "$i" '{"dieAfterExecution":true,"delayMs":300}'; done
-    executions >/dev/null
-    status=$(order 1 dies-1 reel=1 "$FLEET_DIR/dies-1.json") &
-    wait $!
+    order 1 dies-1 reel=1 "$FLEET_DIR/dies-1.json" >/dev/null
+    check_equal "the caller of the first order is told that the outcome is unknown" "$(kind_of "$FLEET_DIR/dies-1.json")" "upstream-failed unknown"
+    check_equal "one runner died, so the order was not sent to the other" "$(for i in 1 2; do kill -0 "${FLEET_PIDS[magazzino-$i]}" 2>/dev/null && echo alive; done)" alive
     order 1 dies-2 reel=2 "$FLEET_DIR/dies-2.json" >/dev/null
     check_equal "the caller is told that the outcome is unknown" "$(kind_of "$FLEET_DIR/dies-2.json")" "upstream-failed unknown"
     for i in 1 2; do wait "${FLEET_PIDS[magazzino-$i]}" 2>/dev/null; fleet_orders "$i"; done
