--- a/src/replica/ReplicaNode.cpp
+++ b/src/replica/ReplicaNode.cpp
@@ -53,10 +53,12 @@
         thread_.join();
 }
 
-Result<void> ReplicaNode::start(consensus::Configuration bootstrap)
+Result<void> ReplicaNode::start(const consensus::Configuration& bootstrap)
 {
+    if (!bootstrap.voters.empty()) {
+        BOOST_OUTCOME_TRYV(storage_->saveBootstrap(bootstrap));
+    }
     BOOST_OUTCOME_TRY(durable, storage_->load());
-    durable.bootstrap = std::move(bootstrap);
     if (durable.snapshot)
         applySnapshot(*durable.snapshot);
     consensus::ReplicaSettings settings;
@@ -399,6 +401,8 @@
     status.snapshotCount = snapshotCount_;
     status.isFull = isFull_;
     status.feedRevision = machine_->configuration().revision;
+    status.sheetRevision = machine_->configuration().sheetRevision;
+    status.auditHead = machine_->audit().head();
     status.provedAt = provedAt_;
     RankedLock lock(mutex_);
     status_ = std::move(status);
--- a/src/replica/ReplicaProcess.cpp
+++ b/src/replica/ReplicaProcess.cpp
@@ -3,6 +3,7 @@
 #include "include/base/LockRanks.h"
 #include "include/base/Logger.h"
 #include "include/base/StopSignal.h"
+#include "include/http/JsonText.h"
 #include "include/http/Metrics.h"
 #include "include/http/Problem.h"
 #include "include/http/RpcOverHttp.h"
@@ -126,6 +127,9 @@
                                 clock_, timeline_, nodeOptions, [this](const consensus::Message& message) { send(message); }, [this](const ReplicaStatus& status, const state::StateMachine& machine) { answerPolls(status, machine); }));
     node_ = std::move(node);
     api_ = std::make_unique<ReplicaApi>(clock_, *node_);
+    // Unlike the control call "status", which the leader alone answers, this page
+    // lets an operator compare the replicas with each other.
+    admin_.addPage("GET", "replica", [this](web::http::http_request request) { request.reply(web::http::status_codes::OK, http::toJson(api_->describe())); });
 
     transport::FrameServerOptions frames;
     frames.address = config_.address;
@@ -148,6 +152,14 @@
     return base::outcome::success();
 }
 
+control::ReplicaIntroduction ReplicaProcess::introduction() const
+{
+    control::ReplicaIntroduction result { config_.replica, node_->diskNumber(), node_->isBlank(), {} };
+    for (const auto& voter : node_->status().configuration.voters)
+        result.voters.emplace_back(voter.replica, voter.disk);
+    return result;
+}
+
 std::optional<control::ReplicaIntroduction> ReplicaProcess::askPeer(const Peer& peer)
 {
     auto answer = clients_.at(peer.replica)->call(static_cast<std::uint8_t>(FrameKind::ReplicaHello), control::packTimed({}, ""), clock_.now() + introductionPatience);
@@ -160,26 +172,31 @@
 }
 
 // All first replicas have to be blank and reachable, so they all derive the same
-// configuration from their introductions. A disk that finds a replica with state
-// joins as a learner when an operator adds it.
+// configuration from their introductions. A replica that is late finds voters that
+// are agreed already and adopts them if it is one of them. A wiped disk is none of
+// them, even when the others have not restarted since they were blank, and joins
+// as a learner when an operator adds it.
 Result<consensus::Configuration> ReplicaProcess::agreeOnFirstConfiguration()
 {
     while (!base::isStopSignalPending()) {
+        consensus::Configuration agreed;
         consensus::Configuration configuration;
-        bool isAnyInitialised = false;
         for (const auto& peer : config_.peers) {
             if (peer.replica == config_.replica) {
                 configuration.voters.push_back({ config_.replica, node_->diskNumber() });
                 continue;
             }
             auto introduction = askPeer(peer);
-            if (!introduction)
+            // A peer that has run before and does not know its voters yet is still starting.
+            if (!introduction || (introduction->voters.empty() && !introduction->isBlank))
                 continue;
-            isAnyInitialised = isAnyInitialised || !introduction->isBlank;
+            if (!introduction->voters.empty()) {
+                for (const auto& [replica, disk] : introduction->voters)
+                    agreed.voters.push_back({ replica, disk });
+                return agreed.isVoter({ config_.replica, node_->diskNumber() }) ? agreed : consensus::Configuration();
+            }
             configuration.voters.push_back({ introduction->replica, introduction->disk });
         }
-        if (isAnyInitialised)
-            return consensus::Configuration();
         if (configuration.voters.size() == config_.peers.size()) {
             std::sort(configuration.voters.begin(), configuration.voters.end());
             return configuration;
@@ -213,7 +230,7 @@
         return std::nullopt;
     }
     case FrameKind::ReplicaHello:
-        return control::packIntroduction({ config_.replica, node_->diskNumber(), node_->isBlank() });
+        return control::packIntroduction(introduction());
     case FrameKind::FeedPoll:
         return handlePoll(timed.value().body, reply);
     case FrameKind::Gossip:
