Add the open-loop load generator arbutus-load

Cause: throughput and latency of the real processes could not be measured, and no tool checked the answers of many concurrent callers.

Change: arbutus-load draws Poisson arrivals, teams, prompts and answer limits from one seed, sends streamed requests at their times and compares every token with ReferenceModel. Wrong, foreign, missing, cut, unreachable and unfinished answers make the exit code 1; refusals are counted by kind. Latency counts from the intended arrival. The report states how late requests were sent and how much processor time the client used.

--- /dev/null
+++ b/tests/AnswerCheckTest.cpp
@@ -0,0 +1,91 @@
+#include "tools/load/AnswerCheck.h"
+#include "tools/load/LoadReport.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace arbutus::load;
+
+static PlannedRequest request(std::vector<std::string> expected, std::uint32_t maxTokens)
+{
+    PlannedRequest planned;
+    planned.maxTokens = maxTokens;
+    planned.acceptedAnswers = { std::move(expected) };
+    return planned;
+}
+
+// Guards against a load run that passes although an answer lost its end.
+BOOST_AUTO_TEST_CASE(IncompleteAnswersAreErrors)
+{
+    auto planned = request({ "a", "b", "c" }, 3);
+    BOOST_TEST((checkAnswer(planned, { { "a", "b", "c" }, "length", true }) == Outcome::Whole));
+    BOOST_TEST((checkAnswer(planned, { { "a", "b" }, "length", true }) == Outcome::Missing));
+    BOOST_TEST((checkAnswer(planned, { { "a", "b", "c" }, "length", false }) == Outcome::Cut));
+    BOOST_TEST((checkAnswer(planned, { { "a" }, "", false }) == Outcome::Cut));
+    BOOST_TEST((checkAnswer(planned, { {}, "", false }) == Outcome::Cut));
+}
+
+// Guards against a repeated, skipped or extra token that is not counted.
+BOOST_AUTO_TEST_CASE(DifferingTokensAreWrong)
+{
+    auto planned = request({ "a", "b", "c" }, 3);
+    BOOST_TEST((checkAnswer(planned, { { "a", "a", "b", "c" }, "length", true }) == Outcome::Wrong));
+    BOOST_TEST((checkAnswer(planned, { { "a", "c" }, "length", true }) == Outcome::Wrong));
+    BOOST_TEST((checkAnswer(planned, { { "a", "b", "c", "d" }, "length", true }) == Outcome::Wrong));
+    BOOST_TEST((checkAnswer(planned, { { "x" }, "", false }) == Outcome::Wrong));
+    // An answer that its model ended does not end by the limit.
+    auto ended = request({ "a", "b" }, 3);
+    BOOST_TEST((checkAnswer(ended, { { "a", "b" }, "length", true }) == Outcome::Wrong));
+    BOOST_TEST((checkAnswer(ended, { { "a", "b" }, "stop", true }) == Outcome::Whole));
+}
+
+// Guards against a mixture of two versions that passes as the answer of one.
+BOOST_AUTO_TEST_CASE(MixedVersionsAreWrong)
+{
+    auto planned = request({ "a", "b", "c" }, 3);
+    planned.acceptedAnswers.push_back({ "x", "y", "z" });
+    BOOST_TEST((checkAnswer(planned, { { "x", "y", "z" }, "length", true }) == Outcome::Whole));
+    BOOST_TEST((checkAnswer(planned, { { "a", "y", "z" }, "length", true }) == Outcome::Wrong));
+}
+
+// Guards against another caller's tokens that are reported as merely wrong.
+BOOST_AUTO_TEST_CASE(TokensOfAnotherRequestAreForeign)
+{
+    std::vector<PlannedRequest> requests { request({ "a", "b", "c", "d" }, 4), request({ "p", "q", "r", "s" }, 4) };
+    ForeignTokens foreign(requests);
+    BOOST_TEST(foreign.contains(0, { { "a", "q", "r", "s" }, "length", true }));
+    BOOST_TEST(!foreign.contains(0, { { "a", "b", "b", "c" }, "length", true }));
+    BOOST_TEST(!foreign.contains(1, { { "p", "q", "r", "s" }, "length", true }));
+}
+
+// Guards against quantiles that leave out the worst samples.
+BOOST_AUTO_TEST_CASE(QuantilesUseTheNearestRank)
+{
+    std::vector<double> samples;
+    for (int i = 100; i >= 1; --i)
+        samples.push_back(i);
+    auto quantiles = quantilesOf(samples);
+    BOOST_TEST(quantiles.median == 50);
+    BOOST_TEST(quantiles.p95 == 95);
+    BOOST_TEST(quantiles.p99 == 99);
+    BOOST_TEST(quantiles.maximum == 100);
+    BOOST_TEST(quantilesOf({ 7 }).p99 == 7);
+    BOOST_TEST(quantilesOf({}).p99 == 0);
+}
+
+// Guards against lengths outside their bounds and draws that differ for one seed.
+BOOST_AUTO_TEST_CASE(LengthsStayInTheirBounds)
+{
+    for (const char* text : { "fixed:5", "uniform:2:9", "exponential:20:40" }) {
+        auto lengths = LengthDistribution::Make(text);
+        BOOST_REQUIRE(lengths);
+        arbutus::base::Random left(3);
+        arbutus::base::Random right(3);
+        for (int i = 0; i < 1000; ++i) {
+            auto length = lengths.value().draw(left);
+            BOOST_TEST(length == lengths.value().draw(right));
+            BOOST_TEST((length >= 1 && length <= 40));
+        }
+    }
+    for (const char* text : { "", "fixed:0", "fixed:x", "uniform:9:2", "uniform:2", "other:1:2" })
+        BOOST_TEST(!LengthDistribution::Make(text));
+}
--- /dev/null
+++ b/tools/load/LoadPlan.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "include/base/Random.h"
+#include "include/base/Settings.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace arbutus::load {
+
+// One request of a run, decided before the run starts.
+struct PlannedRequest {
+    // Since the start of the run.
+    std::chrono::nanoseconds arrival {};
+    std::size_t entry = 0;
+    std::string token;
+    std::string prompt;
+    std::uint32_t maxTokens = 0;
+    // The token texts that the caller must receive, one list for each version
+    // that may be in force.
+    std::vector<std::vector<std::string>> acceptedAnswers;
+};
+
+// A number of tokens: fixed:N, uniform:LOW:HIGH or exponential:MEAN:HIGH.
+class LengthDistribution {
+public:
+    static base::Result<LengthDistribution> Make(const std::string& text);
+
+    // Returns at least 1.
+    std::uint32_t draw(base::Random&) const;
+
+private:
+    enum class Shape {
+        Uniform,
+        Exponential,
+    };
+    LengthDistribution() = default;
+
+    Shape shape_ = Shape::Uniform;
+    // The low bound, or the mean.
+    std::uint32_t first_ = 1;
+    std::uint32_t high_ = 1;
+};
+
+struct LoadPlan {
+    std::vector<std::string> entryUrls;
+    std::string model;
+    std::uint64_t seed = 0;
+    double rate = 0;
+    std::chrono::milliseconds duration {};
+    std::chrono::milliseconds warmUp {};
+    // Time after the last arrival in which open answers may still end.
+    std::chrono::milliseconds drain {};
+    std::vector<PlannedRequest> requests;
+
+    static std::vector<base::SettingSpec> settingSpecs();
+    // Draws all arrivals, teams, prompts and lengths from the seed.
+    static base::Result<LoadPlan> Make(const base::Settings&);
+};
+
+} // namespace arbutus::load
