Write and read bodies without waiting for the thread pool

Cause: BodyWriter::write waited for the results of putn_nocopy and sync, and ChunkReader for getn. cpprestsdk completes them on its thread pool of 40 threads. CompletionService writes while it holds its mutex, so an entry VM stopped for ever once all 40 threads waited for that mutex. A trial with a pool of 2 threads stopped at 20 requests/s; its stacks show write() waiting under the mutex.

Change: writes use alloc and commit and do not wait for the result of sync; reads take what has arrived by acquire and release.

--- a/src/http/BodyWriter.cpp
+++ b/src/http/BodyWriter.cpp
@@ -1,5 +1,7 @@
 #include "include/http/BodyWriter.h"
 
+#include <cstring>
+
 namespace arbutus::http {
 
 BodyWriter::BodyWriter() = default;
@@ -9,9 +11,14 @@
     std::lock_guard lock(mutex_);
     if (isClosed_ || !buffer_.can_write() || buffer_.in_avail() + bytes.size() > maximumPending)
         return false;
-    // The buffer copies the bytes, so both tasks are complete when they return.
-    buffer_.putn_nocopy(reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size()).wait();
-    buffer_.sync().wait();
+    // The library checks the results of its asynchronous calls on its thread pool.
+    // Waiting for them here stopped the whole process when every thread of the
+    // pool waited for a lock that the waiting thread held.
+    auto* block = buffer_.alloc(bytes.size());
+    std::memcpy(block, bytes.data(), bytes.size());
+    buffer_.commit(bytes.size());
+    // Makes the bytes visible to the reader before it returns.
+    buffer_.sync();
     return true;
 }
 
@@ -21,7 +28,7 @@
     if (isClosed_)
         return;
     isClosed_ = true;
-    buffer_.close(std::ios_base::out).wait();
+    buffer_.close(std::ios_base::out);
 }
 
 } // namespace arbutus::http
--- a/src/http/ChunkReader.cpp
+++ b/src/http/ChunkReader.cpp
@@ -50,12 +50,16 @@
 
         void takeRest()
         {
-            std::size_t available = std::min(buffer_.in_avail(), pieceBytes);
-            if (!available)
-                return;
-            piece_.resize(1 + available);
-            auto count = buffer_.getn(reinterpret_cast<std::uint8_t*>(piece_.data()) + 1, available).get();
-            piece_.resize(1 + count);
+            // Asynchronous reads complete on the library's thread pool, and waiting for
+            // them on a thread of the pool can stop the whole process.
+            while (piece_.size() < pieceBytes) {
+                std::uint8_t* block = nullptr;
+                std::size_t count = 0;
+                if (!buffer_.acquire(block, count) || !block || !count)
+                    return;
+                piece_.append(reinterpret_cast<const char*>(block), count);
+                buffer_.release(block, count);
+            }
         }
 
         streambuf<std::uint8_t> buffer_;
