--- a/tests/ServingFleet.h
+++ b/tests/ServingFleet.h
@@ -44,7 +44,8 @@
             "model,fiere,scriba,4.2,,8,3,200,1000,large,,,6\n"
             "model,listini,scriba,4.2,,4,1,200,1000,large,,,6\n")
                                                                         .value());
-        service_.setConfiguration(configuration);
+        configuration_ = configuration;
+        service_.setConfiguration(configuration_);
     }
 
     // Adds an engine that holds layers `first` to `last` of 6.
@@ -111,7 +112,7 @@
         request.maxTokens = maxTokens;
         request.deadline = clock_.now() + timeout;
         auto& answer = answers_[id];
-        service_.submit(request, [&](std::function<void()> onGone) {
+        service_.submit(request, configuration_, [&](std::function<void()> onGone) {
             onGone_[id] = std::move(onGone);
             return std::make_unique<RecordingAnswer>(*this, id, answer);
         });
@@ -278,6 +279,7 @@
     std::map<std::string, ReceivedAnswer> answers_;
     std::map<std::string, std::function<void()>> onGone_;
     std::uint64_t ticks_ = 0;
+    serving::ConfigurationPointer configuration_;
     serving::CompletionService service_;
 };
 
