--- a/tests/PlacementTest.cpp
+++ b/tests/PlacementTest.cpp
@@ -354,6 +354,19 @@
     BOOST_TEST(!lease.numberAt(start + 15s));
 }
 
+// Guards against a VM that goes on giving orders after it stopped being the
+// candidate.
+BOOST_AUTO_TEST_CASE(ReleasedLeaseGivesNoNumber)
+{
+    ControllerLease lease;
+    base::TimePoint start(1h);
+    lease.grant(1, start, start);
+    lease.grant(2, start + 6s, start + 6s);
+    BOOST_TEST(lease.numberAt(start + 6s).value_or(0) == 2);
+    lease.release();
+    BOOST_TEST(!lease.numberAt(start + 6s));
+}
+
 // Guards against entry VMs that choose different candidates from one member
 // list, and against moving the role when another VM leaves.
 BOOST_AUTO_TEST_CASE(CandidateDependsOnlyOnTheSetOfVms)
