Give the orders of the wiped-disk scenario more time

Cause: one of three runs under load failed "orders were executed" with 9 recorded orders, 11 being the least. The times of the orders showed one gap of 5.5 s, in which the scenario itself keeps the majority away, and less than 1 s of orders around it.

Change: the clients run for 1 s longer before the wipe and for 1.5 s after the second loss. The bound is the same.

--- a/tools/failures.sh
+++ b/tools/failures.sh
@@ -318,7 +318,7 @@
     local old new survivor lost
     start_fleet 3
     start_order_clients 3
-    sleep 0.5
+    sleep 1.5
     old=$(replica_disk 3)
     kill_now state-3
     rm -rf "$FLEET_DIR/state-3"
@@ -343,6 +343,7 @@
     lost=$(leader)
     kill_now "state-$lost"
     check "orders go on after a second loss" fleet_wait 4 eval 'test "$(order 1 "back-$(date +%s%N)" x "$FLEET_DIR/back.json")" = 201'
+    sleep 1.5
     stop_clients
     check_orders
     check_resends
