Admit as many streams as the engines' batches can hold

Cause: under saturation each entry VM admitted its 256 slots whatever the engines could run; the surplus waited in the engines' queues, where streams of low priority starved: a gap of 3,549 ms without any fault.

Change: the slots follow the capacity that the engines announce, a quarter more for uneven callers, shared by the entry VMs; the rest waits in admission.

--- a/include/serving/CompletionService.h
+++ b/include/serving/CompletionService.h
@@ -42,6 +42,7 @@
     struct Options {
         std::string vm;
         std::string dataCentre;
+        // Upper bound of the requests that run at a time; the engines' capacity may set a lower one.
         std::size_t slots = 256;
         std::size_t maxQueued = 4096;
         // A step that takes longer is given up, and its stage left out.
@@ -75,7 +76,8 @@
     void setConfiguration(ConfigurationPointer);
     // States the engines that may be used, and where the fleet's other facts say
     // that one is leaving.
-    void setEngines(const std::vector<FactsPointer>&);
+    // `entryVms` counts the entry VMs that share the engines, this one included.
+    void setEngines(const std::vector<FactsPointer>&, std::size_t entryVms);
 
     // Takes the request under the given sheet, which the caller has found to be
     // current. `makeAnswer` is called once, with a function to call
--- a/src/entry/ControlPlane.cpp
+++ b/src/entry/ControlPlane.cpp
@@ -315,12 +315,12 @@
 {
     std::vector<FactsPointer> engines;
     std::vector<FactsPointer> services;
+    std::size_t entryVms = 1;
     {
         RankedLock lock(mutex_);
         std::vector<membership::SubsetCandidate> candidates;
         std::vector<std::pair<std::string, std::uint64_t>> usable;
         std::map<membership::MemberKey, FactsPointer> byKey;
-        std::size_t entryVms = 1;
         std::vector<membership::MemberKey> nodes { table_.self() };
         table_.forEach([&](const membership::MemberEntry& entry, bool isOut) {
             if (!entry.facts || isOut)
@@ -347,7 +347,7 @@
         for (auto key : membership::chooseSubset(table_.self(), entryVms, candidates))
             engines.push_back(byKey.at(key));
     }
-    listener_.onUpstreams(std::move(engines), std::move(services));
+    listener_.onUpstreams(std::move(engines), std::move(services), entryVms);
 }
 
 void ControlPlane::publishGoneEntries()
--- a/src/entry/ControlPlane.h
+++ b/src/entry/ControlPlane.h
@@ -43,7 +43,8 @@
     struct Listener {
         std::function<void(std::shared_ptr<const state::Configuration>)> onConfiguration;
         // The usable upstreams that this VM keeps channels to or may call.
-        std::function<void(std::vector<FactsPointer> engines, std::vector<FactsPointer> services)> onUpstreams;
+        // `entryVms` counts the entry VMs that share them, this one included.
+        std::function<void(std::vector<FactsPointer> engines, std::vector<FactsPointer> services, std::size_t entryVms)> onUpstreams;
         // An entry VM is out; called once for each incarnation.
         std::function<void(const std::string& vm, std::uint64_t incarnation)> onEntryGone;
     };
--- a/src/entry/EntryProcess.cpp
+++ b/src/entry/EntryProcess.cpp
@@ -202,8 +202,8 @@
             completions_.setConfiguration(configuration);
             services_.setDrained(configuration->drainedUpstreams);
         },
-        [this](const std::vector<FactsPointer>& engines, std::vector<FactsPointer> services) {
-            completions_.setEngines(engines);
+        [this](const std::vector<FactsPointer>& engines, std::vector<FactsPointer> services, std::size_t entryVms) {
+            completions_.setEngines(engines, entryVms);
             services_.setUpstreams(std::move(services));
         },
         [this](const std::string& vm, std::uint64_t incarnation) { reporter_.report(state::DeclareEntryGone { vm, incarnation }); },
--- a/src/serving/CompletionService.cpp
+++ b/src/serving/CompletionService.cpp
@@ -22,6 +22,9 @@
 static constexpr std::chrono::milliseconds resumeRetryDelay(20);
 // In the sheet, stands for upstreams of every class.
 static constexpr const char* anyClass = "any";
+// Callers are not spread evenly over the entry VMs.
+static constexpr double placesMargin = 1.25;
+static constexpr std::size_t minSlots = 4;
 static constexpr int stallFactor = 8;
 // Most engines die of a fault of their own, so after one death the streams resume
 // at once on other engines; a second death singles a request out.
@@ -110,12 +113,14 @@
         syncEngine(engine);
 }
 
-void CompletionService::setEngines(const std::vector<FactsPointer>& engines)
+void CompletionService::setEngines(const std::vector<FactsPointer>& engines, std::size_t entryVms)
 {
     {
         RankedLock lock(mutex_);
         std::set<std::string> named;
+        std::size_t places = 0;
         for (const auto& facts : engines) {
+            places += facts->capacity;
             named.insert(facts->id);
             Engine& engine = engines_[facts->id];
             engine.facts = facts;
@@ -130,6 +135,11 @@
             engine.isUsable = false;
             selector_.setLeaving(id, true);
         }
+        // A stream holds a place in the batch of one stage at a time, so as many
+        // streams as there are places on all engines keep every batch full. More
+        // only wait in the engines' queues, where those of low priority starve.
+        if (places)
+            admission_.setSlots(std::clamp(static_cast<std::size_t>(static_cast<double>(places) * placesMargin) / entryVms, std::min(minSlots, options_.slots), options_.slots));
     }
     links_.setEngines(engines);
 }
--- a/tests/ServingFleet.h
+++ b/tests/ServingFleet.h
@@ -235,7 +235,7 @@
             if (!engine->facts->isLeaving)
                 usable.push_back(engine->facts);
         }
-        service_.setEngines(usable);
+        service_.setEngines(usable, 1);
     }
 
     bool onSend(const std::string& id, const streams::ChannelMessage& message) override
