Split the completion service by job and share the decoding of frames

Cause: CompletionService.cpp had grown to 663 lines, and two processes decoded frames by the same lines.

Change: the part that follows the engines is in CompletionServiceEngines.cpp; control::receiveTimed serves both processes. No behaviour changes.

--- a/include/control/Frames.h
+++ b/include/control/Frames.h
@@ -33,6 +33,10 @@
 // Fails with MalformedFrame. Safe on arbitrary bytes.
 base::Result<TimedBody> unpackTimed(std::string_view bytes);
 
+// Opens the body of a frame from `sender` and advances `timeline` past its time.
+// Logs and returns nothing if it cannot be decoded.
+std::optional<std::string> receiveTimed(std::string_view bytes, std::string_view sender, base::Timeline& timeline);
+
 // The answer of a parent in the relay tree, with the update when it has one.
 std::string packFeedAnswer(const membership::FeedAnswer&, const std::optional<state::ConfigurationUpdate>&);
 
--- a/src/control/Frames.cpp
+++ b/src/control/Frames.cpp
@@ -1,5 +1,7 @@
 #include "include/control/Frames.h"
 
+#include "include/base/Logger.h"
+
 #include <msgpack.hpp>
 
 #include <utility>
@@ -10,6 +12,8 @@
 using base::makeError;
 using base::Result;
 
+static constexpr base::Logger logger("members");
+
 template <typename T>
 static std::string pack(const T& value)
 {
@@ -42,6 +46,17 @@
     return TimedBody { { base::WallTime(std::chrono::microseconds(std::get<0>(parts))), std::get<1>(parts) }, std::move(std::get<2>(parts)) };
 }
 
+std::optional<std::string> receiveTimed(std::string_view bytes, std::string_view sender, base::Timeline& timeline)
+{
+    auto timed = unpackTimed(bytes);
+    if (!timed) {
+        logger.warning("A frame cannot be decoded.", { { "sender", sender }, { "reason", timed.error().detail } });
+        return std::nullopt;
+    }
+    timeline.observe(timed.value().time);
+    return std::move(timed.value().body);
+}
+
 using FeedParts = std::pair<std::string, std::string>;
 
 std::string packFeedAnswer(const membership::FeedAnswer& answer, const std::optional<state::ConfigurationUpdate>& update)
--- a/src/entry/ControlPlane.cpp
+++ b/src/entry/ControlPlane.cpp
@@ -101,19 +101,16 @@
 
 std::optional<std::string> ControlPlane::handleFrame(const transport::Frame& frame, const transport::FrameServer::Reply& reply)
 {
-    auto timed = control::unpackTimed(frame.body);
-    if (!timed) {
-        logger.warning("A frame cannot be decoded.", { { "sender", frame.sender }, { "reason", timed.error().detail } });
+    auto body = control::receiveTimed(frame.body, frame.sender, timeline_);
+    if (!body)
         return std::nullopt;
-    }
-    timeline_.observe(timed.value().time);
     switch (static_cast<FrameKind>(frame.kind)) {
     case FrameKind::Gossip:
-        return handleGossip(timed.value().body);
+        return handleGossip(*body);
     case FrameKind::Heartbeat:
-        return handleHeartbeat(timed.value().body);
+        return handleHeartbeat(*body);
     case FrameKind::FeedPoll:
-        return handleFeedPoll(timed.value().body, reply);
+        return handleFeedPoll(*body, reply);
     case FrameKind::Replication:
     case FrameKind::ReplicaHello:
         break;
--- a/src/replica/ReplicaProcess.cpp
+++ b/src/replica/ReplicaProcess.cpp
@@ -216,15 +216,12 @@
 
 std::optional<std::string> ReplicaProcess::handleFrame(const transport::Frame& frame, const transport::FrameServer::Reply& reply)
 {
-    auto timed = control::unpackTimed(frame.body);
-    if (!timed) {
-        logger.warning("A frame cannot be decoded.", { { "sender", frame.sender }, { "reason", timed.error().detail } });
+    auto body = control::receiveTimed(frame.body, frame.sender, timeline_);
+    if (!body)
         return std::nullopt;
-    }
-    timeline_.observe(timed.value().time);
     switch (static_cast<FrameKind>(frame.kind)) {
     case FrameKind::Replication: {
-        auto message = consensus::decode<consensus::Message>(timed.value().body);
+        auto message = consensus::decode<consensus::Message>(*body);
         if (message)
             node_->receive(std::move(message).value());
         return std::nullopt;
@@ -232,7 +229,7 @@
     case FrameKind::ReplicaHello:
         return control::packIntroduction(introduction());
     case FrameKind::FeedPoll:
-        return handlePoll(timed.value().body, reply);
+        return handlePoll(*body, reply);
     case FrameKind::Gossip:
     case FrameKind::Heartbeat:
         break;
--- a/src/serving/CompletionService.cpp
+++ b/src/serving/CompletionService.cpp
@@ -20,25 +20,7 @@
 static constexpr base::Logger logger("streams");
 static constexpr std::size_t maxSuspectRecords = 4096;
 static constexpr std::chrono::milliseconds resumeRetryDelay(20);
-// In the sheet, stands for upstreams of every class.
-static constexpr const char* anyClass = "any";
-// Callers are not spread evenly over the entry VMs.
-static constexpr double placesMargin = 1.25;
-static constexpr std::size_t minSlots = 4;
 static constexpr int stallFactor = 8;
-// Most engines die of a fault of their own, so after one death the streams resume
-// at once on other engines; a second death singles a request out.
-static constexpr int deathsBeforeTurns = 2;
-// A suspect that found no empty pipeline for this long shares engines.
-static constexpr std::chrono::seconds turnPatience(2);
-
-// The kinds of accelerators that announcements may name; others count as the last.
-static routing::AcceleratorKind acceleratorKind(const std::string& name)
-{
-    static constexpr std::array<std::string_view, routing::acceleratorKindCount - 1> names { "large", "standard", "small", "edge" };
-    auto it = std::find(names.begin(), names.end(), name);
-    return static_cast<routing::AcceleratorKind>(it - names.begin());
-}
 
 static std::size_t wordCount(const std::string& text)
 {
@@ -113,62 +95,6 @@
         syncEngine(engine);
 }
 
-void CompletionService::setEngines(const std::vector<FactsPointer>& engines, std::size_t entryVms)
-{
-    {
-        RankedLock lock(mutex_);
-        std::set<std::string> named;
-        std::size_t places = 0;
-        for (const auto& facts : engines) {
-            places += facts->capacity;
-            named.insert(facts->id);
-            Engine& engine = engines_[facts->id];
-            engine.facts = facts;
-            engine.isUsable = true;
-            syncEngine(engine);
-        }
-        // An engine that is no longer usable takes no new streams; those that
-        // run on it go on until its channel ends.
-        for (auto& [id, engine] : engines_) {
-            if (named.count(id))
-                continue;
-            engine.isUsable = false;
-            selector_.setLeaving(id, true);
-        }
-        // A stream holds a place in the batch of one stage at a time, so as many
-        // streams as there are places on all engines keep every batch full. More
-        // only wait in the engines' queues, where those of low priority starve.
-        if (places)
-            admission_.setSlots(std::clamp(static_cast<std::size_t>(static_cast<double>(places) * placesMargin) / entryVms, std::min(minSlots, options_.slots), options_.slots));
-    }
-    links_.setEngines(engines);
-}
-
-// Makes the selector agree with what is known about the engine.
-void CompletionService::syncEngine(Engine& engine)
-{
-    if (!engine.isReady)
-        return;
-    routing::EngineInfo info;
-    info.id = engine.facts->id;
-    info.dataCentre = engine.facts->dataCentre;
-    info.kind = acceleratorKind(engine.facts->accelerator);
-    for (const auto& holding : engine.facts->holdings)
-        info.ranges.push_back({ holding.model, holding.version, holding.firstLayer, holding.lastLayer });
-    info.isLeaving = !engine.isUsable || engine.saysLeaving || engine.facts->isLeaving || (configuration_ && configuration_->drainedUpstreams.count(info.id));
-    selector_.setEngine(info);
-}
-
-void CompletionService::engineReady(const FactsPointer& facts)
-{
-    RankedLock lock(mutex_);
-    Engine& engine = engines_[facts->id];
-    engine.facts = facts;
-    engine.saysLeaving = false;
-    engine.isReady = true;
-    syncEngine(engine);
-}
-
 // A loaded engine answers late without being stalled, so the limit grows with
 // the step time that is expected of it.
 base::TimePoint CompletionService::stepDeadline(const std::string& engine, std::size_t prefillTokens)
@@ -288,30 +214,6 @@
     return pipeline;
 }
 
-// The sheet names the class of upstreams that may run the model for the team.
-std::vector<std::string> CompletionService::enginesOfOtherClass(const std::string& upstreamClass) const
-{
-    std::vector<std::string> others;
-    if (upstreamClass.empty() || upstreamClass == anyClass)
-        return others;
-    for (const auto& [id, engine] : engines_) {
-        if (engine.facts && engine.facts->accelerator != upstreamClass)
-            others.push_back(id);
-    }
-    return others;
-}
-
-std::vector<std::string> CompletionService::enginesNotEmpty(const std::string& fingerprint) const
-{
-    std::vector<std::string> busy;
-    for (const auto& [id, engine] : engines_) {
-        bool isReservedElsewhere = !engine.reservedFor.empty() && engine.reservedFor != fingerprint;
-        if (!engine.streams.empty() || engine.reportedRunning || isReservedElsewhere)
-            busy.push_back(id);
-    }
-    return busy;
-}
-
 void CompletionService::startAttempt(ActiveStream& stream)
 {
     auto pipeline = choosePipeline(stream, false);
@@ -379,26 +281,6 @@
         noteLoad(engine, *load);
 }
 
-void CompletionService::noteLoad(const std::string& engine, const streams::EngineLoad& load)
-{
-    auto found = engines_.find(engine);
-    if (found == engines_.end() || !found->second.isReady)
-        return;
-    found->second.reportedRunning = load.running;
-    if (auto* known = selector_.load(engine)) {
-        routing::LoadReport report;
-        report.running = load.running;
-        report.queued = load.queued;
-        report.reportedAt = clock_.now();
-        known->report(report);
-    }
-    // The channel is the fastest way to learn that an engine is leaving.
-    if (load.isLeaving) {
-        found->second.saysLeaving = true;
-        selector_.setLeaving(engine, true);
-    }
-}
-
 void CompletionService::receiveResult(const std::string& engine, const streams::StageResult& result)
 {
     auto found = streams_.find(result.name.stream);
@@ -479,73 +361,6 @@
     timeline_.record("attempt-ended", { { "request", stream.request.id }, { "attempt", std::to_string(stream.session.attempt()) }, { "engine", engines }, { "reason", reason } });
 }
 
-void CompletionService::engineLost(const std::string& engineId)
-{
-    RankedLock lock(mutex_);
-    auto found = engines_.find(engineId);
-    if (found == engines_.end())
-        return;
-    Engine& engine = found->second;
-    engine.isReady = false;
-    engine.reservedFor.clear();
-    std::size_t otherStreams = engine.reportedRunning > engine.streams.size() ? engine.reportedRunning - engine.streams.size() : 0;
-    engine.reportedRunning = 0;
-    selector_.removeEngine(engineId);
-    if (engine.streams.empty())
-        return;
-
-    ++counters_.engineDeaths;
-    auto ids = std::vector<std::string>(engine.streams.begin(), engine.streams.end());
-    std::vector<std::string> fingerprints;
-    fingerprints.reserve(ids.size());
-    for (const auto& id : ids)
-        fingerprints.push_back(streams_.at(id)->fingerprint);
-    timeline_.record("engine-lost", { { "engine", engineId }, { "streams", std::to_string(ids.size()) } });
-    auto outcome = suspects_.engineDied(fingerprints, otherStreams, clock_.now());
-    for (const auto& fingerprint : std::set<std::string>(fingerprints.begin(), fingerprints.end()))
-        reports_.crash(fingerprint, engine.facts, ids.size() == 1 && !otherStreams);
-
-    for (const auto& id : ids) {
-        ActiveStream& stream = *streams_.at(id);
-        stream.session.loseEngine(engineId);
-        scheduleResume(stream, { engineId }, "engine-lost");
-        auto isIn = [&](const std::vector<std::string>& list) { return std::find(list.begin(), list.end(), stream.fingerprint) != list.end(); };
-        if (isIn(outcome.blamed))
-            fail(stream, makeError(ErrorKind::CrashSuspect, "the request was running on several upstreams that crashed"));
-        else if (suspects_.record(stream.fingerprint).deaths >= deathsBeforeTurns) {
-            stream.isWaitingForTurn = true;
-            stream.resumeAt = clock_.now() + turnPatience;
-        } else {
-            suspects_.takeTurn(stream.fingerprint);
-            startAttempt(stream);
-        }
-    }
-    startAdmitted();
-}
-
-// Resumes suspects, each on a pipeline of engines without other streams.
-void CompletionService::giveTurns()
-{
-    std::vector<std::string> waiting;
-    for (const auto& [id, stream] : streams_) {
-        if (stream->isWaitingForTurn)
-            waiting.push_back(id);
-    }
-    for (const auto& id : waiting) {
-        ActiveStream& stream = *streams_.at(id);
-        auto pipeline = choosePipeline(stream, true);
-        if (!pipeline)
-            return;
-        if (!suspects_.takeTurn(stream.fingerprint))
-            continue;
-        std::string fingerprint = stream.fingerprint;
-        if (!launch(stream, pipeline.value()))
-            continue;
-        for (const auto& stage : pipeline.value())
-            engines_[stage.engine].reservedFor = fingerprint;
-    }
-}
-
 void CompletionService::resumeDue()
 {
     auto now = clock_.now();
