Suspect only the streams whose step the dead engine held

Every stream with a stage on a dead engine was a suspect, also those whose step was at another stage; after two deaths the innocent ones of several entry VMs waited for the same restarted engine, met the request at fault there and were blamed.

Change: engineLost counts a death only against streams whose awaited step was on that engine; a request is alone only if nothing else was on the engine.

Conclusion: the crash can only come from what the engine was running. Two entry VMs may still isolate suspects on one engine at the same time; that is less likely now and not excluded.

--- a/include/streams/StreamSession.h
+++ b/include/streams/StreamSession.h
@@ -92,6 +92,8 @@
     const Pipeline& pipeline() const { return pipeline_; }
     std::uint32_t attempt() const { return attempt_; }
     bool hasAttempt() const { return awaited_.has_value(); }
+    // The engine that holds the awaited step; null without an attempt.
+    const std::string* awaitedEngine() const { return awaited_ ? &pipeline_[awaited_->stage].engine : nullptr; }
     // Whether expire() would end the attempt.
     bool isAwaitedPast(base::TimePoint now) const { return awaited_ && now >= awaited_->deadline; }
     bool isFinished() const { return finish_.has_value(); }
--- a/src/serving/CompletionServiceEngines.cpp
+++ b/src/serving/CompletionServiceEngines.cpp
@@ -150,11 +150,17 @@
 
     ++counters_.engineDeaths;
     auto ids = std::vector<std::string>(engine.streams.begin(), engine.streams.end());
+    // Only a stream whose step the engine held can have crashed it; the others
+    // waited for another stage of their pipeline.
     std::vector<std::string> fingerprints;
-    fingerprints.reserve(ids.size());
-    for (const auto& id : ids)
-        fingerprints.push_back(streams_.at(id)->fingerprint);
+    for (const auto& id : ids) {
+        const auto* awaited = streams_.at(id)->session.awaitedEngine();
+        if (awaited && *awaited == engineId)
+            fingerprints.push_back(streams_.at(id)->fingerprint);
+    }
     timeline_.record("engine-lost", { { "engine", engineId }, { "streams", std::to_string(ids.size()) } });
+    // A request counts as alone only if nothing else was on the engine at all.
+    otherStreams += ids.size() - fingerprints.size();
     auto outcome = suspects_.engineDied(fingerprints, otherStreams, clock_.now());
     for (const auto& fingerprint : std::set<std::string>(fingerprints.begin(), fingerprints.end()))
         reports_.crash(fingerprint, engine.facts, ids.size() == 1 && !otherStreams);
@@ -166,7 +172,7 @@
         auto isIn = [&](const std::vector<std::string>& list) { return std::find(list.begin(), list.end(), stream.fingerprint) != list.end(); };
         if (isIn(outcome.blamed))
             fail(stream, makeError(ErrorKind::CrashSuspect, "the request was running on several upstreams that crashed"));
-        else if (suspects_.record(stream.fingerprint).deaths >= deathsBeforeTurns) {
+        else if (isIn(outcome.suspects) && suspects_.record(stream.fingerprint).deaths >= deathsBeforeTurns) {
             stream.isWaitingForTurn = true;
             stream.resumeAt = clock_.now() + turnPatience;
         } else {
--- a/tests/ServingTest.cpp
+++ b/tests/ServingTest.cpp
@@ -258,6 +258,26 @@
     }
 }
 
+// Guards against a request that is blamed for the death of an engine which was
+// not running it: its step was at another stage of the pipeline.
+BOOST_AUTO_TEST_CASE(StreamAtAnotherStageIsNotASuspect)
+{
+    ServingFleet fleet;
+    addTwoOfEach(fleet);
+    auto& answer = fleet.submit("r1", prompt, 40);
+    fleet.run(1ms);
+    auto events = fleet.timeline().events("request", "r1");
+    std::string engines = events.back().fields.at("engines");
+    std::string last = engines.substr(engines.rfind(' ') + 1);
+    fleet.killEngine(last);
+    BOOST_TEST(fleet.crashes.empty());
+    fleet.run(1ms);
+    fleet.killEngine(fleet.engine("a1").runningCount() ? "a1" : "a2");
+    BOOST_TEST(fleet.crashes.size() == 1U);
+    fleet.run(5s, [&] { return fleet.isIdle(); });
+    BOOST_TEST(answer.text == fleet.expected(prompt, 40));
+}
+
 // Guards against a large team that takes every place: the small one's requests
 // come late and are still answered soon.
 BOOST_AUTO_TEST_CASE(SmallTeamIsNotStarvedByALargeOne)
