Withdraw a death from the replicated state once the request runs well

Cause: found on reading: the entry VM reported every death of a suspect to the state and never withdrew one, although ClearCrash exists. A request that many callers send would have been blamed after three engine failures in an hour.

Change: clearDeath reports ClearCrash when this VM's suspects have cleared the request after 16 tokens or a whole answer.

Conclusion: the state's counts follow what the entry VMs know.

--- a/include/serving/CompletionService.h
+++ b/include/serving/CompletionService.h
@@ -120,6 +120,8 @@
         // When the stream started on each engine of its pipeline.
         base::TimePoint attemptStartedAt;
         std::vector<std::string> lastDeadEngines;
+        // The engine whose death counts against the request until it is cleared.
+        FactsPointer countedDeath;
         base::HybridTime lastEvent;
     };
     using StreamMap = std::unordered_map<std::string, std::unique_ptr<ActiveStream>>;
@@ -148,6 +150,7 @@
     void giveTurns();
     void resumeDue();
     void expireSteps();
+    void clearDeath(ActiveStream&, bool didComplete);
     void releasePipeline(ActiveStream&);
     void sendCancellations(ActiveStream&);
     void fail(ActiveStream&, const base::Error&);
--- a/src/serving/CompletionService.cpp
+++ b/src/serving/CompletionService.cpp
@@ -317,7 +317,7 @@
     }
     if (progress.token) {
         ++counters_.tokens;
-        suspects_.tokensProduced(stream.fingerprint, stream.session.tokensInAttempt());
+        clearDeath(stream, false);
         if (!stream.answer->token(*progress.token)) {
             fail(stream, makeError(ErrorKind::StreamFailed, "the caller went away or does not read"));
             return;
@@ -329,6 +329,24 @@
         dispatch(stream, *progress.dispatch);
 }
 
+// Withdraws the last death from the replicated state too, once this VM's suspects
+// have cleared the request; otherwise failures of engines of their own would add
+// up there and blame a request that many callers send.
+void CompletionService::clearDeath(ActiveStream& stream, bool didComplete)
+{
+    if (!stream.countedDeath)
+        return;
+    int deaths = suspects_.record(stream.fingerprint).deaths;
+    if (didComplete)
+        suspects_.completed(stream.fingerprint);
+    else
+        suspects_.tokensProduced(stream.fingerprint, stream.session.tokensInAttempt());
+    if (suspects_.record(stream.fingerprint).deaths >= deaths)
+        return;
+    reports_.crashCleared(stream.fingerprint, stream.countedDeath);
+    stream.countedDeath.reset();
+}
+
 void CompletionService::releasePipeline(ActiveStream& stream)
 {
     auto now = clock_.now();
@@ -451,10 +469,8 @@
     releasePipeline(stream);
     stream.session.abandon();
     sendCancellations(stream);
-    if (didComplete)
-        suspects_.completed(stream.fingerprint);
-    else
-        suspects_.cancelled(stream.fingerprint);
+    clearDeath(stream, didComplete);
+    suspects_.cancelled(stream.fingerprint);
     if (stream.isAdmitted)
         admission_.finished(stream.admissionId, stream.session.tokens().size(), clock_.now());
     else
--- a/src/serving/CompletionServiceEngines.cpp
+++ b/src/serving/CompletionServiceEngines.cpp
@@ -155,8 +155,10 @@
     std::vector<std::string> fingerprints;
     for (const auto& id : ids) {
         const auto* awaited = streams_.at(id)->session.awaitedEngine();
-        if (awaited && *awaited == engineId)
+        if (awaited && *awaited == engineId) {
             fingerprints.push_back(streams_.at(id)->fingerprint);
+            streams_.at(id)->countedDeath = engine.facts;
+        }
     }
     timeline_.record("engine-lost", { { "engine", engineId }, { "streams", std::to_string(ids.size()) } });
     // A request counts as alone only if nothing else was on the engine at all.
--- a/tests/ServingFleet.h
+++ b/tests/ServingFleet.h
@@ -33,7 +33,7 @@
         : timeline_(clock_, "entry-1", 100000)
         , service_(clock_, timeline_, makeOptions(slots), *this,
               { [this](const std::string& fingerprint, const serving::FactsPointer& engine, bool) { crashes.push_back(engine->id + " " + fingerprint.substr(0, 8)); },
-                  [](const std::string&, const serving::FactsPointer&) {},
+                  [this](const std::string& fingerprint, const serving::FactsPointer& engine) { clearedCrashes.push_back(engine->id + " " + fingerprint.substr(0, 8)); },
                   [this](const std::string& team, base::ErrorKind kind) { refusals.push_back(fmt::format("{} {}", team, base::errorRule(kind).name)); } })
     {
         auto configuration = std::make_shared<state::Configuration>();
@@ -157,6 +157,7 @@
     // One line for each message and each caller's event.
     std::vector<std::string> trace;
     std::vector<std::string> crashes;
+    std::vector<std::string> clearedCrashes;
     std::vector<std::string> refusals;
 
 private:
--- a/tests/ServingTest.cpp
+++ b/tests/ServingTest.cpp
@@ -278,6 +278,22 @@
     BOOST_TEST(answer.text == fleet.expected(prompt, 40));
 }
 
+// Guards against deaths that add up in the replicated state although the request
+// has run well since: it would be blamed for engines that fail by themselves.
+BOOST_AUTO_TEST_CASE(DeathsAreWithdrawnOnceTheRequestRunsWell)
+{
+    ServingFleet fleet;
+    addTwoOfEach(fleet);
+    auto& answer = fleet.submit("r1", prompt, 60);
+    fleet.run(1ms);
+    fleet.killEngine(fleet.engine("a1").runningCount() ? "a1" : "a2");
+    BOOST_REQUIRE(fleet.crashes.size() == 1U);
+    BOOST_TEST(fleet.clearedCrashes.empty());
+    fleet.run(5s, [&] { return fleet.isIdle(); });
+    BOOST_TEST(answer.text == fleet.expected(prompt, 60));
+    BOOST_TEST(fleet.clearedCrashes == fleet.crashes, boost::test_tools::per_element());
+}
+
 // Guards against a large team that takes every place: the small one's requests
 // come late and are still answered soon.
 BOOST_AUTO_TEST_CASE(SmallTeamIsNotStarvedByALargeOne)
