Use the field's terms for waiting times and isolated runs

Cause: names such as patience, turn and abandon need explaining, and two members were never read.

Change: timeout, isolation, avoidedEngines, exitOnStorageFailure and confirmLeadership; lastEvent and publishedDigest_ are gone. No behaviour changes.

Conclusion: Turn stays inside CrashSuspects, where its comment defines it.

--- a/include/placement/PlacementPlanner.h
+++ b/include/placement/PlacementPlanner.h
@@ -73,7 +73,7 @@
         std::chrono::nanoseconds unloadGrace = std::chrono::seconds(65);
         // Time in which an engine reports what an executed order changed:
         // announcements come each second and gossip takes up to another.
-        std::chrono::nanoseconds reportPatience = std::chrono::seconds(4);
+        std::chrono::nanoseconds reportTimeout = std::chrono::seconds(4);
         std::chrono::nanoseconds firstRetryDelay = std::chrono::seconds(1);
         std::chrono::nanoseconds maxRetryDelay = std::chrono::seconds(60);
     };
--- a/include/serving/CompletionService.h
+++ b/include/serving/CompletionService.h
@@ -114,15 +114,14 @@
         bool isAdmitted = false;
         // At least one step may have reached an engine.
         bool didSend = false;
-        bool isWaitingForTurn = false;
+        bool awaitsIsolation = false;
         std::optional<base::TimePoint> resumeAt;
         base::TimePoint stepSentAt;
         // When the stream started on each engine of its pipeline.
         base::TimePoint attemptStartedAt;
-        std::vector<std::string> lastDeadEngines;
+        std::vector<std::string> avoidedEngines;
         // The engine whose death counts against the request until it is cleared.
         FactsPointer countedDeath;
-        base::HybridTime lastEvent;
     };
     using StreamMap = std::unordered_map<std::string, std::unique_ptr<ActiveStream>>;
 
@@ -147,7 +146,7 @@
     bool launch(ActiveStream&, streams::Pipeline);
     void dispatch(ActiveStream&, const streams::Dispatch&);
     void scheduleResume(ActiveStream&, const std::vector<std::string>& avoided, const std::string& reason);
-    void giveTurns();
+    void startIsolatedRuns();
     void resumeDue();
     void expireSteps();
     void clearDeath(ActiveStream&, bool didComplete);
--- a/src/ctl/AdminClient.cpp
+++ b/src/ctl/AdminClient.cpp
@@ -9,7 +9,7 @@
 using base::Result;
 using web::json::value;
 
-static constexpr std::chrono::seconds patience(10);
+static constexpr std::chrono::seconds timeout(10);
 
 static base::Error errorFromProblem(int status, const value& body)
 {
@@ -36,7 +36,7 @@
     request.headers().add("Authorization", "Bearer " + token_);
     if (body)
         request.set_body(body->serialize(), "application/json");
-    auto result = http::exchangeOnce(url_, request, std::chrono::steady_clock::now() + patience);
+    auto result = http::exchangeOnce(url_, request, std::chrono::steady_clock::now() + timeout);
     const auto* response = std::get_if<http::PlainResponse>(&result);
     if (!response)
         return makeError(ErrorKind::NoUpstream, url_ + " cannot be reached");
--- a/src/entry/ControlPlane.cpp
+++ b/src/entry/ControlPlane.cpp
@@ -18,7 +18,7 @@
 using membership::PeerAddress;
 
 static constexpr base::Logger logger("members");
-static constexpr std::chrono::milliseconds gossipPatience(1000);
+static constexpr std::chrono::milliseconds gossipTimeout(1000);
 // A poll to a replica that does not lead is answered at once; this spaces the
 // attempts while an election runs.
 static constexpr std::chrono::milliseconds rootRetryDelay(40);
@@ -145,7 +145,7 @@
         client->send(kind, std::move(body));
         return;
     }
-    client->request(kind, std::move(body), clock_.now() + gossipPatience, [this, peer](const Result<std::string>& answer) {
+    client->request(kind, std::move(body), clock_.now() + gossipTimeout, [this, peer](const Result<std::string>& answer) {
         if (answer)
             receiveGossipAnswers(peer, answer.value());
     });
--- a/src/entry/ControlPlane.h
+++ b/src/entry/ControlPlane.h
@@ -124,7 +124,6 @@
         std::uint64_t revision = 0;
     };
     std::map<membership::MemberKey, HeldPoll> heldPolls_;
-    std::uint64_t publishedDigest_ = 0;
     std::vector<std::pair<std::string, std::uint64_t>> publishedUsable_;
     std::map<membership::MemberKey, std::uint64_t> goneEntries_;
     std::shared_ptr<transport::ClientThread> clientThread_;
--- a/src/entry/EntryProcess.cpp
+++ b/src/entry/EntryProcess.cpp
@@ -29,7 +29,7 @@
 static constexpr std::chrono::milliseconds tickInterval(10);
 static constexpr int ticksPerControlTick = 2;
 static constexpr std::chrono::milliseconds housekeepingInterval(500);
-static constexpr std::chrono::seconds statePatience(5);
+static constexpr std::chrono::seconds stateTimeout(5);
 static constexpr std::chrono::seconds drainMargin(10);
 
 // What operators may ask of the state. The commands of entry processes are left
@@ -444,7 +444,7 @@
             return;
         }
         bool isPosted = workers_.post([this, request, method, parameters] {
-            auto reply = state_.call(method, parameters, clock_.now() + statePatience);
+            auto reply = state_.call(method, parameters, clock_.now() + stateTimeout);
             if (reply)
                 request.reply(status_codes::OK, http::toJson(reply.value()));
             else
--- a/src/entry/PlacementController.cpp
+++ b/src/entry/PlacementController.cpp
@@ -17,9 +17,9 @@
 static constexpr base::Logger logger("placement");
 static constexpr std::chrono::milliseconds tickInterval(1000);
 static constexpr std::chrono::milliseconds stopCheckInterval(50);
-static constexpr std::chrono::seconds statePatience(2);
+static constexpr std::chrono::seconds stateTimeout(2);
 // A load lasts as long as its download from the rate-limited weight store.
-static constexpr std::chrono::seconds orderPatience(120);
+static constexpr std::chrono::seconds orderTimeout(120);
 static constexpr std::size_t senderThreads = 8;
 static constexpr std::size_t maxQueuedOrders = 1024;
 
@@ -103,7 +103,7 @@
         if (!lease_.needsNumber(sentAt))
             return true;
     }
-    auto reply = state_.propose(state::TakeFencingNumber { "placement", vm_ }, sentAt + statePatience);
+    auto reply = state_.propose(state::TakeFencingNumber { "placement", vm_ }, sentAt + stateTimeout);
     if (!reply || !reply.value().count("number")) {
         logger.warning("The state granted no fencing number.", { { "reason", reply ? "malformed reply" : reply.error().detail } });
         return false;
@@ -195,7 +195,7 @@
     web::http::http_request request(web::http::methods::POST);
     request.set_request_uri("/engine/v1/commands");
     request.set_body(body);
-    std::string failure = describeFailure(http::exchangeOnce(address, request, clock_.now() + orderPatience));
+    std::string failure = describeFailure(http::exchangeOnce(address, request, clock_.now() + orderTimeout));
     fields["result"] = failure.empty() ? "done" : failure;
     timeline_.record("placement-done", fields);
     if (!failure.empty())
--- a/src/entry/ServiceCalls.cpp
+++ b/src/entry/ServiceCalls.cpp
@@ -24,7 +24,7 @@
 static constexpr double retryRatio = 0.1;
 static constexpr double retryBurst = 32;
 static constexpr std::chrono::milliseconds expectedCallTime(20);
-static constexpr std::chrono::milliseconds pendingWritePatience(1000);
+static constexpr std::chrono::milliseconds pendingWriteTimeout(1000);
 
 ServiceCalls::ServiceCalls(const base::Clock& clock, base::Timeline& timeline, std::string dataCentre, std::uint64_t seed, orders::OrderLedger& ledger)
     : clock_(clock)
@@ -162,7 +162,7 @@
             RankedLock lock(mutex_);
             write = pendingWrites_.front();
         }
-        bool isDone = executor_.retry(write, clock_.now() + pendingWritePatience);
+        bool isDone = executor_.retry(write, clock_.now() + pendingWriteTimeout);
         RankedLock lock(mutex_);
         pendingWrites_.pop_front();
         if (!isDone)
--- a/src/entry/StateClient.cpp
+++ b/src/entry/StateClient.cpp
@@ -18,7 +18,7 @@
 using rpc::Parameters;
 
 // A replica that takes longer may be cut off; the next one is asked.
-static constexpr std::chrono::milliseconds attemptPatience(1500);
+static constexpr std::chrono::milliseconds attemptTimeout(1500);
 static constexpr std::chrono::milliseconds roundDelay(50);
 static constexpr std::size_t maxContentTypeBytes = 255;
 
@@ -58,7 +58,7 @@
     for (std::size_t attempt = 0; clock_.now() < deadline; ++attempt) {
         std::size_t index = (first + attempt) % replicaUrls_.size();
         http::RpcClient client(replicaUrls_[index], key_, timeline_);
-        auto reply = client.call(method, parameters, std::min(deadline, clock_.now() + attemptPatience));
+        auto reply = client.call(method, parameters, std::min(deadline, clock_.now() + attemptTimeout));
         if (reply) {
             setLeaderIndex(index);
             return reply;
--- a/src/entry/StateReporter.cpp
+++ b/src/entry/StateReporter.cpp
@@ -9,9 +9,9 @@
 static constexpr base::Logger logger("entry");
 static constexpr std::size_t maxWaitingReports = 10000;
 static constexpr std::chrono::seconds refusalInterval(10);
-static constexpr std::chrono::seconds commitPatience(3);
+static constexpr std::chrono::seconds commitTimeout(3);
 static constexpr std::chrono::milliseconds retryDelay(500);
-static constexpr std::chrono::seconds stopPatience(1);
+static constexpr std::chrono::seconds stopTimeout(1);
 
 StateReporter::StateReporter(const base::Clock& clock, StateClient& client, std::string vm)
     : clock_(clock)
@@ -72,7 +72,7 @@
 
 bool StateReporter::commit(const state::CommandBody& command)
 {
-    auto result = client_.propose(command, clock_.now() + commitPatience);
+    auto result = client_.propose(command, clock_.now() + commitTimeout);
     if (result)
         return true;
     auto kind = result.error().kind;
@@ -92,7 +92,7 @@
         if (clock_.now() >= refusalsDueAt_ || isStopping_)
             queueRefusalCounts();
         if (isStopping_) {
-            stopAt = std::min(stopAt, clock_.now() + stopPatience);
+            stopAt = std::min(stopAt, clock_.now() + stopTimeout);
             if (reports_.empty() || clock_.now() >= stopAt)
                 return;
         }
--- a/src/http/PlainClient.cpp
+++ b/src/http/PlainClient.cpp
@@ -19,11 +19,11 @@
 
 PlainResult exchangeOnce(const std::string& url, web::http::http_request request, base::TimePoint deadline)
 {
-    auto patience = deadline - std::chrono::steady_clock::now();
-    if (patience <= std::chrono::nanoseconds(0))
+    auto timeout = deadline - std::chrono::steady_clock::now();
+    if (timeout <= std::chrono::nanoseconds(0))
         return ExchangeBroken { "the deadline has passed" };
     http_client_config config;
-    config.set_timeout(std::chrono::duration_cast<std::chrono::microseconds>(patience));
+    config.set_timeout(std::chrono::duration_cast<std::chrono::microseconds>(timeout));
     try {
         http_client client(url, config);
         request.headers().add("Connection", "close");
--- a/src/orders/OrderExecutor.cpp
+++ b/src/orders/OrderExecutor.cpp
@@ -14,7 +14,7 @@
 using base::TimePoint;
 
 // How long one write to the ledger may hold up the answer to the caller.
-static constexpr std::chrono::milliseconds recordPatience(1000);
+static constexpr std::chrono::milliseconds recordTimeout(1000);
 
 std::string OrderRequest::digest() const
 {
@@ -109,7 +109,7 @@
 void OrderExecutor::writeOrKeep(PendingWrite write)
 {
     // The caller's answer is true whether or not the record is committed now.
-    if (!retry(write, clock_.now() + recordPatience))
+    if (!retry(write, clock_.now() + recordTimeout))
         keepPending_(std::move(write));
 }
 
--- a/src/placement/PlacementPlanner.cpp
+++ b/src/placement/PlacementPlanner.cpp
@@ -227,7 +227,7 @@
         return;
     if (hasSucceeded) {
         it->second.isExecuted = true;
-        it->second.reportBy = now + options_.reportPatience;
+        it->second.reportBy = now + options_.reportTimeout;
         return;
     }
     noteFailure(it->second.order, detail, now);
--- a/src/replica/ReplicaApi.cpp
+++ b/src/replica/ReplicaApi.cpp
@@ -16,7 +16,7 @@
 using rpc::Parameters;
 
 // Callers give up after 1.5 s and ignore a later result.
-static constexpr std::chrono::milliseconds commandPatience(1400);
+static constexpr std::chrono::milliseconds commandTimeout(1400);
 static constexpr std::size_t maxListedOrders = 1000;
 
 [[noreturn]] static void fail(ErrorKind kind, const std::string& detail) { throw rpc::RpcFailure(http::rpcCode(kind), detail); }
@@ -126,7 +126,7 @@
     if (auto checked = state::decodeCommand(command); !checked)
         fail(checked.error().kind, checked.error().detail);
     auto promise = std::make_shared<std::promise<Result<state::Outcome>>>();
-    node_.propose(std::move(command), clock_.now() + commandPatience, [promise](Result<state::Outcome> outcome) { promise->set_value(std::move(outcome)); });
+    node_.propose(std::move(command), clock_.now() + commandTimeout, [promise](Result<state::Outcome> outcome) { promise->set_value(std::move(outcome)); });
     auto outcome = promise->get_future().get();
     if (!outcome)
         fail(outcome.error().kind, outcome.error().detail);
@@ -137,7 +137,7 @@
 {
     // The state machine may be read only on the loop's thread, inside the call.
     auto promise = std::make_shared<std::promise<Result<Parameters>>>();
-    node_.read(clock_.now() + commandPatience, [promise, query, parameters](Result<const state::StateMachine*> machine) {
+    node_.read(clock_.now() + commandTimeout, [promise, query, parameters](Result<const state::StateMachine*> machine) {
         if (!machine) {
             promise->set_value(machine.error());
             return;
@@ -198,7 +198,7 @@
         // for is audited first; a change that is then refused leaves its request there.
         auto audited = propose("ChangeReplicas", { { "operator", parameter(parameters, "operator") }, { "change", fmt::format("{} {}", wanted, nameOf(replica)) } });
         auto promise = std::make_shared<std::promise<Result<void>>>();
-        node_.changeConfiguration(change.kind, replica, clock_.now() + commandPatience, [promise](Result<void> result) { promise->set_value(std::move(result)); });
+        node_.changeConfiguration(change.kind, replica, clock_.now() + commandTimeout, [promise](Result<void> result) { promise->set_value(std::move(result)); });
         auto result = promise->get_future().get();
         if (!result)
             fail(result.error().kind, result.error().detail);
--- a/src/replica/ReplicaNode.cpp
+++ b/src/replica/ReplicaNode.cpp
@@ -71,7 +71,7 @@
 
 // A failed write or sync leaves unknown content on the disk; only a restart,
 // which reads it again, can determine what is there.
-void ReplicaNode::abandon(const Error& error)
+void ReplicaNode::exitOnStorageFailure(const Error& error)
 {
     logger.error("The storage failed; the process ends.", { { "reason", error.detail } });
     std::_Exit(1);
@@ -120,7 +120,7 @@
         handleInputs(std::move(inputs));
         step(consensus::Tick {});
         flushWrites();
-        proveLeadership();
+        confirmLeadership();
         expireWaiting();
         takeSnapshotIfDue();
         publishStatus();
@@ -184,7 +184,7 @@
 {
     auto machine = state::StateMachine::MakeFromSnapshot(*snapshot.data);
     if (!machine)
-        abandon(machine.error());
+        exitOnStorageFailure(machine.error());
     machine_ = std::move(machine).value();
     snapshotIndex_ = snapshot.meta.index;
 }
@@ -262,10 +262,10 @@
 {
     for (const auto& result : output.reads) {
         bool isGranted = result.status == consensus::ReadStatus::Granted && clock_.now() < result.validUntil;
-        if (result.ticket == proofTicket_) {
-            proofTicket_ = 0;
+        if (result.ticket == leadershipTicket_) {
+            leadershipTicket_ = 0;
             if (isGranted)
-                provedAt_ = clock_.now();
+                leadershipConfirmedAt_ = clock_.now();
             continue;
         }
         auto found = waiting_.find(result.ticket);
@@ -296,7 +296,7 @@
             return lastWrite;
         }
         if (!result)
-            abandon(result.error());
+            exitOnStorageFailure(result.error());
         if (output.compactTo) {
             if (auto compacted = storage_->compact(output.compactTo); !compacted)
                 logger.warning("Old log segments could not be removed.", { { "reason", compacted.error().detail } });
@@ -319,7 +319,7 @@
         if (!lastWrite)
             return;
         if (auto synced = storage_->sync(); !synced)
-            abandon(synced.error());
+            exitOnStorageFailure(synced.error());
         step(consensus::Persisted { lastWrite });
         if (isFull_)
             return;
@@ -355,7 +355,7 @@
     snapshotIndex_ = applied;
     if (!saved) {
         if (saved.error().kind != ErrorKind::StorageFull)
-            abandon(saved.error());
+            exitOnStorageFailure(saved.error());
         logger.warning("The disk is too full for a snapshot.");
         return;
     }
@@ -366,17 +366,17 @@
 }
 
 // Keeps a recent proof of leadership for the configuration feed.
-void ReplicaNode::proveLeadership()
+void ReplicaNode::confirmLeadership()
 {
     if (core_->role() != consensus::Role::Leader) {
-        provedAt_.reset();
-        proofTicket_ = 0;
+        leadershipConfirmedAt_.reset();
+        leadershipTicket_ = 0;
         return;
     }
-    if (proofTicket_)
+    if (leadershipTicket_)
         return;
-    proofTicket_ = nextTicket_++;
-    step(consensus::Read { proofTicket_ });
+    leadershipTicket_ = nextTicket_++;
+    step(consensus::Read { leadershipTicket_ });
 }
 
 void ReplicaNode::publishStatus()
@@ -403,7 +403,7 @@
     status.feedRevision = machine_->configuration().revision;
     status.sheetRevision = machine_->configuration().sheetRevision;
     status.auditHead = machine_->audit().head();
-    status.provedAt = provedAt_;
+    status.leadershipConfirmedAt = leadershipConfirmedAt_;
     RankedLock lock(mutex_);
     status_ = std::move(status);
 }
--- a/src/replica/ReplicaNode.h
+++ b/src/replica/ReplicaNode.h
@@ -38,7 +38,7 @@
     // Digest of the last audit record; replicas with equal applied indexes have equal digests.
     state::RawDigest auditHead {};
     // The last time at which this replica proved that it leads.
-    std::optional<base::TimePoint> provedAt;
+    std::optional<base::TimePoint> leadershipConfirmedAt;
 };
 
 // One replica: a single thread that drives the replication core, its storage and
@@ -129,9 +129,9 @@
     void flushWrites();
     void expireWaiting();
     void takeSnapshotIfDue();
-    void proveLeadership();
+    void confirmLeadership();
     void publishStatus();
-    [[noreturn]] static void abandon(const base::Error&);
+    [[noreturn]] static void exitOnStorageFailure(const base::Error&);
 
     const base::Clock& clock_;
     base::Timeline& timeline_;
@@ -151,8 +151,8 @@
     // Outcomes of entries applied in the current output, by index.
     std::map<consensus::Index, state::Outcome> outcomes_;
     consensus::Ticket nextTicket_ = 1;
-    consensus::Ticket proofTicket_ = 0;
-    std::optional<base::TimePoint> provedAt_;
+    consensus::Ticket leadershipTicket_ = 0;
+    std::optional<base::TimePoint> leadershipConfirmedAt_;
     consensus::Index snapshotIndex_ = 0;
     std::uint64_t snapshotCount_ = 0;
     consensus::Role lastRole_ = consensus::Role::Follower;
--- a/src/replica/ReplicaProcess.cpp
+++ b/src/replica/ReplicaProcess.cpp
@@ -25,7 +25,7 @@
 
 static constexpr base::Logger logger("state");
 static constexpr std::size_t timelineCapacity = 20000;
-static constexpr std::chrono::milliseconds introductionPatience(500);
+static constexpr std::chrono::milliseconds introductionTimeout(500);
 static constexpr std::chrono::milliseconds introductionDelay(100);
 
 std::vector<base::SettingSpec> ReplicaProcess::settingSpecs()
@@ -162,7 +162,7 @@
 
 std::optional<control::ReplicaIntroduction> ReplicaProcess::askPeer(const Peer& peer)
 {
-    auto answer = clients_.at(peer.replica)->call(static_cast<std::uint8_t>(FrameKind::ReplicaHello), control::packTimed({}, ""), clock_.now() + introductionPatience);
+    auto answer = clients_.at(peer.replica)->call(static_cast<std::uint8_t>(FrameKind::ReplicaHello), control::packTimed({}, ""), clock_.now() + introductionTimeout);
     if (!answer)
         return std::nullopt;
     auto introduction = control::unpackIntroduction(answer.value());
@@ -264,7 +264,7 @@
         polls.swap(newPolls_);
     }
     auto now = clock_.now();
-    bool isLeading = status.provedAt && now - *status.provedAt < membership::freshnessLimit;
+    bool isLeading = status.leadershipConfirmedAt && now - *status.leadershipConfirmedAt < membership::freshnessLimit;
     if (!isLeading) {
         membership::FeedAnswer refusal;
         refusal.isRefused = true;
@@ -277,13 +277,13 @@
     }
     auto revision = machine.configuration().revision;
     for (auto& poll : polls) {
-        auto answer = feedParent_.onPoll(poll.poll, revision, status.provedAt, now);
+        auto answer = feedParent_.onPoll(poll.poll, revision, status.leadershipConfirmedAt, now);
         if (answer)
             poll.reply(feedBody(*answer, machine, poll.poll.revision));
         else
             heldPolls_[poll.poll.child] = std::move(poll);
     }
-    for (const auto& outgoing : feedParent_.tick(revision, status.provedAt, now)) {
+    for (const auto& outgoing : feedParent_.tick(revision, status.leadershipConfirmedAt, now)) {
         auto held = heldPolls_.extract(outgoing.child);
         if (held)
             held.mapped().reply(feedBody(outgoing.answer, machine, held.mapped().poll.revision));
--- a/src/serving/CompletionService.cpp
+++ b/src/serving/CompletionService.cpp
@@ -159,7 +159,7 @@
     }
     auto stream = std::move(accepted).value();
     stream->answer = std::move(answer);
-    stream->lastEvent = timeline_.record("request-accepted", { { "request", request.id }, { "team", request.team }, { "model", request.model } });
+    timeline_.record("request-accepted", { { "request", request.id }, { "team", request.team }, { "model", request.model } });
     streamByAdmission_[stream->admissionId] = request.id;
     streams_.emplace(request.id, std::move(stream));
     startAdmitted();
@@ -188,7 +188,7 @@
     query.expectedTokens = spec.maxTokens - stream.session.tokens().size();
     if (stream.didSend)
         query.expectedTokens = std::min(query.expectedTokens, routing::resumeHorizonTokens);
-    query.excluded = stream.lastDeadEngines;
+    query.excluded = stream.avoidedEngines;
     auto otherClass = enginesOfOtherClass(stream.upstreamClass);
     query.excluded.insert(query.excluded.end(), otherClass.begin(), otherClass.end());
     if (mustBeAlone) {
@@ -201,7 +201,7 @@
         }
     }
     auto selected = selector_.select(query, clock_.now());
-    if (!selected && !mustBeAlone && !stream.lastDeadEngines.empty()) {
+    if (!selected && !mustBeAlone && !stream.avoidedEngines.empty()) {
         // An engine that was avoided is better than none.
         query.excluded = otherClass;
         selected = selector_.select(query, clock_.now());
@@ -244,7 +244,7 @@
         return false;
     }
     stream.resumeAt.reset();
-    stream.isWaitingForTurn = false;
+    stream.awaitsIsolation = false;
     stream.attemptStartedAt = now;
     std::string engines;
     for (const auto& stage : pipeline) {
@@ -255,7 +255,7 @@
     }
     bool isResume = stream.didSend;
     counters_.resumes += isResume;
-    stream.lastEvent = timeline_.record(isResume ? "stream-resumed" : "stream-started",
+    timeline_.record(isResume ? "stream-resumed" : "stream-started",
         { { "request", stream.request.id }, { "attempt", std::to_string(stream.session.attempt()) }, { "engines", engines }, { "token", std::to_string(stream.session.tokens().size()) } });
     dispatch(stream, first.value());
     return true;
@@ -371,7 +371,7 @@
 {
     releasePipeline(stream);
     sendCancellations(stream);
-    stream.lastDeadEngines.insert(stream.lastDeadEngines.end(), avoided.begin(), avoided.end());
+    stream.avoidedEngines.insert(stream.avoidedEngines.end(), avoided.begin(), avoided.end());
     stream.resumeAt = clock_.now();
     std::string engines;
     for (const auto& engine : avoided)
@@ -389,7 +389,7 @@
     }
     for (const auto& id : due) {
         ActiveStream& stream = *streams_.at(id);
-        if (stream.isWaitingForTurn)
+        if (stream.awaitsIsolation)
             suspects_.takeTurn(stream.fingerprint);
         startAttempt(stream);
     }
@@ -432,7 +432,7 @@
             fail(*streams_.at(found->second), refusal.error);
     }
     expireSteps();
-    giveTurns();
+    startIsolatedRuns();
     resumeDue();
     startAdmitted();
 }
--- a/src/serving/CompletionServiceEngines.cpp
+++ b/src/serving/CompletionServiceEngines.cpp
@@ -21,9 +21,9 @@
 static constexpr std::size_t minSlots = 4;
 // Most engines die of a fault of their own, so after one death the streams resume
 // at once on other engines; a second death singles a request out.
-static constexpr int deathsBeforeTurns = 2;
+static constexpr int deathsBeforeIsolation = 2;
 // A suspect that found no empty pipeline for this long shares engines.
-static constexpr std::chrono::seconds turnPatience(2);
+static constexpr std::chrono::seconds isolationTimeout(2);
 
 // The kinds of accelerators that announcements may name; others count as the last.
 static routing::AcceleratorKind acceleratorKind(const std::string& name)
@@ -174,9 +174,9 @@
         auto isIn = [&](const std::vector<std::string>& list) { return std::find(list.begin(), list.end(), stream.fingerprint) != list.end(); };
         if (isIn(outcome.blamed))
             fail(stream, makeError(ErrorKind::CrashSuspect, "the request was running on several upstreams that crashed"));
-        else if (isIn(outcome.suspects) && suspects_.record(stream.fingerprint).deaths >= deathsBeforeTurns) {
-            stream.isWaitingForTurn = true;
-            stream.resumeAt = clock_.now() + turnPatience;
+        else if (isIn(outcome.suspects) && suspects_.record(stream.fingerprint).deaths >= deathsBeforeIsolation) {
+            stream.awaitsIsolation = true;
+            stream.resumeAt = clock_.now() + isolationTimeout;
         } else {
             suspects_.takeTurn(stream.fingerprint);
             startAttempt(stream);
@@ -186,11 +186,11 @@
 }
 
 // Resumes suspects, each on a pipeline of engines without other streams.
-void CompletionService::giveTurns()
+void CompletionService::startIsolatedRuns()
 {
     std::vector<std::string> waiting;
     for (const auto& [id, stream] : streams_) {
-        if (stream->isWaitingForTurn)
+        if (stream->awaitsIsolation)
             waiting.push_back(id);
     }
     for (const auto& id : waiting) {
--- a/tools/fakes/common/Announcer.cpp
+++ b/tools/fakes/common/Announcer.cpp
@@ -5,7 +5,7 @@
 namespace arbutus::fakes {
 
 static constexpr std::chrono::milliseconds announceInterval(1000);
-static constexpr std::chrono::milliseconds announcePatience(900);
+static constexpr std::chrono::milliseconds announceTimeout(900);
 
 Announcer::Announcer(std::vector<std::string> entryUrls, Facts facts)
     : entryUrls_(std::move(entryUrls))
@@ -52,7 +52,7 @@
         web::http::http_request request(web::http::methods::POST);
         request.set_request_uri("/v1/announce");
         request.set_body(body, "application/json");
-        auto result = http::exchangeOnce(url, request, std::chrono::steady_clock::now() + announcePatience);
+        auto result = http::exchangeOnce(url, request, std::chrono::steady_clock::now() + announceTimeout);
         const auto* response = std::get_if<http::PlainResponse>(&result);
         if (!response || response->status != web::http::status_codes::OK)
             continue;
