--- a/include/base/Clock.h
+++ b/include/base/Clock.h
@@ -24,6 +24,14 @@
     WallTime onWallNow() const override;
 };
 
+// Monotonic time that goes on while the machine is suspended, so that a lease
+// that ended during a suspension is seen to have ended.
+class BootClock final : public Clock {
+private:
+    TimePoint onNow() const override;
+    WallTime onWallNow() const override;
+};
+
 // A clock that advances only by explicit calls.
 class VirtualClock final : public Clock {
 public:
--- a/include/consensus/ReplicaCore.h
+++ b/include/consensus/ReplicaCore.h
@@ -182,6 +182,9 @@
     const Configuration& configuration() const { return log_.configuration(); }
     // The end of the lease of a leader; in the past for any other role.
     base::TimePoint leaseEnd() const;
+    // The peers that have answered this leader within an election timeout; empty at
+    // any other role.
+    std::vector<ReplicaKey> activePeers() const;
     // Messages dropped because they contradict the protocol.
     std::uint64_t rejectedMessageCount() const { return rejectedMessageCount_; }
 
--- a/include/control/Frames.h
+++ b/include/control/Frames.h
@@ -20,6 +20,10 @@
     Gossip,
     Heartbeat,
     FeedPoll,
+    // Asks a control VM for upstreams, routes and loads.
+    FleetPoll,
+    // Asks the leader to take a replica in.
+    ReplicaJoin,
 };
 
 // Joins the sender's hybrid time to a body, so that what the receiver does
--- /dev/null
+++ b/include/fleet/FleetSource.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "include/fleet/FleetMessages.h"
+#include "include/fleet/UpstreamRegistry.h"
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <optional>
+
+namespace arbutus::fleet {
+
+// The side of a control VM that answers polls: at once when something is new for
+// the asker, else when the poll's hold time is over.
+class FleetSource {
+public:
+    using Reply = std::function<void(std::string)>;
+
+    // `epoch` differs at every start of the process; `registry` must outlive this.
+    FleetSource(const UpstreamRegistry& registry, std::uint64_t epoch)
+        : registry_(registry)
+        , epoch_(epoch)
+    {
+    }
+
+    void setRoutes(std::uint64_t version, std::shared_ptr<const std::string> document);
+    void setReplicas(std::vector<std::uint32_t> ips) { replicas_ = std::move(ips); }
+
+    void poll(FleetPoll, Reply, base::TimePoint now);
+    // Answers every held poll that something is new for or whose time is over.
+    void answerHeld(base::TimePoint now);
+
+    std::size_t entryCount(base::TimePoint now) const;
+    // The work of all entry VMs, by upstream.
+    std::map<std::string, UpstreamWork> totalWork(base::TimePoint now) const { return workExcept({}, now); }
+
+private:
+    struct Held {
+        FleetPoll poll;
+        Reply reply;
+        base::TimePoint deadline;
+    };
+    struct Entry {
+        base::TimePoint heardAt;
+        std::vector<UpstreamWork> work;
+    };
+
+    bool hasNews(const FleetPoll&) const;
+    FleetAnswer answer(const FleetPoll&, base::TimePoint now) const;
+    std::map<std::string, UpstreamWork> workExcept(const std::string& sender, base::TimePoint now) const;
+
+    const UpstreamRegistry& registry_;
+    const std::uint64_t epoch_;
+    std::uint64_t routesVersion_ = 0;
+    std::shared_ptr<const std::string> routes_;
+    std::vector<std::uint32_t> replicas_;
+    std::list<Held> held_;
+    std::map<std::string, Entry> entries_;
+};
+
+} // namespace arbutus::fleet
--- /dev/null
+++ b/include/fleet/UpstreamFact.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "include/net/Endpoint.h"
+
+#include <msgpack.hpp>
+
+#include <cstdint>
+#include <string>
+#include <tuple>
+
+namespace arbutus::fleet {
+
+enum class UpstreamState : std::uint8_t {
+    Ready,
+    // Finishes its work and takes none.
+    Leaving,
+    // Has said that it ends.
+    Gone,
+    // Has not been heard from for several heartbeats.
+    Silent,
+};
+
+} // namespace arbutus::fleet
+
+MSGPACK_ADD_ENUM(arbutus::fleet::UpstreamState)
+
+namespace arbutus::fleet {
+
+// A range of layers, `to` not included; empty when both are equal.
+struct LayerRange {
+    int from = 0;
+    int to = 0;
+    MSGPACK_DEFINE(from, to)
+
+    int count() const { return to - from; }
+    friend bool operator==(const LayerRange& left, const LayerRange& right) { return left.from == right.from && left.to == right.to; }
+    friend bool operator!=(const LayerRange& left, const LayerRange& right) { return !(left == right); }
+};
+
+// What an upstream last said of itself.
+struct UpstreamFact {
+    std::string id;
+    // Unix milliseconds of its start; tells incarnations with the same id apart.
+    std::int64_t bornMilliseconds = 0;
+    // Rises with every report of one incarnation.
+    std::uint64_t sequence = 0;
+    // The control VM that hears its reports.
+    std::string registrar;
+    std::string service;
+    std::uint32_t ip = 0;
+    std::uint16_t port = 0;
+    std::string dataCentre;
+    UpstreamState state = UpstreamState::Ready;
+    // Requests at once; 0 when it is not known.
+    int slots = 0;
+    std::string accelerator;
+    LayerRange layers;
+
+    MSGPACK_DEFINE(id, bornMilliseconds, sequence, registrar, service, ip, port, dataCentre, state, slots, accelerator, layers)
+
+    net::Endpoint endpoint() const { return { ip, port }; }
+    // The order of reports of the same upstream.
+    auto order() const { return std::make_tuple(bornMilliseconds, sequence); }
+    // Whether others must be told of a change from `older`.
+    bool differsFrom(const UpstreamFact& older) const;
+};
+
+} // namespace arbutus::fleet
--- /dev/null
+++ b/include/fleet/UpstreamRegistry.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "include/base/Time.h"
+#include "include/fleet/UpstreamFact.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace arbutus::fleet {
+
+// The upstreams by their own reports. Facts of one upstream are ordered by
+// (start, sequence), so merging them is idempotent and late reports are harmless.
+// Every accepted change gets a revision, by which others ask for what is new.
+class UpstreamRegistry {
+public:
+    // Applies a fact. Returns whether anything changed that others must know.
+    bool apply(const UpstreamFact&, base::TimePoint now);
+
+    // Applies an upstream's own report, heard by `registrar`. The sequence of a
+    // farewell that carries none is taken to follow the last known one.
+    bool report(UpstreamFact, const std::string& registrar, base::TimePoint now);
+    // Marks an upstream as gone. An unknown one is remembered as gone, so that a
+    // late report does not bring it back. `bornMilliseconds` is 0 if it is not said.
+    void farewell(const std::string& id, std::int64_t bornMilliseconds, const std::string& registrar, base::TimePoint now);
+
+    // Marks upstreams as silent that `isAuthority` is answerable for and that have
+    // not reported since `before`.
+    void lapse(base::TimePoint before, const std::function<bool(const UpstreamFact&)>& isAuthority, base::TimePoint now);
+    // Gives every upstream a full period again, after this process stood still.
+    void restartPeriods(base::TimePoint now);
+    // Forgets what has been gone or silent since before `before`.
+    void forget(base::TimePoint before);
+
+    std::uint64_t revision() const { return revision_; }
+    // All facts whose last change has a revision above `revision`.
+    std::vector<UpstreamFact> changesSince(std::uint64_t revision) const;
+    const UpstreamFact* find(const std::string& id) const;
+    // In the order of their ids.
+    std::vector<const UpstreamFact*> all() const;
+
+private:
+    struct Record {
+        UpstreamFact fact;
+        std::uint64_t revision = 0;
+        base::TimePoint heardAt;
+        base::TimePoint changedAt;
+    };
+
+    bool isDisplaced(const UpstreamFact&) const;
+    void displaceOthers(const UpstreamFact&, base::TimePoint now);
+    void store(const UpstreamFact&, base::TimePoint now);
+
+    std::map<std::string, Record> records_;
+    std::uint64_t revision_ = 0;
+};
+
+} // namespace arbutus::fleet
--- /dev/null
+++ b/include/routing/LayerPathSelector.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "include/base/Time.h"
+#include "include/fleet/UpstreamFact.h"
+#include "include/routes/RouteConfiguration.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace arbutus::routing {
+
+// A part of a path: the layers that one engine runs.
+struct PathStage {
+    std::string upstream;
+    net::Endpoint endpoint;
+    fleet::LayerRange layers;
+    // When any stream of this VM last got something through this engine; shared by
+    // all paths that use it.
+    std::shared_ptr<base::TimePoint> progressAt;
+};
+
+using LayerPath = std::vector<PathStage>;
+
+// The size of a request, in tokens.
+struct StreamSize {
+    double prompt = 0;
+    double answer = 0;
+};
+
+// The work at one engine.
+struct EngineWork {
+    double running = 0;
+    // Reserved cache, in tokens times layers.
+    double cacheTokenLayers = 0;
+};
+
+// Chooses the engines that an answer's tokens run through: every layer once and
+// in order, with room in the memory of each engine, the least expected time, and
+// the caller's data centre where that costs little. It counts what this VM has
+// sent itself and what others say that they have sent.
+class LayerPathSelector {
+public:
+    LayerPathSelector(routes::LayeredModel model, std::string dataCentre)
+        : model_(std::move(model))
+        , dataCentre_(std::move(dataCentre))
+    {
+    }
+
+    void setModel(routes::LayeredModel model) { model_ = std::move(model); }
+    const routes::LayeredModel& model() const { return model_; }
+
+    // Replaces what is known of one engine; an engine that takes no work is removed.
+    void setEngine(const fleet::UpstreamFact&);
+    void removeEngine(const std::string& upstream);
+    void setOthersWork(std::map<std::string, EngineWork> work) { others_ = std::move(work); }
+
+    // Avoids an engine until `until`, after a failure on it.
+    void suspect(const std::string& upstream, base::TimePoint until);
+    void clearSuspicion(const std::string& upstream) { suspectUntil_.erase(upstream); }
+
+    // Returns nothing if no complete path has room. Engines in `avoided` are left out.
+    std::optional<LayerPath> choose(const StreamSize&, const std::set<std::string>& avoided, base::TimePoint now) const;
+    // Whether any complete path exists, with room or not.
+    bool hasPath(base::TimePoint now) const;
+    void reserve(const LayerPath&, const StreamSize&);
+    void release(const LayerPath&, const StreamSize&);
+
+    // What this VM has at each engine.
+    const std::map<std::string, EngineWork>& ownWork() const { return own_; }
+
+private:
+    struct Engine {
+        fleet::UpstreamFact fact;
+        double megabytes = 0;
+        double pace = 1;
+        double readFactor = 1;
+        std::shared_ptr<base::TimePoint> progressAt;
+    };
+    struct Step {
+        double cost = 0;
+        // Time of one token so far.
+        double tokenTime = 0;
+        const Engine* engine = nullptr;
+        int previous = -1;
+    };
+
+    EngineWork workAt(const std::string& upstream) const;
+    bool hasRoom(const Engine&, int layers, const StreamSize&, const EngineWork&) const;
+    double tokenMilliseconds(const Engine&, int layers, const EngineWork&) const;
+    double stageCost(const Engine&, int layers, const StreamSize&, const EngineWork&) const;
+    double crossingCost(const Engine* previous, const Engine& next, const StreamSize&) const;
+    std::vector<const Engine*> usableEngines(const std::set<std::string>& avoided, base::TimePoint now) const;
+    std::optional<LayerPath> search(const std::vector<const Engine*>&, const StreamSize&, bool checksRoom) const;
+
+    routes::LayeredModel model_;
+    std::string dataCentre_;
+    std::map<std::string, Engine> engines_;
+    std::map<std::string, EngineWork> own_;
+    std::map<std::string, EngineWork> others_;
+    std::map<std::string, base::TimePoint> suspectUntil_;
+};
+
+} // namespace arbutus::routing
--- a/include/state/Commands.h
+++ b/include/state/Commands.h
@@ -181,8 +181,26 @@
     MSGPACK_DEFINE(operatorName, change)
 };
 
+// A whole route configuration under its sender's version. A version that is not
+// higher than the stored one changes nothing.
+struct ReplaceRoutes {
+    std::uint64_t version = 0;
+    // In the sender's own form; validated before it is proposed.
+    std::string document;
+
+    MSGPACK_DEFINE(version, document)
+};
+
+// The layers that each engine is to hold, in the form of the placement module.
+struct SetLayerPlan {
+    std::uint64_t revision = 0;
+    std::string plan;
+
+    MSGPACK_DEFINE(revision, plan)
+};
+
 // The position of a type in this list is its number in the log: append only.
-using CommandBody = std::variant<ApplySheet, ClaimOrder, RecordOutcome, CloseClaim, ResolveOrder, DeclareEntryGone, RecordOrderRefusal, RecordRefusals, SetDrain, RecordCrash, ClearCrash, TakeFencingNumber, TrimAudit, ChangeReplicas>;
+using CommandBody = std::variant<ApplySheet, ClaimOrder, RecordOutcome, CloseClaim, ResolveOrder, DeclareEntryGone, RecordOrderRefusal, RecordRefusals, SetDrain, RecordCrash, ClearCrash, TakeFencingNumber, TrimAudit, ChangeReplicas, ReplaceRoutes, SetLayerPlan>;
 
 struct Command {
     // The wall clock of the proposer.
--- a/include/state/Outcome.h
+++ b/include/state/Outcome.h
@@ -96,7 +96,15 @@
     std::uint64_t number = 0;
 };
 
-using Outcome = std::variant<NoCommand, Accepted, Refusal, SheetAccepted, SheetRefused, ClaimReply, CrashReply, FencingNumber>;
+// What became of a route configuration or a layer plan.
+struct VersionStored {
+    // The version in force after the command.
+    std::uint64_t inForce = 0;
+    // The command's own content is in force.
+    bool isAdopted = false;
+};
+
+using Outcome = std::variant<NoCommand, Accepted, Refusal, SheetAccepted, SheetRefused, ClaimReply, CrashReply, FencingNumber, VersionStored>;
 
 // The stable name of an outcome, as it stands in audit records.
 std::string_view resultName(const Outcome&);
--- a/include/state/StateMachine.h
+++ b/include/state/StateMachine.h
@@ -7,6 +7,7 @@
 #include "include/state/OrderLedger.h"
 #include "include/state/Outcome.h"
 #include "include/state/SheetHistory.h"
+#include "include/state/VersionedDocument.h"
 
 #include <cstdint>
 #include <memory>
@@ -47,6 +48,9 @@
     const OrderLedger& orders() const { return orders_; }
     const CrashLedger& crashes() const { return crashes_; }
     const AuditChain& audit() const { return audit_; }
+    // The route configuration in force.
+    const VersionedDocument& routes() const { return routes_; }
+    const VersionedDocument& layerPlan() const { return layerPlan_; }
 
 private:
     Outcome applyBody(const ApplySheet&, base::WallTime proposedAt);
@@ -63,6 +67,8 @@
     Outcome applyBody(const TakeFencingNumber&, base::WallTime proposedAt);
     Outcome applyBody(const TrimAudit&, base::WallTime proposedAt);
     Outcome applyBody(const ChangeReplicas&, base::WallTime proposedAt);
+    Outcome applyBody(const ReplaceRoutes&, base::WallTime proposedAt);
+    Outcome applyBody(const SetLayerPlan&, base::WallTime proposedAt);
 
     void advanceTime(base::WallTime);
     void publishBlames();
@@ -79,6 +85,8 @@
     OrderLedger orders_;
     CrashLedger crashes_;
     AuditChain audit_;
+    VersionedDocument routes_;
+    VersionedDocument layerPlan_;
 };
 
 } // namespace arbutus::state
--- a/src/base/Clock.cpp
+++ b/src/base/Clock.cpp
@@ -1,5 +1,7 @@
 #include "include/base/Clock.h"
 
+#include <ctime>
+
 namespace arbutus::base {
 
 TimePoint SystemClock::onNow() const { return std::chrono::steady_clock::now(); }
@@ -9,6 +11,18 @@
     return std::chrono::time_point_cast<std::chrono::microseconds>(std::chrono::system_clock::now());
 }
 
+TimePoint BootClock::onNow() const
+{
+    timespec now {};
+    ::clock_gettime(CLOCK_BOOTTIME, &now);
+    return TimePoint(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
+}
+
+WallTime BootClock::onWallNow() const
+{
+    return std::chrono::time_point_cast<std::chrono::microseconds>(std::chrono::system_clock::now());
+}
+
 TimePoint VirtualClock::onNow() const { return TimePoint(elapsed_); }
 
 WallTime VirtualClock::onWallNow() const
--- a/src/consensus/ReplicaCoreLeader.cpp
+++ b/src/consensus/ReplicaCoreLeader.cpp
@@ -110,6 +110,16 @@
     return static_cast<std::size_t>(active) >= candidate.majority();
 }
 
+std::vector<ReplicaKey> ReplicaCore::activePeers() const
+{
+    std::vector<ReplicaKey> active;
+    for (const auto& [key, peer] : peers_) {
+        if (role_ == Role::Leader && isActive(peer))
+            active.push_back(key);
+    }
+    return active;
+}
+
 ProposalStatus ReplicaCore::checkChange(const ChangeConfiguration& change, Configuration& changed) const
 {
     if (const ProposalStatus status = checkLeadership(); status != ProposalStatus::Accepted)
--- a/src/control/CommandCodec.cpp
+++ b/src/control/CommandCodec.cpp
@@ -267,6 +267,26 @@
     command = { reader.text("operator"), reader.text("change") };
 }
 
+static Parameters writeCommand(const state::ReplaceRoutes& command)
+{
+    return { { "version", std::to_string(command.version) }, { "document", command.document } };
+}
+
+static void readCommand(ParameterReader& reader, state::ReplaceRoutes& command)
+{
+    command = { reader.number("version"), reader.text("document") };
+}
+
+static Parameters writeCommand(const state::SetLayerPlan& command)
+{
+    return { { "revision", std::to_string(command.revision) }, { "plan", base::toBase64(command.plan) } };
+}
+
+static void readCommand(ParameterReader& reader, state::SetLayerPlan& command)
+{
+    command = { reader.number("revision"), reader.bytes("plan") };
+}
+
 template <std::size_t Index>
 static state::CommandBody readAlternative(ParameterReader& reader)
 {
@@ -375,6 +395,11 @@
 
 static Parameters writeOutcome(const state::FencingNumber& number) { return { { "number", std::to_string(number.number) } }; }
 
+static Parameters writeOutcome(const state::VersionStored& stored)
+{
+    return { { "inForce", std::to_string(stored.inForce) }, { "adopted", flagText(stored.isAdopted) } };
+}
+
 Parameters toParameters(const state::Outcome& outcome)
 {
     auto parameters = std::visit([](const auto& alternative) { return writeOutcome(alternative); }, outcome);
--- /dev/null
+++ b/src/fleet/PeerLinks.cpp
@@ -0,0 +1,41 @@
+#include "include/fleet/PeerLinks.h"
+
+#include "include/base/LockRanks.h"
+#include "include/base/Logger.h"
+#include "include/net/Endpoint.h"
+
+namespace arbutus::fleet {
+
+static constexpr base::Logger logger("fleet");
+static constexpr std::chrono::milliseconds connectLimit(600);
+static constexpr std::chrono::milliseconds maxRetryDelay(300);
+
+PeerLinks::PeerLinks(Options options)
+    : options_(std::move(options))
+    , thread_(transport::ClientThread::Make())
+    , mutex_(base::lock_rank::membership)
+{
+}
+
+transport::FrameClient* PeerLinks::link(std::uint32_t ip)
+{
+    base::RankedLock lock(mutex_);
+    if (auto found = links_.find(ip); found != links_.end())
+        return found->second.get();
+    transport::FrameClientOptions client;
+    client.address = net::ipText(ip);
+    client.port = options_.port;
+    client.sharedKey = options_.sharedKey;
+    client.id = options_.self;
+    client.seed = options_.seed + ip;
+    client.connectLimit = connectLimit;
+    client.maxRetryDelay = maxRetryDelay;
+    auto made = transport::FrameClient::Make(thread_, client);
+    if (!made) {
+        logger.error("No link to a control VM can be made.", { { "vm", client.address }, { "reason", made.error().detail } });
+        return nullptr;
+    }
+    return links_.emplace(ip, std::move(made).value()).first->second.get();
+}
+
+} // namespace arbutus::fleet
--- /dev/null
+++ b/src/forwarding/Exchange.cpp
@@ -0,0 +1,500 @@
+#include "src/forwarding/Exchange.h"
+
+#include "include/base/Logger.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+
+namespace arbutus::forwarding {
+
+using base::ErrorKind;
+using base::makeError;
+using base::TimePoint;
+using routes::RequestKind;
+using routing::CallResult;
+
+static constexpr base::Logger logger("gate");
+
+// Connections to a VM without power do not fail by themselves.
+static constexpr std::chrono::milliseconds connectTimeout(400);
+// A stream without news for this long is checked against the other streams of its
+// engines; callers leave after 2 s.
+static constexpr std::chrono::milliseconds firstEventStall(900);
+static constexpr std::chrono::milliseconds nextEventStall(550);
+// A stream that stands still although its engines serve others goes elsewhere later.
+static constexpr std::chrono::milliseconds loneStall(1500);
+// A call that may be repeated is sent elsewhere after this part of its timeout.
+static constexpr double safeStallShare = 0.4;
+// An engine whose other streams had news within this time is at work.
+static constexpr std::chrono::milliseconds recentProgress(150);
+static constexpr std::chrono::milliseconds suspectAfterSilence(2000);
+static constexpr std::chrono::milliseconds suspectAfterLoss(500);
+static constexpr std::chrono::milliseconds suspectAfterRefusal(300);
+// Sends beyond the allowed runs, where an upstream has stated that it ran nothing.
+static constexpr int extraSends = 2;
+// Answers up to this size are kept until they are complete, so that a broken one
+// can be replaced.
+static constexpr std::size_t maxKeptBody = std::size_t { 256 } << 10;
+static constexpr std::size_t maxPendingToCaller = std::size_t { 256 } << 10;
+// Reuse of an idle connection risks that the upstream closes it meanwhile; a call
+// that cannot be repeated takes less of that risk.
+static constexpr double keepAliveShareSafe = 0.8;
+static constexpr double keepAliveShareUnsafe = 0.4;
+// Spread of the time after which a refused caller is asked to come back.
+static constexpr double retryAfterMinMs = 400;
+static constexpr double retryAfterMaxMs = 1400;
+
+Exchange::Exchange(Gate& gate, std::shared_ptr<http1::ServerConnection> caller, http1::Request request)
+    : gate_(gate)
+    , caller_(std::move(caller))
+    , request_(std::move(request))
+    , facts_(gate.dialect_.readRequest(request_.head))
+    , table_(gate.routes_)
+{
+}
+
+Exchange::~Exchange()
+{
+    if (connection_)
+        connection_->abandon();
+}
+
+void Exchange::start()
+{
+    ++gate_.counters_.requests;
+    if (auto admitted = admit(); !admitted) {
+        refuse(admitted.error());
+        return;
+    }
+    const auto& name = routes::pickService(*route_, gate_.random_.unit());
+    service_ = &gate_.service(name);
+    service_->retries.recordRequest(request_.arrivedAt);
+    auto timeout = std::min(route_->timeout, facts_.patience.value_or(route_->timeout));
+    deadline_ = request_.arrivedAt + timeout;
+    if (facts_.size)
+        size_ = *facts_.size;
+    if (!sendNext())
+        refuse(makeError(ErrorKind::NoUpstream, "no upstream of the service has room"));
+}
+
+base::Result<void> Exchange::admit()
+{
+    if (!table_)
+        return makeError(ErrorKind::StaleConfiguration, "this VM has no configuration yet");
+    route_ = table_->match(facts_.host, request_.head.target);
+    if (!route_)
+        return makeError(ErrorKind::NotFound, "no route leads to this host and path");
+    if (facts_.key)
+        team_ = table_->teamOf(*facts_.key);
+    if (table_->needsKeys() && !route_->isPublic && !team_)
+        return makeError(ErrorKind::Unauthorized, "the key is missing or not known");
+    return base::outcome::success();
+}
+
+bool Exchange::isRepeatable() const { return route_->kind == RequestKind::Safe || (route_->kind == RequestKind::Streaming && route_->mayResume); }
+
+bool Exchange::sendNext()
+{
+    return service_->paths ? choosePath() : chooseUpstream();
+}
+
+bool Exchange::choosePath()
+{
+    auto path = service_->paths->choose(size_, avoided_, std::chrono::steady_clock::now());
+    if (!path)
+        return false;
+    path_ = std::move(*path);
+    upstream_ = path_.front().upstream;
+    service_->paths->reserve(path_, size_);
+    sendTo(path_.front().endpoint);
+    return true;
+}
+
+bool Exchange::chooseUpstream()
+{
+    auto upstream = service_->balancer->choose(avoided_, std::chrono::steady_clock::now());
+    if (!upstream)
+        return false;
+    path_.clear();
+    upstream_ = upstream->id;
+    service_->balancer->started(upstream_);
+    sendTo(upstream->endpoint());
+    return true;
+}
+
+void Exchange::sendTo(const net::Endpoint& endpoint)
+{
+    sentAt_ = progressAt_ = std::chrono::steady_clock::now();
+    ++sends_;
+    ++runs_;
+    head_.reset();
+    body_.clear();
+    isStream_ = false;
+    events_.restart();
+    connection_ = gate_.pool_.take(endpoint, isRepeatable() ? keepAliveShareSafe : keepAliveShareUnsafe, sentAt_);
+    connection_->send(requestHead(), request_.body, request_.head.method == "HEAD", *this, std::min(deadline_, sentAt_ + connectTimeout));
+}
+
+std::string Exchange::requestHead() const
+{
+    const auto& head = request_.head;
+    std::string text = fmt::format("{} {} HTTP/1.1\r\n", head.method, head.target);
+    const auto* connection = head.fields.find("Connection");
+    for (const auto& [name, value] : head.fields) {
+        if (!http1::isHopField(name, connection) && !http1::equalIgnoringCase(name, "Expect") && !gate_.dialect_.isOwnField(name))
+            http1::appendField(text, name, value);
+    }
+    UpstreamCall call;
+    call.timeLeft = std::max(std::chrono::milliseconds(1), std::chrono::duration_cast<std::chrono::milliseconds>(deadline_ - sentAt_));
+    call.expectedUpstream = upstream_;
+    if (team_)
+        call.team = team_->name;
+    call.path = path_;
+    call.lastEventId = events_.lastId() ? events_.lastId() : facts_.lastEventId;
+    gate_.dialect_.appendCall(text, call);
+    if (!request_.body.empty() || head.fields.has("Content-Length") || head.fields.has("Transfer-Encoding"))
+        http1::appendField(text, "Content-Length", fmt::format("{}", request_.body.size()));
+    text.append("\r\n");
+    return text;
+}
+
+ResponseOwner Exchange::onOwnerOf(const http1::ResponseHead& head) const
+{
+    auto facts = gate_.dialect_.readResponse(head);
+    if (!facts.requestId)
+        return ResponseOwner::Unknown;
+    return *facts.requestId == facts_.requestId ? ResponseOwner::Own : ResponseOwner::Foreign;
+}
+
+void Exchange::onHead(const http1::ResponseHead& head)
+{
+    auto self = shared_from_this();
+    responseFacts_ = gate_.dialect_.readResponse(head);
+    connection_->setKeepAlive(responseFacts_.keepAlive);
+    head_ = head;
+    bool isSuccess = head.status >= 200 && head.status < 300;
+    if (isSuccess && (!responseFacts_.isSigned || responseFacts_.isEncoded)) {
+        connection_->abandon();
+        endAttempt(AttemptEnd::Lost);
+        return;
+    }
+    isStream_ = isSuccess && route_->kind == RequestKind::Streaming;
+}
+
+void Exchange::onBody(std::string_view bytes)
+{
+    auto self = shared_from_this();
+    if (isStream_)
+        takeEvents(bytes);
+    else
+        takePlainBody(bytes);
+    if (caller_ && connection_ && caller_->pendingBytes() > maxPendingToCaller)
+        connection_->setReading(false);
+}
+
+void Exchange::takeEvents(std::string_view bytes)
+{
+    std::string events = events_.feed(bytes);
+    if (events.empty())
+        return;
+    progressAt_ = std::chrono::steady_clock::now();
+    for (const auto& stage : path_)
+        *stage.progressAt = progressAt_;
+    if (!caller_)
+        return;
+    if (!isRelaying_)
+        beginRelay(std::nullopt);
+    caller_->sendBody(events);
+}
+
+void Exchange::takePlainBody(std::string_view bytes)
+{
+    progressAt_ = std::chrono::steady_clock::now();
+    if (isRelaying_) {
+        if (caller_)
+            caller_->sendBody(bytes);
+        return;
+    }
+    body_.append(bytes);
+    bool isUsable = head_->status >= 200 && head_->status < 300;
+    if (body_.size() <= maxKeptBody || !isUsable || !caller_)
+        return;
+    beginRelay(head_->contentLength);
+    caller_->sendBody(body_);
+    body_.clear();
+}
+
+http1::Response Exchange::responseFrom(const http1::ResponseHead& head) const
+{
+    http1::Response response;
+    response.status = head.status;
+    response.reason = head.reason;
+    const auto* connection = head.fields.find("Connection");
+    for (const auto& [name, value] : head.fields) {
+        if (!http1::isHopField(name, connection))
+            response.fields.add(name, value);
+    }
+    return response;
+}
+
+void Exchange::beginRelay(std::optional<std::uint64_t> length)
+{
+    isRelaying_ = true;
+    caller_->beginResponse(responseFrom(*head_), length);
+}
+
+void Exchange::onDone()
+{
+    auto self = shared_from_this();
+    if (!isStream_) {
+        completePlain();
+        return;
+    }
+    releaseChoice(CallResult::Answered);
+    if (caller_) {
+        if (!isRelaying_)
+            beginRelay(std::nullopt);
+        caller_->sendBody(events_.takePartial());
+        caller_->finishResponse();
+    }
+    ++gate_.counters_.answered;
+    finish();
+}
+
+void Exchange::completePlain()
+{
+    if (isRelaying_) {
+        releaseChoice(CallResult::Answered);
+        if (caller_)
+            caller_->finishResponse();
+        ++gate_.counters_.answered;
+        finish();
+        return;
+    }
+    if (responseFacts_.isNotRun) {
+        endAttempt(AttemptEnd::NotRun);
+        return;
+    }
+    auto answer = responseFrom(*head_);
+    answer.body = std::move(body_);
+    if (head_->status >= 500) {
+        failedAnswer_ = std::move(answer);
+        endAttempt(AttemptEnd::Failed);
+        return;
+    }
+    releaseChoice(CallResult::Answered);
+    if (caller_)
+        caller_->send(answer);
+    ++gate_.counters_.answered;
+    finish();
+}
+
+void Exchange::onBroken(Break reason)
+{
+    auto self = shared_from_this();
+    endAttempt(reason == Break::NotSent ? AttemptEnd::NotSent : AttemptEnd::Lost);
+}
+
+void Exchange::releaseChoice(CallResult result)
+{
+    connection_.reset();
+    if (!path_.empty())
+        service_->paths->release(path_, size_);
+    else if (service_->balancer && !upstream_.empty())
+        service_->balancer->finished(upstream_, result, std::chrono::steady_clock::now() - sentAt_);
+}
+
+// Which upstreams are avoided for a while, by everyone on this VM.
+void Exchange::suspectAfter(AttemptEnd end)
+{
+    auto now = std::chrono::steady_clock::now();
+    if (path_.empty()) {
+        if (end == AttemptEnd::NotSent || end == AttemptEnd::Stalled)
+            service_->balancer->suspect(upstream_, now + suspectAfterSilence);
+        return;
+    }
+    if (responseFacts_.faultyAddress && end == AttemptEnd::NotRun) {
+        for (const auto& stage : path_) {
+            if (stage.endpoint.text() == *responseFacts_.faultyAddress)
+                service_->paths->suspect(stage.upstream, now + suspectAfterRefusal);
+        }
+        return;
+    }
+    if (end == AttemptEnd::NotRun || end == AttemptEnd::Failed) {
+        service_->paths->suspect(upstream_, now + suspectAfterRefusal);
+        return;
+    }
+    if (end == AttemptEnd::NotSent) {
+        service_->paths->suspect(upstream_, now + suspectAfterSilence);
+        return;
+    }
+    auto length = end == AttemptEnd::Stalled ? suspectAfterSilence : suspectAfterLoss;
+    for (const auto& stage : path_) {
+        if (*stage.progressAt + recentProgress < now)
+            service_->paths->suspect(stage.upstream, now + length);
+    }
+}
+
+bool Exchange::mayTryAgain(AttemptEnd end)
+{
+    bool isCertainlyNotRun = end == AttemptEnd::NotSent || end == AttemptEnd::NotRun;
+    if (!caller_ || (!isCertainlyNotRun && !isRepeatable()))
+        return false;
+    if (runs_ >= route_->maxAttempts || sends_ >= route_->maxAttempts + extraSends)
+        return false;
+    auto now = std::chrono::steady_clock::now();
+    if (now >= deadline_)
+        return false;
+    // What has not arrived anywhere does not count as a retry.
+    return end == AttemptEnd::NotSent || service_->retries.tryTake(now);
+}
+
+void Exchange::endAttempt(AttemptEnd end)
+{
+    static constexpr std::array<CallResult, 5> results { CallResult::Lost, CallResult::Refused, CallResult::Lost, CallResult::Failed, CallResult::Lost };
+    static constexpr std::array<const char*, 5> names { "not sent", "not run", "lost", "failed", "stalled" };
+    if (end == AttemptEnd::NotSent || end == AttemptEnd::NotRun)
+        --runs_;
+    suspectAfter(end);
+    logger.debug("An attempt ended without an answer.", { { "request", facts_.requestId }, { "upstream", upstream_ }, { "end", names[static_cast<std::size_t>(end)] }, { "sends", sends_ } });
+    releaseChoice(results[static_cast<std::size_t>(end)]);
+    avoided_.insert(upstream_);
+    bool wasRelaying = isRelaying_;
+    if (mayTryAgain(end) && sendNext()) {
+        ++gate_.counters_.retries;
+        gate_.counters_.resumes += wasRelaying ? 1 : 0;
+        return;
+    }
+    giveUp(end);
+}
+
+void Exchange::giveUp(AttemptEnd end)
+{
+    if (!caller_) {
+        finish();
+        return;
+    }
+    if (isRelaying_) {
+        logger.info("A stream was cut off.", { { "request", facts_.requestId }, { "last", events_.lastId().value_or("") } });
+        ++gate_.counters_.failed;
+        caller_->abortResponse();
+        finish();
+        return;
+    }
+    if (failedAnswer_) {
+        caller_->send(*failedAnswer_);
+        ++gate_.counters_.answered;
+        finish();
+        return;
+    }
+    if (!runs_)
+        refuse(makeError(ErrorKind::NoUpstream, "no upstream took the request"));
+    else
+        refuse(makeError(end == AttemptEnd::Stalled ? ErrorKind::RequestTimeout : ErrorKind::UpstreamFailed, "the answer of the upstream was lost"));
+}
+
+void Exchange::refuse(const base::Error& error)
+{
+    const auto& rule = base::errorRule(error.kind);
+    bool isNotRun = rule.statement == base::RunStatement::NotRun;
+    ++(isNotRun ? gate_.counters_.refused : gate_.counters_.failed);
+    std::optional<std::chrono::milliseconds> retryAfter;
+    if (isNotRun && rule.mayResend)
+        retryAfter = std::chrono::milliseconds(static_cast<int>(gate_.random_.between(retryAfterMinMs, retryAfterMaxMs)));
+    logger.info("A request was not answered.", { { "request", facts_.requestId }, { "kind", rule.name }, { "reason", error.detail }, { "sends", sends_ } });
+    if (caller_)
+        caller_->send(problemResponse(error, retryAfter));
+    finish();
+}
+
+void Exchange::finish()
+{
+    isFinished_ = true;
+    caller_.reset();
+    if (connection_) {
+        connection_->abandon();
+        connection_.reset();
+    }
+}
+
+void Exchange::onCallerLeft()
+{
+    auto self = shared_from_this();
+    if (isFinished_)
+        return;
+    ++gate_.counters_.callersLeft;
+    caller_.reset();
+    // A call that may not be repeated is not broken off: it may have begun to run.
+    if (!isRepeatable() && connection_)
+        return;
+    if (connection_) {
+        connection_->abandon();
+        releaseChoice(CallResult::Abandoned);
+    }
+    finish();
+}
+
+void Exchange::onDrained()
+{
+    if (connection_)
+        connection_->setReading(true);
+}
+
+void Exchange::tick(TimePoint now)
+{
+    auto self = shared_from_this();
+    if (isFinished_ || !connection_)
+        return;
+    if (now >= deadline_) {
+        timeOut();
+        return;
+    }
+    connection_->checkTimeout(now);
+    if (!isFinished_ && connection_)
+        checkStall(now);
+}
+
+void Exchange::timeOut()
+{
+    connection_->abandon();
+    releaseChoice(CallResult::Lost);
+    if (isRelaying_ && caller_) {
+        ++gate_.counters_.failed;
+        caller_->abortResponse();
+        finish();
+        return;
+    }
+    refuse(makeError(ErrorKind::RequestTimeout, "the deadline passed while the upstream was at work"));
+}
+
+void Exchange::checkStall(TimePoint now)
+{
+    if (!isRepeatable() || runs_ >= route_->maxAttempts)
+        return;
+    auto silence = now - progressAt_;
+    if (path_.empty()) {
+        if (isRelaying_ || silence < safeStallShare * route_->timeout)
+            return;
+    } else {
+        if (silence < (events_.hasDelivered() ? nextEventStall : firstEventStall))
+            return;
+        bool isAnySilent = std::any_of(path_.begin(), path_.end(), [this](const routing::PathStage& stage) { return *stage.progressAt <= progressAt_; });
+        if (!isAnySilent && silence < loneStall)
+            return;
+        auto avoided = avoided_;
+        for (const auto& stage : path_)
+            avoided.insert(stage.upstream);
+        if (!service_->paths->choose(size_, avoided, now))
+            return;
+    }
+    if (!service_->retries.tryTake(now))
+        return;
+    connection_->abandon();
+    for (const auto& stage : path_)
+        avoided_.insert(stage.upstream);
+    endAttempt(AttemptEnd::Stalled);
+}
+
+} // namespace arbutus::forwarding
--- /dev/null
+++ b/src/forwarding/Exchange.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "include/forwarding/EventSplitter.h"
+#include "include/forwarding/Gate.h"
+
+#include <optional>
+#include <set>
+#include <string>
+
+namespace arbutus::forwarding {
+
+// One caller's request from its arrival to its answer. It is sent to one upstream
+// at a time. A request that may not be repeated is sent again only if it certainly
+// has not run; a stream that may be resumed goes on at another upstream behind the
+// last event that the caller has.
+class Exchange final : public http1::ActiveRequest, private ResponseListener, public std::enable_shared_from_this<Exchange> {
+public:
+    Exchange(Gate&, std::shared_ptr<http1::ServerConnection>, http1::Request);
+    ~Exchange() override;
+
+    void start();
+    void tick(base::TimePoint now);
+    bool isFinished() const { return isFinished_; }
+
+private:
+    // How an attempt at an upstream ended without a usable answer.
+    enum class AttemptEnd {
+        // Nothing of the request has left.
+        NotSent,
+        // The upstream stated that it has not run the request.
+        NotRun,
+        // The answer was lost or cut off; the request may have run.
+        Lost,
+        // The upstream answered that it failed.
+        Failed,
+        // The answer stopped coming.
+        Stalled,
+    };
+
+    void onCallerLeft() override;
+    void onDrained() override;
+    ResponseOwner onOwnerOf(const http1::ResponseHead&) const override;
+    void onHead(const http1::ResponseHead&) override;
+    void onBody(std::string_view) override;
+    void onDone() override;
+    void onBroken(Break) override;
+
+    base::Result<void> admit();
+    bool isRepeatable() const;
+    // Chooses an upstream and sends the request; returns false if there is none.
+    bool sendNext();
+    bool choosePath();
+    bool chooseUpstream();
+    void sendTo(const net::Endpoint&);
+    std::string requestHead() const;
+    void endAttempt(AttemptEnd);
+    void releaseChoice(routing::CallResult);
+    void suspectAfter(AttemptEnd);
+    bool mayTryAgain(AttemptEnd);
+    void giveUp(AttemptEnd);
+
+    void takeEvents(std::string_view);
+    void takePlainBody(std::string_view);
+    void beginRelay(std::optional<std::uint64_t> length);
+    void completePlain();
+    http1::Response responseFrom(const http1::ResponseHead&) const;
+
+    void refuse(const base::Error&);
+    void finish();
+    void checkStall(base::TimePoint now);
+    void timeOut();
+
+    Gate& gate_;
+    std::shared_ptr<http1::ServerConnection> caller_;
+    http1::Request request_;
+    RequestFacts facts_;
+    std::shared_ptr<const routes::RouteTable> table_;
+    const routes::Route* route_ = nullptr;
+    const routes::Team* team_ = nullptr;
+    ServiceState* service_ = nullptr;
+    routing::StreamSize size_;
+    base::TimePoint deadline_;
+    bool isFinished_ = false;
+
+    // The attempt in work.
+    std::shared_ptr<UpstreamConnection> connection_;
+    std::string upstream_;
+    routing::LayerPath path_;
+    base::TimePoint sentAt_;
+    base::TimePoint progressAt_;
+    std::optional<http1::ResponseHead> head_;
+    ResponseFacts responseFacts_;
+    std::string body_;
+    bool isStream_ = false;
+
+    // All attempts.
+    int sends_ = 0;
+    // Attempts that may have run.
+    int runs_ = 0;
+    std::set<std::string> avoided_;
+    EventSplitter events_;
+    // The head for the caller has been sent.
+    bool isRelaying_ = false;
+    std::optional<http1::Response> failedAnswer_;
+};
+
+} // namespace arbutus::forwarding
--- /dev/null
+++ b/src/forwarding/UpstreamConnection.cpp
@@ -0,0 +1,188 @@
+#include "include/forwarding/UpstreamConnection.h"
+
+#include <algorithm>
+
+namespace arbutus::forwarding {
+
+// Assumed where an upstream does not say how long it keeps idle connections.
+static constexpr std::chrono::seconds defaultKeepAlive(4);
+
+UpstreamConnection::UpstreamConnection(boost::asio::io_context& context, const net::Endpoint& endpoint, Reusable reusable)
+    : socket_(std::make_shared<net::StreamSocket>(context))
+    , endpoint_(endpoint)
+    , reusable_(std::move(reusable))
+{
+}
+
+UpstreamConnection::~UpstreamConnection() { socket_->close(); }
+
+void UpstreamConnection::send(std::string head, std::string_view body, bool hasNoResponseBody, ResponseListener& listener, base::TimePoint connectDeadline)
+{
+    listener_ = &listener;
+    hasNoResponseBody_ = hasNoResponseBody;
+    isSkipping_ = false;
+    startReading();
+    if (isConnected_) {
+        socket_->write(head, body);
+        return;
+    }
+    request_ = std::move(head);
+    request_.append(body);
+    connectDeadline_ = connectDeadline;
+    isStarted_ = true;
+    socket_->setListener(this);
+    socket_->connect({ boost::asio::ip::address_v4(endpoint_.ip), endpoint_.port });
+}
+
+void UpstreamConnection::startReading()
+{
+    reader_ = std::make_unique<http1::ResponseReader>(hasNoResponseBody_, [this](std::string_view bytes) {
+        if (listener_ && !isSkipping_)
+            listener_->body(bytes);
+    });
+}
+
+void UpstreamConnection::onConnected()
+{
+    isConnected_ = true;
+    socket_->write(request_);
+    request_ = std::string();
+}
+
+void UpstreamConnection::abandon()
+{
+    listener_ = nullptr;
+    socket_->close();
+}
+
+void UpstreamConnection::checkTimeout(base::TimePoint now)
+{
+    if (!isConnected_ && listener_ && now >= connectDeadline_)
+        fail(Break::NotSent);
+}
+
+void UpstreamConnection::onBytes(std::string_view bytes)
+{
+    auto self = shared_from_this();
+    if (!listener_) {
+        // Nobody asked for these bytes.
+        socket_->close();
+        return;
+    }
+    input_.append(bytes);
+    while (listener_ && socket_->isOpen() && !input_.empty() && readResponse()) { }
+}
+
+bool UpstreamConnection::readResponse()
+{
+    auto before = input_.size();
+    switch (reader_->read(input_)) {
+    case http1::ReadStatus::HeadDone:
+        return startResponse();
+    case http1::ReadStatus::Done:
+        finishResponse();
+        return true;
+    case http1::ReadStatus::NeedMore:
+        return input_.size() < before;
+    default:
+        fail(Break::Lost);
+        return false;
+    }
+}
+
+bool UpstreamConnection::startResponse()
+{
+    switch (listener_->ownerOf(reader_->head())) {
+    case ResponseOwner::Own:
+        listener_->head(reader_->head());
+        break;
+    case ResponseOwner::Foreign:
+        isSkipping_ = true;
+        break;
+    case ResponseOwner::Unknown:
+        fail(Break::Lost);
+        return false;
+    }
+    if (!listener_)
+        return false;
+    // A response without a body is complete with its head.
+    std::string none;
+    if (reader_->read(none) == http1::ReadStatus::Done) {
+        finishResponse();
+        return listener_ != nullptr;
+    }
+    return true;
+}
+
+void UpstreamConnection::finishResponse()
+{
+    bool keepsConnection = reader_->head().keepsConnection;
+    if (isSkipping_) {
+        isSkipping_ = false;
+        startReading();
+        if (!keepsConnection)
+            fail(Break::Lost);
+        return;
+    }
+    auto* listener = std::exchange(listener_, nullptr);
+    bool isReusable = keepsConnection && input_.empty() && socket_->isOpen() && !socket_->pendingBytes();
+    if (!isReusable)
+        socket_->close();
+    idleSince_ = std::chrono::steady_clock::now();
+    if (isReusable)
+        reusable_(shared_from_this());
+    listener->done();
+}
+
+void UpstreamConnection::onEnd(net::EndReason reason)
+{
+    auto self = shared_from_this();
+    if (!listener_)
+        return;
+    bool isOwn = !isSkipping_ && reader_->isHeadDone();
+    if (reason == net::EndReason::Closed && isOwn && reader_->readEnd() == http1::ReadStatus::Done) {
+        std::exchange(listener_, nullptr)->done();
+        return;
+    }
+    fail(isConnected_ ? Break::Lost : Break::NotSent);
+}
+
+void UpstreamConnection::fail(Break reason)
+{
+    auto self = shared_from_this();
+    auto* listener = std::exchange(listener_, nullptr);
+    socket_->close();
+    if (listener)
+        listener->broken(reason);
+}
+
+bool UpstreamConnection::isFresh(base::TimePoint now, double shareOfKeepAlive) const
+{
+    std::chrono::duration<double> limit = keepAlive_.value_or(defaultKeepAlive);
+    return std::chrono::duration<double>(now - idleSince_) < limit * shareOfKeepAlive;
+}
+
+std::shared_ptr<UpstreamConnection> UpstreamPool::take(const net::Endpoint& endpoint, double shareOfKeepAlive, base::TimePoint now)
+{
+    auto& idle = idle_[endpoint];
+    while (!idle.empty()) {
+        auto connection = std::move(idle.back());
+        idle.pop_back();
+        if (connection->isIdle() && connection->isFresh(now, shareOfKeepAlive))
+            return connection;
+    }
+    return std::make_shared<UpstreamConnection>(context_, endpoint, [this](const std::shared_ptr<UpstreamConnection>& connection) { idle_[connection->endpoint()].push_back(connection); });
+}
+
+void UpstreamPool::tick(base::TimePoint now)
+{
+    for (auto it = idle_.begin(); it != idle_.end();) {
+        auto& idle = it->second;
+        idle.erase(std::remove_if(idle.begin(), idle.end(), [now](const auto& connection) { return !connection->isIdle() || !connection->isFresh(now, 0.9); }), idle.end());
+        it = idle.empty() ? idle_.erase(it) : std::next(it);
+    }
+}
+
+void UpstreamPool::forget(const net::Endpoint& endpoint) { idle_.erase(endpoint); }
+
+} // namespace arbutus::forwarding
--- /dev/null
+++ b/src/http1/MessageReader.cpp
@@ -0,0 +1,171 @@
+#include "include/http1/MessageReader.h"
+
+#include <boost/beast/http/basic_parser.hpp>
+
+namespace arbutus::http1 {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using beast::error_code;
+
+static std::string_view view(beast::string_view text) { return { text.data(), text.size() }; }
+
+static ReadStatus statusOf(const error_code& error)
+{
+    if (error == http::error::header_limit)
+        return ReadStatus::HeadTooLarge;
+    if (error == http::error::body_limit)
+        return ReadStatus::BodyTooLarge;
+    return ReadStatus::Malformed;
+}
+
+// NOLINTBEGIN(readability-identifier-naming): the names are those of the base class.
+namespace {
+// What both kinds of message share: the fields, and the body handed to `takeBody`.
+template <bool isRequest>
+class MessageParser : public http::basic_parser<isRequest> {
+public:
+    Fields* fields = nullptr;
+    bool hasBytes = false;
+
+    virtual void takeBody(std::string_view) = 0;
+
+    // Parses as much as possible and removes it from `bytes`.
+    error_code consume(std::string& bytes, bool stopsAtHead)
+    {
+        error_code error;
+        std::size_t offset = 0;
+        this->eager(!stopsAtHead);
+        while (offset < bytes.size() && !this->is_done()) {
+            hasBytes = true;
+            std::size_t used = this->put(boost::asio::buffer(bytes.data() + offset, bytes.size() - offset), error);
+            offset += used;
+            if (error == http::error::need_more)
+                error = {};
+            if (error || !used || (stopsAtHead && this->is_header_done()))
+                break;
+        }
+        bytes.erase(0, offset);
+        return error;
+    }
+
+private:
+    void on_field_impl(http::field, beast::string_view name, beast::string_view value, error_code&) override { fields->add(view(name), view(value)); }
+    void on_header_impl(error_code&) override { }
+    void on_body_init_impl(const boost::optional<std::uint64_t>&, error_code&) override { }
+    std::size_t on_body_impl(beast::string_view body, error_code&) override
+    {
+        takeBody(view(body));
+        return body.size();
+    }
+    void on_chunk_header_impl(std::uint64_t, beast::string_view, error_code&) override { }
+    std::size_t on_chunk_body_impl(std::uint64_t, beast::string_view body, error_code&) override
+    {
+        takeBody(view(body));
+        return body.size();
+    }
+    void on_finish_impl(error_code&) override { }
+};
+} // namespace
+
+struct RequestReader::Parser final : MessageParser<true> {
+    RequestHead head;
+    std::string body;
+
+    void takeBody(std::string_view part) override { body.append(part); }
+    void on_request_impl(http::verb, beast::string_view method, beast::string_view target, int version, error_code&) override
+    {
+        head.method = view(method);
+        head.target = view(target);
+        head.isVersion10 = version == 10;
+    }
+    void on_response_impl(int, beast::string_view, int, error_code&) override { }
+};
+
+struct ResponseReader::Parser final : MessageParser<false> {
+    ResponseHead head;
+    BodySink sink;
+    bool isHeadReported = false;
+
+    void takeBody(std::string_view part) override { sink(part); }
+    void on_request_impl(http::verb, beast::string_view, beast::string_view, int, error_code&) override { }
+    void on_response_impl(int status, beast::string_view reason, int, error_code&) override
+    {
+        head.status = status;
+        head.reason = view(reason);
+    }
+};
+// NOLINTEND(readability-identifier-naming)
+
+RequestReader::RequestReader(const ReadLimits& limits)
+    : parser_(std::make_unique<Parser>())
+{
+    parser_->fields = &parser_->head.fields;
+    parser_->header_limit(limits.headBytes);
+    parser_->body_limit(limits.bodyBytes);
+}
+
+RequestReader::~RequestReader() = default;
+
+ReadStatus RequestReader::read(std::string& bytes)
+{
+    if (auto error = parser_->consume(bytes, false))
+        return statusOf(error);
+    if (parser_->is_header_done())
+        parser_->head.keepsConnection = parser_->keep_alive();
+    if (parser_->is_done())
+        return ReadStatus::Done;
+    return parser_->is_header_done() ? ReadStatus::HeadDone : ReadStatus::NeedMore;
+}
+
+bool RequestReader::isHeadDone() const { return parser_->is_header_done(); }
+
+bool RequestReader::expectsContinue() const
+{
+    const auto* expect = parser_->head.fields.find("Expect");
+    return parser_->is_header_done() && expect && equalIgnoringCase(*expect, "100-continue");
+}
+
+RequestHead& RequestReader::head() { return parser_->head; }
+std::string RequestReader::takeBody() { return std::move(parser_->body); }
+
+ResponseReader::ResponseReader(bool hasNoBody, BodySink sink)
+    : parser_(std::make_unique<Parser>())
+{
+    parser_->fields = &parser_->head.fields;
+    parser_->sink = std::move(sink);
+    parser_->header_limit(64 << 10);
+    parser_->body_limit(boost::none);
+    parser_->skip(hasNoBody);
+}
+
+ResponseReader::~ResponseReader() = default;
+
+ReadStatus ResponseReader::read(std::string& bytes)
+{
+    if (auto error = parser_->consume(bytes, !parser_->is_header_done()))
+        return statusOf(error);
+    if (parser_->is_header_done() && !parser_->isHeadReported) {
+        parser_->isHeadReported = true;
+        parser_->head.keepsConnection = parser_->keep_alive();
+        if (auto length = parser_->content_length())
+            parser_->head.contentLength = *length;
+        return ReadStatus::HeadDone;
+    }
+    return parser_->is_done() ? ReadStatus::Done : ReadStatus::NeedMore;
+}
+
+ReadStatus ResponseReader::readEnd()
+{
+    if (!parser_->is_header_done())
+        return ReadStatus::Malformed;
+    error_code error;
+    parser_->put_eof(error);
+    return error || !parser_->is_done() ? ReadStatus::Malformed : ReadStatus::Done;
+}
+
+const ResponseHead& ResponseReader::head() const { return parser_->head; }
+bool ResponseReader::isHeadDone() const { return parser_->isHeadReported; }
+bool ResponseReader::isUntouched() const { return !parser_->hasBytes; }
+
+} // namespace arbutus::http1
--- /dev/null
+++ b/src/net/StreamSocket.cpp
@@ -0,0 +1,220 @@
+#include "include/net/StreamSocket.h"
+
+#include <boost/asio/buffer.hpp>
+
+#include <array>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace arbutus::net {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+static constexpr std::size_t readBytes = std::size_t { 64 } << 10;
+static constexpr std::chrono::milliseconds unacknowledgedLimit(2000);
+// A link that carries nothing is probed, because a peer without power sends no reset.
+static constexpr int keepAliveIdleSeconds = 2;
+static constexpr int keepAliveIntervalSeconds = 1;
+static constexpr int keepAliveProbes = 2;
+
+void setUnacknowledgedLimit(tcp::socket& socket, std::chrono::milliseconds limit)
+{
+    auto value = static_cast<unsigned>(limit.count());
+    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &value, sizeof value);
+}
+
+static void setKeepAlive(tcp::socket& socket)
+{
+    auto set = [&socket](int level, int option, int value) { ::setsockopt(socket.native_handle(), level, option, &value, sizeof value); };
+    set(SOL_SOCKET, SO_KEEPALIVE, 1);
+    set(IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleSeconds);
+    set(IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalSeconds);
+    set(IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
+}
+
+void StreamSocket::prepare()
+{
+    error_code ignored;
+    socket_.non_blocking(true, ignored);
+    socket_.set_option(tcp::no_delay(true), ignored);
+    setUnacknowledgedLimit(socket_, unacknowledgedLimit);
+    setKeepAlive(socket_);
+    isOpen_ = true;
+}
+
+void StreamSocket::adopt(tcp::socket accepted)
+{
+    socket_ = std::move(accepted);
+    prepare();
+    readWhenReady();
+}
+
+void StreamSocket::connect(const tcp::endpoint& endpoint)
+{
+    error_code error;
+    socket_.open(tcp::v4(), error);
+    if (error) {
+        isOpen_ = true;
+        boost::asio::post(socket_.get_executor(), [self = shared_from_this()] { self->end(EndReason::Reset); });
+        return;
+    }
+    prepare();
+    socket_.async_connect(endpoint, [self = shared_from_this()](const error_code& failure) {
+        if (!self->isOpen_)
+            return;
+        if (failure) {
+            self->end(EndReason::Reset);
+            return;
+        }
+        self->readWhenReady();
+        if (self->listener_)
+            self->listener_->connected();
+    });
+}
+
+void StreamSocket::readWhenReady()
+{
+    if (!isOpen_ || !isReading_ || isReadWaiting_)
+        return;
+    isReadWaiting_ = true;
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const error_code& error) {
+        self->isReadWaiting_ = false;
+        if (!self->isOpen_)
+            return;
+        if (error) {
+            self->end(EndReason::Reset);
+            return;
+        }
+        if (self->isReading_)
+            self->readNow();
+    });
+}
+
+void StreamSocket::readNow()
+{
+    static thread_local std::array<char, readBytes> buffer;
+    error_code error;
+    std::size_t count = socket_.read_some(boost::asio::buffer(buffer), error);
+    if (error == boost::asio::error::would_block) {
+        readWhenReady();
+        return;
+    }
+    if (error) {
+        end(error == boost::asio::error::eof ? EndReason::Closed : EndReason::Reset);
+        return;
+    }
+    if (listener_)
+        listener_->bytesArrived({ buffer.data(), count });
+    readWhenReady();
+}
+
+void StreamSocket::setReading(bool isReading)
+{
+    isReading_ = isReading;
+    readWhenReady();
+}
+
+void StreamSocket::write(std::string_view first, std::string_view second)
+{
+    if (!isOpen_)
+        return;
+    if (!pendingBytes()) {
+        std::array<boost::asio::const_buffer, 2> buffers { boost::asio::buffer(first.data(), first.size()), boost::asio::buffer(second.data(), second.size()) };
+        error_code error;
+        std::size_t sent = socket_.write_some(buffers, error);
+        if (error && error != boost::asio::error::would_block) {
+            // The reader of this connection notices and reports the failure.
+            boost::asio::post(socket_.get_executor(), [self = shared_from_this()] { self->end(EndReason::Reset); });
+            return;
+        }
+        auto fromFirst = std::min(sent, first.size());
+        first.remove_prefix(fromFirst);
+        second.remove_prefix(sent - fromFirst);
+    }
+    if (first.empty() && second.empty())
+        return;
+    pending_.append(first);
+    pending_.append(second);
+    writeWhenReady();
+}
+
+void StreamSocket::writeWhenReady()
+{
+    if (isWriteWaiting_)
+        return;
+    isWriteWaiting_ = true;
+    socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](const error_code& error) {
+        self->isWriteWaiting_ = false;
+        if (!self->isOpen_)
+            return;
+        if (error)
+            self->end(EndReason::Reset);
+        else
+            self->writePending();
+    });
+}
+
+void StreamSocket::writePending()
+{
+    error_code error;
+    std::size_t sent = socket_.write_some(boost::asio::buffer(pending_.data() + pendingOffset_, pendingBytes()), error);
+    if (error && error != boost::asio::error::would_block) {
+        end(EndReason::Reset);
+        return;
+    }
+    pendingOffset_ += sent;
+    if (pendingBytes()) {
+        writeWhenReady();
+        return;
+    }
+    pending_ = std::string();
+    pendingOffset_ = 0;
+    if (closesAfterWriting_)
+        close();
+    else if (listener_)
+        listener_->drained();
+}
+
+void StreamSocket::close()
+{
+    if (!isOpen_)
+        return;
+    isOpen_ = false;
+    listener_ = nullptr;
+    error_code ignored;
+    socket_.close(ignored);
+}
+
+void StreamSocket::closeAfterWriting()
+{
+    listener_ = nullptr;
+    if (!pendingBytes()) {
+        error_code ignored;
+        socket_.shutdown(tcp::socket::shutdown_send, ignored);
+        close();
+        return;
+    }
+    closesAfterWriting_ = true;
+}
+
+void StreamSocket::reset()
+{
+    if (!isOpen_)
+        return;
+    error_code ignored;
+    socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    close();
+}
+
+void StreamSocket::end(EndReason reason)
+{
+    if (!isOpen_)
+        return;
+    auto* listener = listener_;
+    close();
+    if (listener)
+        listener->ended(reason);
+}
+
+} // namespace arbutus::net
--- /dev/null
+++ b/src/node/ControlNode.cpp
@@ -0,0 +1,425 @@
+#include "src/node/ControlNode.h"
+
+#include "include/base/Logger.h"
+#include "include/base/StopSignal.h"
+#include "include/control/Frames.h"
+
+#include <boost/asio/post.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <thread>
+
+namespace arbutus::node {
+
+using base::ErrorKind;
+using base::makeError;
+using base::Result;
+using control::FrameKind;
+
+static constexpr base::Logger logger("control");
+
+static constexpr std::chrono::milliseconds tickInterval(100);
+// Longer pauses mean that the process stood still, so that silence proves nothing.
+static constexpr std::chrono::milliseconds standstill(900);
+static constexpr std::chrono::milliseconds lapseInterval(300);
+// Reports that may be missed before an upstream counts as silent.
+static constexpr double missedReports = 3;
+// A control VM that is not heard from for so long does not watch its upstreams any more.
+static constexpr std::chrono::seconds registrarLifetime(5);
+static constexpr std::chrono::minutes goneLifetime(2);
+static constexpr std::chrono::milliseconds joinInterval(500);
+// A replica that knows no leader for so long may have been removed meanwhile.
+static constexpr std::chrono::seconds leaderlessLimit(2);
+static constexpr std::chrono::milliseconds introductionTimeout(300);
+static constexpr std::chrono::milliseconds introductionDelay(50);
+// Callers wait a second for an answer and then ask another VM.
+static constexpr std::chrono::milliseconds proposalTimeout(1500);
+static constexpr std::chrono::milliseconds readTimeout(800);
+static constexpr std::chrono::milliseconds changeTimeout(3000);
+static constexpr std::chrono::milliseconds orderTimeout(1000);
+static constexpr std::chrono::milliseconds decodeInterval(1000);
+static constexpr std::size_t frameWorkers = 1;
+static constexpr std::size_t timelineEvents = 256;
+// The disk and the memory of a control VM are small, and configurations are large.
+static constexpr std::uint64_t snapshotEveryEntries = 256;
+static constexpr std::uint64_t snapshotEveryBytes = std::uint64_t { 8 } << 20;
+static constexpr consensus::Index trailingEntries = 32;
+static constexpr std::size_t maxEntryBytes = std::size_t { 3 } << 20;
+static constexpr std::size_t maxBatchBytes = maxEntryBytes + (std::size_t { 256 } << 10);
+static constexpr std::chrono::milliseconds longestReplicaWait(100);
+
+static fleet::PeerLinks::Options linkOptions(const ControlOptions& options)
+{
+    return { options.name, options.internalPort, options.sharedKey, options.seed };
+}
+
+static fleet::FleetFollower::Options followerOptions(const ControlOptions& options)
+{
+    fleet::FleetFollower::Options result;
+    result.self = options.name;
+    result.ownIp = options.ip;
+    return result;
+}
+
+ControlNode::ControlNode(boost::asio::io_context& context, const ControlDialect& dialect, ControlOptions options)
+    : context_(context)
+    , dialect_(dialect)
+    , options_(std::move(options))
+    , timeline_(clock_, options_.name, timelineEvents)
+    , links_(linkOptions(options_))
+    , source_(registry_, options_.seed | 1)
+    , follower_(clock_, links_, followerOptions(options_), registry_, [this](std::function<void()> work) { boost::asio::post(context_, std::move(work)); })
+    , timer_(context)
+    , replicaPlanner_(options_.targetVoters)
+{
+}
+
+ControlNode::~ControlNode()
+{
+    *isAlive_ = false;
+    frames_.reset();
+    replica_.reset();
+}
+
+Result<void> ControlNode::start()
+{
+    lastTickAt_ = leaderSeenAt_ = clock_.now();
+    follower_.setSeeds(options_.seeds);
+    BOOST_OUTCOME_TRYV(startReplica());
+    scheduleTick();
+    return base::outcome::success();
+}
+
+Result<void> ControlNode::startReplica()
+{
+    replica::ReplicaNode::Options replica;
+    replica.replica = options_.ip;
+    replica.folder = options_.dataFolder;
+    replica.randomSeed = options_.seed;
+    replica.snapshotEvery = snapshotEveryEntries;
+    replica.snapshotEveryBytes = snapshotEveryBytes;
+    replica.longestWait = longestReplicaWait;
+    replica.core.trailingEntries = trailingEntries;
+    replica.core.maxEntryBytes = maxEntryBytes;
+    replica.core.maxBatchBytes = maxBatchBytes;
+    BOOST_OUTCOME_TRY(node, replica::ReplicaNode::Make(
+                                clock_, timeline_, replica, [this](const consensus::Message& message) { sendMessage(message); },
+                                [this](const replica::ReplicaStatus& status, const state::StateMachine& machine) { noteRound(status, machine); }));
+    replica_ = std::move(node);
+
+    transport::FrameServerOptions frames;
+    frames.address = net::ipText(options_.ip);
+    frames.port = options_.internalPort;
+    frames.sharedKey = options_.sharedKey;
+    frames.id = options_.name;
+    frames.workers = frameWorkers;
+    transport::FrameServer::DeferredHandler handler = [this](const transport::Frame& frame, const transport::FrameServer::Reply& reply) { return handleFrame(frame, reply); };
+    BOOST_OUTCOME_TRY(server, transport::FrameServer::Make(frames, handler));
+    frames_ = std::move(server);
+
+    consensus::Configuration first;
+    bool isSeed = std::find(options_.seeds.begin(), options_.seeds.end(), options_.ip) != options_.seeds.end();
+    if (replica_->isBlank() && options_.isFirstStart && isSeed) {
+        BOOST_OUTCOME_TRY(agreed, agreeOnFirstConfiguration());
+        first = std::move(agreed);
+    }
+    BOOST_OUTCOME_TRYV(replica_->start(first));
+    logger.info("The replica started.", { { "disk", fmt::format("{:x}", replica_->diskNumber()) }, { "voters", first.voters.size() } });
+    return base::outcome::success();
+}
+
+// The seeds are the first voters. All of them derive the same configuration from
+// their introductions; one that is late adopts the configuration that the others
+// agreed on, if it is one of its voters.
+Result<consensus::Configuration> ControlNode::agreeOnFirstConfiguration()
+{
+    while (!base::isStopSignalPending()) {
+        consensus::Configuration configuration;
+        configuration.voters.push_back({ options_.ip, replica_->diskNumber() });
+        for (auto ip : options_.seeds) {
+            auto* link = ip == options_.ip ? nullptr : links_.link(ip);
+            if (!link)
+                continue;
+            auto answer = link->call(static_cast<std::uint8_t>(FrameKind::ReplicaHello), {}, std::chrono::steady_clock::now() + introductionTimeout);
+            auto introduction = answer ? control::unpackIntroduction(answer.value()) : Result<control::ReplicaIntroduction>(answer.error());
+            if (!introduction || (introduction.value().voters.empty() && !introduction.value().isBlank))
+                continue;
+            if (!introduction.value().voters.empty()) {
+                consensus::Configuration agreed;
+                for (const auto& [replica, disk] : introduction.value().voters)
+                    agreed.voters.push_back({ replica, disk });
+                return agreed.isVoter({ options_.ip, replica_->diskNumber() }) ? agreed : consensus::Configuration();
+            }
+            configuration.voters.push_back({ introduction.value().replica, introduction.value().disk });
+        }
+        if (configuration.voters.size() == options_.seeds.size()) {
+            std::sort(configuration.voters.begin(), configuration.voters.end());
+            return configuration;
+        }
+        std::this_thread::sleep_for(introductionDelay);
+    }
+    return makeError(ErrorKind::ShuttingDown, "stopped before the other first replicas were found");
+}
+
+std::string ControlNode::introduction() const
+{
+    control::ReplicaIntroduction result { options_.ip, replica_->diskNumber(), replica_->isBlank(), {} };
+    for (const auto& voter : replica_->status().configuration.voters)
+        result.voters.emplace_back(voter.replica, voter.disk);
+    return control::packIntroduction(result);
+}
+
+// Runs on the frame server's worker.
+std::optional<std::string> ControlNode::handleFrame(const transport::Frame& frame, const transport::FrameServer::Reply& reply)
+{
+    switch (static_cast<FrameKind>(frame.kind)) {
+    case FrameKind::Replication:
+        if (auto message = consensus::decode<consensus::Message>(frame.body))
+            replica_->receive(std::move(message).value());
+        return std::nullopt;
+    case FrameKind::ReplicaHello:
+        return introduction();
+    case FrameKind::FleetPoll:
+        if (auto poll = fleet::decode<fleet::FleetPoll>(frame.body))
+            boost::asio::post(context_, [this, poll = std::move(poll).value(), reply] { source_.poll(poll, reply, clock_.now()); });
+        return std::nullopt;
+    case FrameKind::ReplicaJoin:
+        if (auto join = fleet::decode<fleet::JoinRequest>(frame.body))
+            boost::asio::post(context_, [this, join = join.value()] { replicaPlanner_.joinRequested({ join.replica, join.disk }, clock_.now()); });
+        return std::nullopt;
+    default:
+        logger.warning("A frame of an unexpected kind was dropped.", { { "kind", frame.kind }, { "sender", frame.sender } });
+        return std::nullopt;
+    }
+}
+
+void ControlNode::sendMessage(const consensus::Message& message)
+{
+    if (auto* link = links_.link(static_cast<std::uint32_t>(message.to.replica)))
+        link->send(static_cast<std::uint8_t>(FrameKind::Replication), consensus::encode(message));
+}
+
+// Runs on the replica's thread after each of its rounds.
+void ControlNode::noteRound(const replica::ReplicaStatus& status, const state::StateMachine& machine)
+{
+    Round round { status, machine.routes().version(), machine.routes().document(), machine.layerPlan().version(), machine.layerPlan().document() };
+    auto essence = [](const Round& value) { return std::make_tuple(value.status.role, value.status.term, value.status.leader, value.routesVersion, value.planRevision, value.status.isFull); };
+    bool isSame = told_ && essence(*told_) == essence(round) && told_->status.configuration == status.configuration && told_->status.activePeers == status.activePeers;
+    if (isSame)
+        return;
+    told_ = round;
+    boost::asio::post(context_, [this, round = std::move(round)] { takeRound(round); });
+}
+
+void ControlNode::takeRound(const Round& round)
+{
+    bool hasGainedLead = !isLeader() && round.status.role == consensus::Role::Leader;
+    round_ = round;
+    if (hasGainedLead)
+        layers_.restart();
+    if (round_.planRevision > decodedPlanRevision_) {
+        auto plans = placement::decodePlans(*round_.plan);
+        if (plans)
+            plans_ = std::move(plans).value();
+        else
+            logger.error("The committed layer plans cannot be read.", { { "reason", plans.error().detail } });
+        decodedPlanRevision_ = round_.planRevision;
+    }
+    std::vector<std::uint32_t> replicas;
+    for (const auto* members : { &round_.status.configuration.voters, &round_.status.configuration.learners }) {
+        for (const auto& member : *members)
+            replicas.push_back(static_cast<std::uint32_t>(member.replica));
+    }
+    source_.setReplicas(std::move(replicas));
+    source_.setRoutes(round_.routesVersion, round_.routes);
+    source_.answerHeld(clock_.now());
+}
+
+std::string ControlNode::command(state::CommandBody body) const { return state::encodeCommand({ clock_.wallNow(), std::move(body) }); }
+
+std::optional<std::uint32_t> ControlNode::otherLeader() const
+{
+    const auto& leader = round_.status.leader;
+    if (!leader || leader->replica == options_.ip)
+        return std::nullopt;
+    return static_cast<std::uint32_t>(leader->replica);
+}
+
+bool ControlNode::isConnected() const { return round_.status.leader.has_value(); }
+
+void ControlNode::replaceRoutes(std::uint64_t version, std::string document, RoutesStored done)
+{
+    // What is committed cannot be lost, so an older version is settled here.
+    if (holdsRoutes(version)) {
+        done(base::outcome::success());
+        return;
+    }
+    auto finish = [this, done = std::move(done)](Result<state::Outcome> outcome) {
+        Result<void> result = base::outcome::success();
+        if (!outcome)
+            result = outcome.error();
+        else if (const auto* refusal = std::get_if<state::Refusal>(&outcome.value()))
+            result = makeError(refusal->kind, refusal->detail);
+        boost::asio::post(context_, [done, result] { done(result); });
+    };
+    replica_->propose(command(state::ReplaceRoutes { version, std::move(document) }), clock_.now() + proposalTimeout, std::move(finish));
+}
+
+void ControlNode::readRoutes(RoutesRead done)
+{
+    replica_->read(clock_.now() + readTimeout, [this, done = std::move(done)](Result<const state::StateMachine*> machine) {
+        Result<std::shared_ptr<const std::string>> result = makeError(ErrorKind::NotFound, "no configuration has been accepted yet");
+        if (!machine)
+            result = machine.error();
+        else if (machine.value()->routes().version())
+            result = machine.value()->routes().document();
+        boost::asio::post(context_, [done, result] { done(result); });
+    });
+}
+
+void ControlNode::report(fleet::UpstreamFact fact)
+{
+    if (registry_.report(std::move(fact), net::ipText(options_.ip), clock_.now()))
+        source_.answerHeld(clock_.now());
+}
+
+void ControlNode::farewell(const std::string& id, std::int64_t bornMilliseconds)
+{
+    registry_.farewell(id, bornMilliseconds, net::ipText(options_.ip), clock_.now());
+    source_.answerHeld(clock_.now());
+}
+
+void ControlNode::setSeeds(const std::vector<std::uint32_t>& ips) { follower_.setSeeds(ips); }
+
+void ControlNode::scheduleTick()
+{
+    timer_.expires_after(tickInterval);
+    timer_.async_wait([this](const boost::system::error_code& error) {
+        if (error)
+            return;
+        tick();
+        scheduleTick();
+    });
+}
+
+void ControlNode::tick()
+{
+    auto now = clock_.now();
+    if (now > lastTickAt_ + standstill)
+        registry_.restartPeriods(now);
+    lastTickAt_ = now;
+    if (isConnected())
+        leaderSeenAt_ = now;
+    follower_.tick();
+    lapseUpstreams(now);
+    askToJoin(now);
+    if (isLeader()) {
+        repairReplicas(now);
+        placeLayers(now);
+    }
+    for (auto& call : calls_)
+        call->tick(std::chrono::steady_clock::now());
+    calls_.erase(std::remove_if(calls_.begin(), calls_.end(), [](const auto& call) { return call->isFinished(); }), calls_.end());
+    source_.answerHeld(now);
+}
+
+void ControlNode::lapseUpstreams(base::TimePoint now)
+{
+    if (now < lapseAt_)
+        return;
+    lapseAt_ = now + lapseInterval;
+    auto period = std::chrono::duration_cast<std::chrono::milliseconds>(options_.reportInterval * missedReports);
+    auto isAuthority = [this, now](const fleet::UpstreamFact& fact) {
+        if (fact.registrar == net::ipText(options_.ip))
+            return true;
+        auto ip = net::parseIp(fact.registrar);
+        return !ip || !follower_.hasHeardFrom(ip.value(), now - registrarLifetime);
+    };
+    registry_.lapse(now - period, isAuthority, now);
+    registry_.forget(now - goneLifetime);
+}
+
+void ControlNode::askToJoin(base::TimePoint now)
+{
+    consensus::ReplicaKey self { options_.ip, replica_->diskNumber() };
+    const auto& configuration = round_.status.configuration;
+    bool isMember = configuration.isVoter(self) || configuration.isLearner(self);
+    if ((isMember && now < leaderSeenAt_ + leaderlessLimit) || now < joinAt_)
+        return;
+    joinAt_ = now + joinInterval;
+    for (auto ip : follower_.knownReplicas()) {
+        if (auto* link = links_.link(ip))
+            link->send(static_cast<std::uint8_t>(FrameKind::ReplicaJoin), fleet::encode(fleet::JoinRequest { self.replica, self.disk }));
+    }
+}
+
+void ControlNode::repairReplicas(base::TimePoint now)
+{
+    if (isChangingReplicas_)
+        return;
+    auto change = replicaPlanner_.next(round_.status.self, round_.status.configuration, round_.status.activePeers, now);
+    if (!change)
+        return;
+    isChangingReplicas_ = true;
+    static constexpr std::array<const char*, 3> names { "add learner", "promote", "remove" };
+    logger.info("The replicas change.", { { "change", names[static_cast<std::size_t>(change->kind)] }, { "replica", net::ipText(static_cast<std::uint32_t>(change->replica.replica)) }, { "disk", fmt::format("{:x}", change->replica.disk) } });
+    replica_->changeConfiguration(change->kind, change->replica, now + changeTimeout, [this](const Result<void>& result) {
+        boost::asio::post(context_, [this, result] {
+            isChangingReplicas_ = false;
+            if (!result)
+                logger.warning("The change of the replicas failed; it is tried again.", { { "reason", result.error().detail } });
+        });
+    });
+}
+
+void ControlNode::placeLayers(base::TimePoint now)
+{
+    if (round_.routesVersion > decodedRoutesVersion_ && now >= decodeRoutesAt_) {
+        decodeRoutesAt_ = now + decodeInterval;
+        decodedRoutesVersion_ = round_.routesVersion;
+        if (auto decoded = dialect_.decodeRoutes(*round_.routes))
+            services_ = std::move(decoded.value().services);
+    }
+    auto facts = registry_.all();
+    if (!isProposingPlans_) {
+        if (auto plans = layers_.plan(services_, plans_, facts, now))
+            proposePlans(*plans);
+    }
+    for (const auto& order : layers_.dueOrders(services_, plans_, facts, now))
+        sendOrder(order);
+}
+
+void ControlNode::proposePlans(const placement::LayerPlans& plans)
+{
+    isProposingPlans_ = true;
+    auto revision = round_.planRevision + 1;
+    logger.info("The layer plan changes.", { { "revision", revision } });
+    auto done = [this](const Result<state::Outcome>& outcome) {
+        boost::asio::post(context_, [this, isStored = outcome.has_value()] {
+            isProposingPlans_ = false;
+            if (!isStored)
+                logger.warning("The layer plan was not confirmed.");
+        });
+    };
+    replica_->propose(command(state::SetLayerPlan { revision, placement::encodePlans(plans) }), clock_.now() + changeTimeout, done);
+}
+
+void ControlNode::sendOrder(const placement::LayerOrder& order)
+{
+    logger.info("An engine is ordered to hold layers.", { { "upstream", order.upstream }, { "address", order.endpoint.text() }, { "from", order.layers.from }, { "to", order.layers.to } });
+    auto done = [this, order, isAlive = std::weak_ptr<bool>(isAlive_)](std::optional<int> status) {
+        if (auto alive = isAlive.lock(); !alive || !*alive)
+            return;
+        auto result = status ? dialect_.readOrderAnswer(*status) : placement::OrderResult::Unknown;
+        if (result != placement::OrderResult::Accepted)
+            logger.info("An order was not accepted.", { { "upstream", order.upstream }, { "status", status.value_or(0) } });
+        layers_.orderAnswered(order, result, clock_.now());
+    };
+    auto call = std::make_shared<forwarding::ControlCall>(context_, order.endpoint, done);
+    calls_.push_back(call);
+    call->send(dialect_.orderRequest(order, round_.status.term), std::chrono::steady_clock::now() + orderTimeout);
+}
+
+} // namespace arbutus::node
--- /dev/null
+++ b/src/placement/LayerPlanner.cpp
@@ -0,0 +1,268 @@
+#include "include/placement/LayerPlanner.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace arbutus::placement {
+
+using fleet::LayerRange;
+using routes::LayeredModel;
+
+// Requests of the usual size that a copy must have room for to be worth its layers.
+static constexpr double minRequestsPerCopy = 28;
+// A copy that lost a card and is split anew may have room for fewer.
+static constexpr double minRequestsAfterLoss = 14;
+// A crashed engine mostly comes back to its address within this time; its slice
+// is given to a spare card sooner than its copy is split anew.
+static constexpr std::chrono::milliseconds spareDelay(800);
+static constexpr std::chrono::milliseconds splitDelay(2500);
+static constexpr double bytesPerMegabyte = 1e6;
+
+const Slice* LayerPlan::sliceOf(const std::string& address) const
+{
+    auto found = std::find_if(slices.begin(), slices.end(), [&address](const Slice& slice) { return slice.holder == address; });
+    return found == slices.end() ? nullptr : &*found;
+}
+
+std::string encodePlans(const LayerPlans& plans)
+{
+    msgpack::sbuffer buffer;
+    msgpack::pack(buffer, plans);
+    return { buffer.data(), buffer.size() };
+}
+
+base::Result<LayerPlans> decodePlans(std::string_view bytes)
+{
+    try {
+        return msgpack::unpack(bytes.data(), bytes.size())->as<LayerPlans>();
+    } catch (const std::exception&) {
+        return base::makeError(base::ErrorKind::MalformedFrame, "the layer plans cannot be decoded");
+    }
+}
+
+static double megabytesOf(const std::vector<Card>& cards)
+{
+    return std::accumulate(cards.begin(), cards.end(), 0.0, [](double sum, const Card& card) { return sum + card.megabytes; });
+}
+
+static double usualTokens(const LayeredModel& model) { return std::max(1.0, model.usualPromptTokens + model.usualAnswerTokens); }
+
+// Megabytes that one layer takes with room for `tokens` tokens of requests.
+static double layerMegabytes(const LayeredModel& model, double tokens) { return model.layerMegabytes + model.cacheBytesPerToken / model.layers / bytesPerMegabyte * tokens; }
+
+std::optional<std::vector<LayerRange>> splitLayers(const LayeredModel& model, const std::vector<Card>& cards, double minTokens)
+{
+    double total = megabytesOf(cards);
+    if (cards.empty() || total < model.layers * layerMegabytes(model, minTokens))
+        return std::nullopt;
+    std::vector<int> counts;
+    std::vector<std::pair<double, std::size_t>> remainders;
+    int assigned = 0;
+    for (std::size_t i = 0; i < cards.size(); ++i) {
+        double exact = model.layers * cards[i].megabytes / total;
+        counts.push_back(static_cast<int>(std::floor(exact)));
+        assigned += counts.back();
+        remainders.emplace_back(exact - counts.back(), i);
+    }
+    std::sort(remainders.rbegin(), remainders.rend());
+    for (std::size_t i = 0; assigned < model.layers; ++i, ++assigned)
+        ++counts[remainders[i % remainders.size()].second];
+    std::vector<LayerRange> ranges;
+    int from = 0;
+    for (std::size_t i = 0; i < cards.size(); ++i) {
+        if (counts[i] * model.layerMegabytes > cards[i].megabytes)
+            return std::nullopt;
+        ranges.push_back({ from, from + counts[i] });
+        from += counts[i];
+    }
+    return ranges;
+}
+
+// Fast cards first, so that a copy is not slowed down by a few slow ones.
+static void sortByPace(std::vector<Card>& cards)
+{
+    std::sort(cards.begin(), cards.end(), [](const Card& left, const Card& right) { return std::tie(left.pace, left.address) < std::tie(right.pace, right.address); });
+}
+
+// Divides sorted cards into `count` groups of about equal memory.
+static std::vector<std::vector<Card>> divide(const std::vector<Card>& cards, std::size_t count)
+{
+    std::vector<std::vector<Card>> groups(count);
+    double share = megabytesOf(cards) / static_cast<double>(count);
+    double taken = 0;
+    for (const auto& card : cards) {
+        auto group = std::min(count - 1, static_cast<std::size_t>((taken + card.megabytes / 2) / share));
+        groups[group].push_back(card);
+        taken += card.megabytes;
+    }
+    return groups;
+}
+
+static void addCopy(LayerPlan& plan, const std::vector<Card>& cards, const std::vector<LayerRange>& ranges)
+{
+    int copy = 0;
+    for (const auto& slice : plan.slices)
+        copy = std::max(copy, slice.copy + 1);
+    for (std::size_t i = 0; i < cards.size(); ++i) {
+        if (ranges[i].count())
+            plan.slices.push_back({ copy, ranges[i], cards[i].address, cards[i].dataCentre });
+    }
+}
+
+// Adds as many copies as the cards have room for; returns false if they have none.
+static bool addCopies(LayerPlan& plan, const LayeredModel& model, std::vector<Card> cards)
+{
+    sortByPace(cards);
+    double minTokens = minRequestsPerCopy * usualTokens(model);
+    auto most = static_cast<std::size_t>(megabytesOf(cards) / (model.layers * layerMegabytes(model, minTokens)));
+    for (auto count = most; count; --count) {
+        auto groups = divide(cards, count);
+        std::vector<std::vector<LayerRange>> splits;
+        for (const auto& group : groups) {
+            if (auto ranges = splitLayers(model, group, minTokens * 0.9))
+                splits.push_back(*ranges);
+        }
+        if (splits.size() != groups.size())
+            continue;
+        for (std::size_t i = 0; i < groups.size(); ++i)
+            addCopy(plan, groups[i], splits[i]);
+        return true;
+    }
+    return false;
+}
+
+LayerPlan LayerPlanner::plan(const LayeredModel& model, const std::vector<Card>& cards)
+{
+    std::map<std::string, std::vector<Card>> dataCentres;
+    for (const auto& card : cards) {
+        if (!card.isLeaving)
+            dataCentres[card.dataCentre].push_back(card);
+    }
+    LayerPlan plan;
+    std::vector<Card> rest;
+    for (const auto& [dataCentre, local] : dataCentres) {
+        if (!addCopies(plan, model, local))
+            rest.insert(rest.end(), local.begin(), local.end());
+    }
+    addCopies(plan, model, std::move(rest));
+    return plan;
+}
+
+// One pass of repair over a plan.
+struct LayerPlanner::Repair {
+    const LayeredModel& model;
+    std::map<std::string, base::TimePoint>& missingSince;
+    base::TimePoint now;
+    LayerPlan plan;
+    std::map<std::string, Card> present;
+    bool isChanged = false;
+
+    std::vector<Card> spares() const
+    {
+        std::vector<Card> result;
+        for (const auto& [address, card] : present) {
+            if (!card.isLeaving && !plan.sliceOf(address))
+                result.push_back(card);
+        }
+        return result;
+    }
+
+    // The time since which a slice needs another holder; nothing if it does not.
+    std::optional<base::TimePoint> vacantSince(const Slice& slice)
+    {
+        auto found = present.find(slice.holder);
+        if (found != present.end() && !found->second.isLeaving) {
+            missingSince.erase(slice.holder);
+            return std::nullopt;
+        }
+        auto since = missingSince.emplace(slice.holder, now).first->second;
+        // A leaving card does not come back, so nothing is gained by waiting.
+        bool isLeaving = found != present.end();
+        return isLeaving ? now - splitDelay : since;
+    }
+
+    // Gives vacant slices to the smallest spare cards that have room for them.
+    void fillFromSpares()
+    {
+        for (auto& slice : plan.slices) {
+            auto since = vacantSince(slice);
+            if (!since || now < *since + spareDelay)
+                continue;
+            double needed = slice.range.count() * layerMegabytes(model, minRequestsAfterLoss * usualTokens(model));
+            auto candidates = spares();
+            candidates.erase(std::remove_if(candidates.begin(), candidates.end(), [needed](const Card& card) { return card.megabytes < needed; }), candidates.end());
+            auto best = std::min_element(candidates.begin(), candidates.end(), [&slice](const Card& left, const Card& right) {
+                return std::make_tuple(left.dataCentre != slice.dataCentre, left.megabytes) < std::make_tuple(right.dataCentre != slice.dataCentre, right.megabytes);
+            });
+            if (best == candidates.end())
+                continue;
+            slice.holder = best->address;
+            slice.dataCentre = best->dataCentre;
+            isChanged = true;
+        }
+    }
+
+    // Splits copies anew that have been incomplete for long, or gives them up.
+    void splitBrokenCopies()
+    {
+        std::map<int, base::TimePoint> broken;
+        for (const auto& slice : plan.slices) {
+            if (auto since = vacantSince(slice); since && now >= *since + splitDelay)
+                broken.emplace(slice.copy, *since);
+        }
+        for (const auto& [copy, since] : broken)
+            splitCopy(copy);
+    }
+
+    void splitCopy(int copy)
+    {
+        std::vector<Card> cards;
+        std::string dataCentre;
+        for (const auto& slice : plan.slices) {
+            if (slice.copy != copy)
+                continue;
+            dataCentre = slice.dataCentre;
+            if (auto found = present.find(slice.holder); found != present.end() && !found->second.isLeaving)
+                cards.push_back(found->second);
+        }
+        plan.slices.erase(std::remove_if(plan.slices.begin(), plan.slices.end(), [copy](const Slice& slice) { return slice.copy == copy; }), plan.slices.end());
+        for (const auto& spare : spares()) {
+            bool isKnown = std::any_of(cards.begin(), cards.end(), [&spare](const Card& card) { return card.address == spare.address; });
+            if (!isKnown && spare.dataCentre == dataCentre)
+                cards.push_back(spare);
+        }
+        if (auto ranges = splitLayers(model, cards, minRequestsAfterLoss * usualTokens(model)))
+            addCopy(plan, cards, *ranges);
+        isChanged = true;
+    }
+
+    void addCopiesFromSpares()
+    {
+        auto before = plan.slices.size();
+        auto cards = spares();
+        std::map<std::string, std::vector<Card>> dataCentres;
+        for (const auto& card : cards)
+            dataCentres[card.dataCentre].push_back(card);
+        for (const auto& [dataCentre, local] : dataCentres)
+            addCopies(plan, model, local);
+        if (plan.slices.size() == before)
+            addCopies(plan, model, std::move(cards));
+        isChanged = isChanged || plan.slices.size() != before;
+    }
+};
+
+std::optional<LayerPlan> LayerPlanner::repair(const LayeredModel& model, const LayerPlan& plan, const std::vector<Card>& cards, base::TimePoint now)
+{
+    Repair repair { model, missingSince_, now, plan, {}, false };
+    for (const auto& card : cards)
+        repair.present.emplace(card.address, card);
+    repair.fillFromSpares();
+    repair.splitBrokenCopies();
+    repair.addCopiesFromSpares();
+    if (!repair.isChanged)
+        return std::nullopt;
+    return repair.plan;
+}
+
+} // namespace arbutus::placement
--- a/src/replica/ReplicaNode.cpp
+++ b/src/replica/ReplicaNode.cpp
@@ -18,7 +18,6 @@
 using consensus::ProposalStatus;
 
 static constexpr base::Logger logger("state");
-static constexpr std::chrono::milliseconds longestWait(20);
 static constexpr std::chrono::milliseconds fullDiskRetryDelay(500);
 
 Result<std::unique_ptr<ReplicaNode>> ReplicaNode::Make(const base::Clock& clock, base::Timeline& timeline, const Options& options, SendMessage send, OnRound onRound)
@@ -61,7 +60,7 @@
     BOOST_OUTCOME_TRY(durable, storage_->load());
     if (durable.snapshot)
         applySnapshot(*durable.snapshot);
-    consensus::ReplicaSettings settings;
+    consensus::ReplicaSettings settings = options_.core;
     settings.self = { options_.replica, storage_->diskNumber() };
     BOOST_OUTCOME_TRY(core, consensus::ReplicaCore::Make(settings, std::move(durable), base::Random(options_.randomSeed + 1), clock_.now()));
     core_.emplace(std::move(core));
@@ -103,8 +102,9 @@
 std::deque<ReplicaNode::LoopInput> ReplicaNode::takeInputs()
 {
     RankedLock lock(mutex_);
-    auto until = std::min(core_->nextDeadline(), clock_.now() + longestWait);
-    wake_.wait_until(lock, until, [this] { return isStopping_ || !inputs_.empty(); });
+    // The wait is relative, because the node's clock may count suspended time.
+    auto wait = std::min<std::chrono::nanoseconds>(core_->nextDeadline() - clock_.now(), options_.longestWait);
+    wake_.wait_for(lock, wait, [this] { return isStopping_ || !inputs_.empty(); });
     return std::exchange(inputs_, {});
 }
 
@@ -195,6 +195,7 @@
         applySnapshot(*output.snapshot);
     outcomes_.clear();
     for (const auto& entry : output.committed) {
+        appliedBytes_ += entry.data.size();
         bool isCommand = entry.kind == consensus::EntryKind::Command;
         auto outcome = machine_->apply(entry.index, isCommand ? std::string_view(entry.data) : std::string_view());
         if (isCommand)
@@ -345,7 +346,8 @@
 void ReplicaNode::takeSnapshotIfDue()
 {
     auto applied = core_->appliedIndex();
-    if (isFull_ || applied < snapshotIndex_ + options_.snapshotEvery || !unwritten_.empty())
+    bool isDue = applied >= snapshotIndex_ + options_.snapshotEvery || appliedBytes_ >= options_.snapshotEveryBytes;
+    if (isFull_ || !isDue || applied <= snapshotIndex_ || !unwritten_.empty())
         return;
     auto meta = core_->describeSnapshot(applied);
     if (!meta)
@@ -353,6 +355,7 @@
     consensus::Snapshot snapshot { meta.value(), std::make_shared<const std::string>(machine_->encodeSnapshot()) };
     auto saved = storage_->saveSnapshot(snapshot);
     snapshotIndex_ = applied;
+    appliedBytes_ = 0;
     if (!saved) {
         if (saved.error().kind != ErrorKind::StorageFull)
             exitOnStorageFailure(saved.error());
@@ -400,6 +403,7 @@
     status.syncCount = storage_->syncCount();
     status.snapshotCount = snapshotCount_;
     status.isFull = isFull_;
+    status.activePeers = core_->activePeers();
     status.feedRevision = machine_->configuration().revision;
     status.sheetRevision = machine_->configuration().sheetRevision;
     status.auditHead = machine_->audit().head();
--- a/src/replica/ReplicaNode.h
+++ b/src/replica/ReplicaNode.h
@@ -33,6 +33,8 @@
     std::uint64_t syncCount = 0;
     std::uint64_t snapshotCount = 0;
     bool isFull = false;
+    // The replicas that have answered this leader recently; empty at any other role.
+    std::vector<consensus::ReplicaKey> activePeers;
     std::uint64_t feedRevision = 0;
     std::uint64_t sheetRevision = 0;
     // Digest of the last audit record; replicas with equal applied indexes have equal digests.
@@ -56,8 +58,13 @@
         std::uint64_t replica = 0;
         std::string folder;
         std::uint64_t randomSeed = 0;
-        // A snapshot is taken after this many applied entries.
+        // A snapshot is taken after this many applied entries, or this many bytes of them.
         std::uint64_t snapshotEvery = 4096;
+        std::uint64_t snapshotEveryBytes = std::uint64_t { 64 } << 20;
+        // The longest time between two checks of the deadlines of waiting requests.
+        std::chrono::milliseconds longestWait { 20 };
+        // The identity is set by the node.
+        consensus::ReplicaSettings core;
     };
 
     static base::Result<std::unique_ptr<ReplicaNode>> Make(const base::Clock&, base::Timeline&, const Options&, SendMessage, OnRound);
@@ -155,6 +162,8 @@
     std::optional<base::TimePoint> leadershipConfirmedAt_;
     consensus::Index snapshotIndex_ = 0;
     std::uint64_t snapshotCount_ = 0;
+    // Bytes of the entries applied since the last snapshot.
+    std::uint64_t appliedBytes_ = 0;
     consensus::Role lastRole_ = consensus::Role::Follower;
 
     mutable base::RankedMutex mutex_;
--- /dev/null
+++ b/src/routes/RouteTable.cpp
@@ -0,0 +1,66 @@
+#include "include/routes/RouteTable.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace arbutus::routes {
+
+std::shared_ptr<const RouteTable> RouteTable::Make(RouteConfiguration configuration)
+{
+    return std::shared_ptr<const RouteTable>(new RouteTable(std::move(configuration)));
+}
+
+RouteTable::RouteTable(RouteConfiguration configuration)
+    : configuration_(std::move(configuration))
+{
+    for (const auto& route : configuration_.routes)
+        routes_[route.host][route.pathPrefix] = &route;
+    for (const auto& team : configuration_.teams) {
+        for (const auto& key : team.keys)
+            teams_[key] = &team;
+    }
+    for (const auto& service : configuration_.services)
+        services_[service.name] = &service;
+}
+
+const Route* RouteTable::match(std::string_view host, std::string_view target) const
+{
+    host = host.substr(0, host.find(':'));
+    auto path = target.substr(0, target.find_first_of("?#"));
+    auto prefixes = routes_.find(std::string(host));
+    if (prefixes == routes_.end())
+        return nullptr;
+    // Every prefix ends with a slash, so only the slashes of the path can end one.
+    for (auto slash = path.rfind('/'); slash != std::string_view::npos; slash = slash ? path.rfind('/', slash - 1) : std::string_view::npos) {
+        if (auto found = prefixes->second.find(std::string(path.substr(0, slash + 1))); found != prefixes->second.end())
+            return found->second;
+    }
+    return nullptr;
+}
+
+const Team* RouteTable::teamOf(const std::string& key) const
+{
+    auto found = teams_.find(key);
+    return found == teams_.end() ? nullptr : found->second;
+}
+
+const Service* RouteTable::service(const std::string& name) const
+{
+    auto found = services_.find(name);
+    return found == services_.end() ? nullptr : found->second;
+}
+
+const std::string& pickService(const Route& route, double draw)
+{
+    double sum = std::accumulate(route.shares.begin(), route.shares.end(), 0.0, [](double total, const TrafficShare& share) { return total + share.weight; });
+    double mark = draw * sum;
+    for (const auto& share : route.shares) {
+        if (share.weight > 0 && mark < share.weight)
+            return share.service;
+        mark -= share.weight;
+    }
+    auto last = std::find_if(route.shares.rbegin(), route.shares.rend(), [](const TrafficShare& share) { return share.weight > 0; });
+    return last->service;
+}
+
+} // namespace arbutus::routes
--- /dev/null
+++ b/src/routing/LayerPathSelector.cpp
@@ -0,0 +1,182 @@
+#include "include/routing/LayerPathSelector.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace arbutus::routing {
+
+using fleet::UpstreamFact;
+
+static constexpr double bytesPerMegabyte = 1e6;
+// Part of an engine's memory that is planned for; the estimates of answers are
+// often exceeded, and an overfull engine preempts streams.
+static constexpr double usableMemoryShare = 0.92;
+// One-way delay between data centres, paid by each token that crosses.
+static constexpr double crossingMilliseconds = 0.5;
+// Preference for a first engine near the caller over an equal one elsewhere.
+static constexpr double remoteFirstMilliseconds = 40;
+// The longest time for one token: an event of several tokens must stay within the
+// pause that a caller accepts.
+static constexpr double maxTokenMilliseconds = 50;
+// Answer tokens that the choice is weighed with; the end of a long answer is
+// less important than its start.
+static constexpr double weighedAnswerTokens = 120;
+
+void LayerPathSelector::setEngine(const UpstreamFact& fact)
+{
+    const auto* kind = model_.kind(fact.accelerator);
+    if (!kind || fact.state != fleet::UpstreamState::Ready || fact.layers.count() <= 0) {
+        removeEngine(fact.id);
+        return;
+    }
+    auto& engine = engines_[fact.id];
+    auto progressAt = engine.progressAt ? engine.progressAt : std::make_shared<base::TimePoint>();
+    engine = { fact, kind->megabytes, kind->pace, kind->readFactor, std::move(progressAt) };
+}
+
+void LayerPathSelector::removeEngine(const std::string& upstream) { engines_.erase(upstream); }
+
+void LayerPathSelector::suspect(const std::string& upstream, base::TimePoint until)
+{
+    auto& current = suspectUntil_[upstream];
+    current = std::max(current, until);
+}
+
+EngineWork LayerPathSelector::workAt(const std::string& upstream) const
+{
+    EngineWork sum;
+    for (const auto* source : { &own_, &others_ }) {
+        if (auto found = source->find(upstream); found != source->end()) {
+            sum.running += found->second.running;
+            sum.cacheTokenLayers += found->second.cacheTokenLayers;
+        }
+    }
+    return sum;
+}
+
+bool LayerPathSelector::hasRoom(const Engine& engine, int layers, const StreamSize& size, const EngineWork& work) const
+{
+    double free = (engine.megabytes - engine.fact.layers.count() * model_.layerMegabytes) * bytesPerMegabyte;
+    double tokenLayers = free * usableMemoryShare / (model_.cacheBytesPerToken / model_.layers);
+    return work.cacheTokenLayers + (size.prompt + size.answer) * layers <= tokenLayers;
+}
+
+double LayerPathSelector::tokenMilliseconds(const Engine& engine, int layers, const EngineWork& work) const
+{
+    double share = static_cast<double>(layers) / model_.layers;
+    double context = work.cacheTokenLayers / std::max(1, engine.fact.layers.count()) / 1000;
+    return share * engine.pace * (model_.stepMilliseconds + model_.perSequenceMilliseconds * (work.running + 1) + model_.contextMillisecondsPerThousand * context);
+}
+
+double LayerPathSelector::stageCost(const Engine& engine, int layers, const StreamSize& size, const EngineWork& work) const
+{
+    double share = static_cast<double>(layers) / model_.layers;
+    double reading = size.prompt / std::max(1.0, model_.readTokensPerSecond) * 1000 * engine.readFactor * share;
+    return reading + std::min(size.answer, weighedAnswerTokens) * tokenMilliseconds(engine, layers, work);
+}
+
+double LayerPathSelector::crossingCost(const Engine* previous, const Engine& next, const StreamSize& size) const
+{
+    if (!previous)
+        return next.fact.dataCentre == dataCentre_ ? 0 : remoteFirstMilliseconds;
+    if (previous->fact.dataCentre == next.fact.dataCentre)
+        return 0;
+    double bits = model_.activationBytesPerToken * 8 * (size.prompt + size.answer);
+    double transfer = model_.crossLinkMegabits > 0 ? bits / (model_.crossLinkMegabits * 1000) : 0;
+    // The link between data centres is shared by everybody, so its use is weighed double.
+    return 2 * transfer + crossingMilliseconds * std::min(size.answer, weighedAnswerTokens);
+}
+
+std::vector<const LayerPathSelector::Engine*> LayerPathSelector::usableEngines(const std::set<std::string>& avoided, base::TimePoint now) const
+{
+    std::vector<const Engine*> usable;
+    for (const auto& [id, engine] : engines_) {
+        auto suspicion = suspectUntil_.find(id);
+        bool isSuspect = suspicion != suspectUntil_.end() && now < suspicion->second;
+        if (!isSuspect && !avoided.count(id))
+            usable.push_back(&engine);
+    }
+    return usable;
+}
+
+// The least cost from layer 0 to the last over the boundaries of the engines' ranges.
+std::optional<LayerPath> LayerPathSelector::search(const std::vector<const Engine*>& engines, const StreamSize& size, bool checksRoom) const
+{
+    std::set<int> boundaries { 0, model_.layers };
+    for (const auto* engine : engines) {
+        boundaries.insert(engine->fact.layers.from);
+        boundaries.insert(engine->fact.layers.to);
+    }
+    std::vector<EngineWork> works;
+    for (const auto* engine : engines)
+        works.push_back(workAt(engine->fact.id));
+    std::map<int, Step> best;
+    best[0] = {};
+    for (int at : boundaries) {
+        auto reached = best.find(at);
+        if (reached == best.end() || at == model_.layers)
+            continue;
+        const Step step = reached->second;
+        for (std::size_t i = 0; i < engines.size(); ++i) {
+            const auto& engine = *engines[i];
+            if (engine.fact.layers.from > at || engine.fact.layers.to <= at || &engine == step.engine)
+                continue;
+            for (auto next = boundaries.upper_bound(at); next != boundaries.end() && *next <= engine.fact.layers.to; ++next) {
+                int layers = *next - at;
+                double tokenTime = step.tokenTime + tokenMilliseconds(engine, layers, works[i]);
+                if (checksRoom && (!hasRoom(engine, layers, size, works[i]) || tokenTime > maxTokenMilliseconds))
+                    continue;
+                double cost = step.cost + stageCost(engine, layers, size, works[i]) + crossingCost(step.engine, engine, size);
+                auto [known, inserted] = best.try_emplace(*next, Step { cost, tokenTime, &engine, at });
+                if (!inserted && cost < known->second.cost)
+                    known->second = { cost, tokenTime, &engine, at };
+            }
+        }
+    }
+    LayerPath path;
+    std::set<std::string> used;
+    for (int at = model_.layers; at > 0;) {
+        auto found = best.find(at);
+        if (found == best.end())
+            return std::nullopt;
+        const auto& [cost, tokenTime, engine, previous] = found->second;
+        // An engine may stand in a path only once.
+        if (!used.insert(engine->fact.id).second)
+            return std::nullopt;
+        path.insert(path.begin(), { engine->fact.id, engine->fact.endpoint(), { previous, at }, engine->progressAt });
+        at = previous;
+    }
+    return path;
+}
+
+std::optional<LayerPath> LayerPathSelector::choose(const StreamSize& size, const std::set<std::string>& avoided, base::TimePoint now) const
+{
+    return search(usableEngines(avoided, now), size, true);
+}
+
+bool LayerPathSelector::hasPath(base::TimePoint now) const { return search(usableEngines({}, now), {}, false).has_value(); }
+
+void LayerPathSelector::reserve(const LayerPath& path, const StreamSize& size)
+{
+    for (const auto& stage : path) {
+        auto& work = own_[stage.upstream];
+        work.running += 1;
+        work.cacheTokenLayers += (size.prompt + size.answer) * stage.layers.count();
+    }
+}
+
+void LayerPathSelector::release(const LayerPath& path, const StreamSize& size)
+{
+    for (const auto& stage : path) {
+        auto found = own_.find(stage.upstream);
+        if (found == own_.end())
+            continue;
+        found->second.running -= 1;
+        found->second.cacheTokenLayers -= (size.prompt + size.answer) * stage.layers.count();
+        if (found->second.running < 0.5)
+            own_.erase(found);
+    }
+}
+
+} // namespace arbutus::routing
--- /dev/null
+++ b/src/routing/ServiceBalancer.cpp
@@ -0,0 +1,94 @@
+#include "include/routing/ServiceBalancer.h"
+
+#include <algorithm>
+
+namespace arbutus::routing {
+
+// Weight of the newest call in the averages.
+static constexpr double averageWeight = 0.15;
+// Assumed for an upstream that has not answered yet.
+static constexpr double initialMilliseconds = 30;
+// Cost of a failed call, as a multiple of a call's time.
+static constexpr double failurePenalty = 12;
+static constexpr double remoteMilliseconds = 2;
+static constexpr double suspectMilliseconds = 100'000;
+
+void ServiceBalancer::setUpstream(const fleet::UpstreamFact& fact)
+{
+    if (fact.state != fleet::UpstreamState::Ready) {
+        removeUpstream(fact.id);
+        return;
+    }
+    upstreams_[fact.id].fact = fact;
+}
+
+void ServiceBalancer::suspect(const std::string& id, base::TimePoint until)
+{
+    if (auto found = upstreams_.find(id); found != upstreams_.end())
+        found->second.suspectUntil = std::max(found->second.suspectUntil, until);
+}
+
+double ServiceBalancer::score(const Upstream& upstream, base::TimePoint now) const
+{
+    auto others = others_.find(upstream.fact.id);
+    double running = upstream.running + (others == others_.end() ? 0 : others->second);
+    double slots = std::max(1, upstream.fact.slots);
+    double time = upstream.milliseconds > 0 ? upstream.milliseconds : initialMilliseconds;
+    // Up to its slots an upstream runs calls side by side; beyond, they wait in turn.
+    double queueing = 1 + std::max(0.0, (running + 1 - slots) / slots) + running / slots * 0.5;
+    double result = time * queueing * (1 + failurePenalty * upstream.failureShare);
+    if (upstream.fact.dataCentre != dataCentre_)
+        result += remoteMilliseconds;
+    if (now < upstream.suspectUntil)
+        result += suspectMilliseconds;
+    return result;
+}
+
+std::optional<fleet::UpstreamFact> ServiceBalancer::choose(const std::set<std::string>& avoided, base::TimePoint now) const
+{
+    const Upstream* best = nullptr;
+    for (const auto& [id, upstream] : upstreams_) {
+        if (avoided.count(id))
+            continue;
+        if (!best || score(upstream, now) < score(*best, now))
+            best = &upstream;
+    }
+    if (!best)
+        return std::nullopt;
+    return best->fact;
+}
+
+void ServiceBalancer::started(const std::string& id)
+{
+    if (auto found = upstreams_.find(id); found != upstreams_.end())
+        found->second.running += 1;
+}
+
+void ServiceBalancer::finished(const std::string& id, CallResult result, std::chrono::nanoseconds took)
+{
+    auto found = upstreams_.find(id);
+    if (found == upstreams_.end())
+        return;
+    auto& upstream = found->second;
+    upstream.running = std::max(0.0, upstream.running - 1);
+    if (result == CallResult::Abandoned || result == CallResult::Refused)
+        return;
+    double failure = result == CallResult::Answered ? 0 : 1;
+    upstream.failureShare += averageWeight * (failure - upstream.failureShare);
+    if (result == CallResult::Lost)
+        return;
+    double milliseconds = std::chrono::duration<double, std::milli>(took).count();
+    upstream.milliseconds = upstream.milliseconds > 0 ? upstream.milliseconds + averageWeight * (milliseconds - upstream.milliseconds) : milliseconds;
+}
+
+std::map<std::string, double> ServiceBalancer::ownRunning() const
+{
+    std::map<std::string, double> result;
+    for (const auto& [id, upstream] : upstreams_) {
+        if (upstream.running > 0)
+            result[id] = upstream.running;
+    }
+    return result;
+}
+
+} // namespace arbutus::routing
--- a/src/state/AuditText.cpp
+++ b/src/state/AuditText.cpp
@@ -1,5 +1,6 @@
 #include "src/state/AuditText.h"
 
+#include "include/base/Digest.h"
 #include "include/state/OrderLedger.h"
 
 #include <fmt/format.h>
@@ -20,6 +21,7 @@
         std::string_view operator()(const ClaimReply& reply) const { return claimNames[static_cast<std::size_t>(reply.status)]; }
         std::string_view operator()(const CrashReply& reply) const { return reply.isBlamed ? "blamed" : "accepted"; }
         std::string_view operator()(const FencingNumber&) const { return "accepted"; }
+        std::string_view operator()(const VersionStored& stored) const { return stored.isAdopted ? "accepted" : "superseded"; }
     };
     return std::visit(Namer(), outcome);
 }
@@ -60,6 +62,8 @@
     void operator()(const TakeFencingNumber& command) { set(command.holder, command.scope, ""); }
     void operator()(const TrimAudit& command) { set(command.operatorName, fmt::format("audit records through {}", command.throughSequence), command.digest); }
     void operator()(const ChangeReplicas& command) { set(command.operatorName, "replicas", command.change); }
+    void operator()(const ReplaceRoutes& command) { set("", fmt::format("routes version {}", command.version), fmt::format("bytes={} digest={}", command.document.size(), base::sha256Hex(command.document))); }
+    void operator()(const SetLayerPlan& command) { set("", fmt::format("layer plan {}", command.revision), fmt::format("digest={}", base::sha256Hex(command.plan))); }
 };
 
 // What the outcome adds to the detail.
@@ -69,6 +73,7 @@
     std::string operator()(const SheetRefused& refused) const { return refused.refusal.detail; }
     std::string operator()(const CrashReply& reply) const { return fmt::format("deaths={} alone={}", reply.deaths, reply.deathsAlone); }
     std::string operator()(const FencingNumber& fencing) const { return fmt::format("number={}", fencing.number); }
+    std::string operator()(const VersionStored& stored) const { return fmt::format("in-force={}", stored.inForce); }
     template <typename Other>
     std::string operator()(const Other&) const { return ""; }
 };
--- a/src/state/Commands.cpp
+++ b/src/state/Commands.cpp
@@ -20,7 +20,7 @@
 
 static constexpr std::array<std::string_view, std::variant_size_v<CommandBody>> commandNames {
     "ApplySheet", "ClaimOrder", "RecordOutcome", "CloseClaim", "ResolveOrder", "DeclareEntryGone", "RecordOrderRefusal",
-    "RecordRefusals", "SetDrain", "RecordCrash", "ClearCrash", "TakeFencingNumber", "TrimAudit", "ChangeReplicas"
+    "RecordRefusals", "SetDrain", "RecordCrash", "ClearCrash", "TakeFencingNumber", "TrimAudit", "ChangeReplicas", "ReplaceRoutes", "SetLayerPlan"
 };
 
 std::string toString(const OrderKey& order) { return fmt::format("{}/{}/{}", order.team, order.service, order.key); }
@@ -169,6 +169,14 @@
     checker.text("change", command.change, maxDetailBytes);
 }
 
+static void check(FieldChecker& checker, const ReplaceRoutes& command)
+{
+    checker.require(command.version, "version");
+    checker.require(!command.document.empty(), "document");
+}
+
+static void check(FieldChecker& checker, const SetLayerPlan& command) { checker.require(command.revision, "revision"); }
+
 std::string encodeCommand(const Command& command)
 {
     msgpack::sbuffer buffer;
--- a/src/state/StateMachine.cpp
+++ b/src/state/StateMachine.cpp
@@ -9,7 +9,9 @@
 namespace arbutus::state {
 
 // The first value of a snapshot; changes whenever the layout does.
-static constexpr std::string_view snapshotFormat = "arbutus-state-1";
+static constexpr std::string_view snapshotFormat = "arbutus-state-2";
+// The layout without the route configuration and the layer plan.
+static constexpr std::string_view firstSnapshotFormat = "arbutus-state-1";
 
 StateMachine::StateMachine(const Limits& limits)
     : limits_(limits)
@@ -85,6 +87,9 @@
 Outcome StateMachine::applyBody(const RecordRefusals&, base::WallTime) { return Accepted {}; }
 Outcome StateMachine::applyBody(const ChangeReplicas&, base::WallTime) { return Accepted {}; }
 
+Outcome StateMachine::applyBody(const ReplaceRoutes& command, base::WallTime) { return routes_.offer(command.version, command.document); }
+Outcome StateMachine::applyBody(const SetLayerPlan& command, base::WallTime) { return layerPlan_.offer(command.revision, command.plan); }
+
 Outcome StateMachine::applyBody(const SetDrain& command, base::WallTime)
 {
     const auto& drained = feed_.current().drainedUpstreams;
@@ -138,6 +143,8 @@
     orders_.save(writer);
     crashes_.save(writer);
     audit_.save(writer);
+    routes_.save(writer);
+    layerPlan_.save(writer);
     return writer.finish();
 }
 
@@ -155,7 +162,8 @@
 
 void StateMachine::load(SnapshotReader& reader)
 {
-    if (reader.read<std::string>() != snapshotFormat)
+    auto format = reader.read<std::string>();
+    if (format != snapshotFormat && format != firstSnapshotFormat)
         throw msgpack::type_error();
     appliedIndex_ = reader.read<std::uint64_t>();
     time_ = reader.read<base::WallTime>();
@@ -165,6 +173,10 @@
     orders_.load(reader);
     crashes_.load(reader);
     audit_.load(reader);
+    if (format == snapshotFormat) {
+        routes_.load(reader);
+        layerPlan_.load(reader);
+    }
     if (!reader.isAtEnd())
         throw msgpack::type_error();
 }
--- a/tests/ControlCodecTest.cpp
+++ b/tests/ControlCodecTest.cpp
@@ -32,6 +32,8 @@
         state::TakeFencingNumber { "placement", "entry-1" },
         state::TrimAudit { "anna", 12, digest },
         state::ChangeReplicas { "anna", "promote 4/ab" },
+        state::ReplaceRoutes { 7, "{\"version\":7}" },
+        state::SetLayerPlan { 3, std::string("a\0b", 3) },
     };
     for (const auto& command : commands) {
         auto decoded = commandFromParameters(methodOf(command), toParameters(command));
