Keep a resumed stream from ending on a refusal

Cause: a stream that went on at another engine and was refused there was ended as complete, and a sized answer was refused by the parser (Boost 1.74 compares every length with an absent limit).

Change: an exchange knows whether it has begun a stream or a plain answer; the parser gets an explicit limit. MessageReaderTest fails on the former code.

--- a/src/forwarding/Exchange.cpp
+++ b/src/forwarding/Exchange.cpp
@@ -204,15 +204,15 @@
         *stage.progressAt = progressAt_;
     if (!caller_)
         return;
-    if (!isRelaying_)
-        beginRelay(std::nullopt);
+    if (relay_ == Relay::None)
+        beginRelay(Relay::Events, std::nullopt);
     caller_->sendBody(events);
 }
 
 void Exchange::takePlainBody(std::string_view bytes)
 {
     progressAt_ = std::chrono::steady_clock::now();
-    if (isRelaying_) {
+    if (relay_ == Relay::Plain) {
         if (caller_)
             caller_->sendBody(bytes);
         return;
@@ -221,7 +221,7 @@
     bool isUsable = head_->status >= 200 && head_->status < 300;
     if (body_.size() <= maxKeptBody || !isUsable || !caller_)
         return;
-    beginRelay(head_->contentLength);
+    beginRelay(Relay::Plain, head_->contentLength);
     caller_->sendBody(body_);
     body_.clear();
 }
@@ -239,9 +239,9 @@
     return response;
 }
 
-void Exchange::beginRelay(std::optional<std::uint64_t> length)
+void Exchange::beginRelay(Relay relay, std::optional<std::uint64_t> length)
 {
-    isRelaying_ = true;
+    relay_ = relay;
     caller_->beginResponse(responseFrom(*head_), length);
 }
 
@@ -254,8 +254,8 @@
     }
     releaseChoice(CallResult::Answered);
     if (caller_) {
-        if (!isRelaying_)
-            beginRelay(std::nullopt);
+        if (relay_ == Relay::None)
+            beginRelay(Relay::Events, std::nullopt);
         caller_->sendBody(events_.takePartial());
         caller_->finishResponse();
     }
@@ -265,7 +265,7 @@
 
 void Exchange::completePlain()
 {
-    if (isRelaying_) {
+    if (relay_ == Relay::Plain) {
         releaseChoice(CallResult::Answered);
         if (caller_)
             caller_->finishResponse();
@@ -277,6 +277,11 @@
         endAttempt(AttemptEnd::NotRun);
         return;
     }
+    // A stream that has begun goes on with events or is cut off, whatever else comes.
+    if (relay_ == Relay::Events) {
+        endAttempt(AttemptEnd::Failed);
+        return;
+    }
     auto answer = responseFrom(*head_);
     answer.body = std::move(body_);
     if (head_->status >= 500) {
@@ -361,7 +366,7 @@
     logger.debug("An attempt ended without an answer.", { { "request", facts_.requestId }, { "upstream", upstream_ }, { "end", names[static_cast<std::size_t>(end)] }, { "sends", sends_ } });
     releaseChoice(results[static_cast<std::size_t>(end)]);
     avoided_.insert(upstream_);
-    bool wasRelaying = isRelaying_;
+    bool wasRelaying = relay_ != Relay::None;
     if (mayTryAgain(end) && sendNext()) {
         ++gate_.counters_.retries;
         gate_.counters_.resumes += wasRelaying ? 1 : 0;
@@ -376,7 +381,7 @@
         finish();
         return;
     }
-    if (isRelaying_) {
+    if (relay_ != Relay::None) {
         logger.info("A stream was cut off.", { { "request", facts_.requestId }, { "last", events_.lastId().value_or("") } });
         ++gate_.counters_.failed;
         caller_->abortResponse();
@@ -460,7 +465,7 @@
 {
     connection_->abandon();
     releaseChoice(CallResult::Lost);
-    if (isRelaying_ && caller_) {
+    if (relay_ != Relay::None && caller_) {
         ++gate_.counters_.failed;
         caller_->abortResponse();
         finish();
@@ -475,7 +480,7 @@
         return;
     auto silence = now - progressAt_;
     if (path_.empty()) {
-        if (isRelaying_ || silence < safeStallShare * route_->timeout)
+        if (relay_ != Relay::None || silence < safeStallShare * route_->timeout)
             return;
     } else {
         if (silence < (events_.hasDelivered() ? nextEventStall : firstEventStall))
--- a/src/forwarding/Exchange.h
+++ b/src/forwarding/Exchange.h
@@ -37,6 +37,14 @@
         Stalled,
     };
 
+    // What has been begun for the caller: a stream may go on with another attempt,
+    // a plain answer may not.
+    enum class Relay {
+        None,
+        Events,
+        Plain,
+    };
+
     void onCallerLeft() override;
     void onDrained() override;
     ResponseOwner onOwnerOf(const http1::ResponseHead&) const override;
@@ -61,7 +69,7 @@
 
     void takeEvents(std::string_view);
     void takePlainBody(std::string_view);
-    void beginRelay(std::optional<std::uint64_t> length);
+    void beginRelay(Relay, std::optional<std::uint64_t> length);
     void completePlain();
     http1::Response responseFrom(const http1::ResponseHead&) const;
 
@@ -99,8 +107,7 @@
     int runs_ = 0;
     std::set<std::string> avoided_;
     EventSplitter events_;
-    // The head for the caller has been sent.
-    bool isRelaying_ = false;
+    Relay relay_ = Relay::None;
     std::optional<http1::Response> failedAnswer_;
 };
 
--- a/src/http1/MessageReader.cpp
+++ b/src/http1/MessageReader.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/beast/http/basic_parser.hpp>
 
+#include <limits>
+
 namespace arbutus::http1 {
 
 namespace beast = boost::beast;
@@ -135,7 +137,8 @@
     parser_->fields = &parser_->head.fields;
     parser_->sink = std::move(sink);
     parser_->header_limit(64 << 10);
-    parser_->body_limit(boost::none);
+    // Boost 1.74 refuses every length if there is no limit.
+    parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
     parser_->skip(hasNoBody);
 }
 
