Let an engine stand in a path only once

An engine without room for its whole range was used for several small parts of it, and the path was then dropped as a whole.

Change: the search does not extend a path by an engine that is in it already.

--- a/include/routing/LayerPathSelector.h
+++ b/include/routing/LayerPathSelector.h
@@ -44,6 +44,22 @@
 // sent itself and what others say that they have sent.
 class LayerPathSelector {
 public:
+    // Internal to the search.
+    struct Engine {
+        fleet::UpstreamFact fact;
+        double megabytes = 0;
+        double pace = 1;
+        double readFactor = 1;
+        std::shared_ptr<base::TimePoint> progressAt;
+    };
+    struct Step {
+        double cost = 0;
+        // Time of one token so far.
+        double tokenTime = 0;
+        const Engine* engine = nullptr;
+        int previous = -1;
+    };
+
     LayerPathSelector(routes::LayeredModel model, std::string dataCentre)
         : model_(std::move(model))
         , dataCentre_(std::move(dataCentre))
@@ -73,21 +89,6 @@
     const std::map<std::string, EngineWork>& ownWork() const { return own_; }
 
 private:
-    struct Engine {
-        fleet::UpstreamFact fact;
-        double megabytes = 0;
-        double pace = 1;
-        double readFactor = 1;
-        std::shared_ptr<base::TimePoint> progressAt;
-    };
-    struct Step {
-        double cost = 0;
-        // Time of one token so far.
-        double tokenTime = 0;
-        const Engine* engine = nullptr;
-        int previous = -1;
-    };
-
     EngineWork workAt(const std::string& upstream) const;
     bool hasRoom(const Engine&, int layers, const StreamSize&, const EngineWork&) const;
     double tokenMilliseconds(const Engine&, int layers, const EngineWork&) const;
--- a/src/routing/LayerPathSelector.cpp
+++ b/src/routing/LayerPathSelector.cpp
@@ -100,6 +100,19 @@
     return usable;
 }
 
+// Whether the path that led to `at` runs through `engine`; an engine may stand in
+// a path only once.
+static bool isUsed(const std::map<int, LayerPathSelector::Step>& best, int at, const LayerPathSelector::Engine& engine)
+{
+    while (at > 0) {
+        const auto& step = best.at(at);
+        if (step.engine == &engine)
+            return true;
+        at = step.previous;
+    }
+    return false;
+}
+
 // The least cost from layer 0 to the last over the boundaries of the engines' ranges.
 std::optional<LayerPath> LayerPathSelector::search(const std::vector<const Engine*>& engines, const StreamSize& size, bool checksRoom) const
 {
@@ -120,7 +133,7 @@
         const Step step = reached->second;
         for (std::size_t i = 0; i < engines.size(); ++i) {
             const auto& engine = *engines[i];
-            if (engine.fact.layers.from > at || engine.fact.layers.to <= at || &engine == step.engine)
+            if (engine.fact.layers.from > at || engine.fact.layers.to <= at || isUsed(best, at, engine))
                 continue;
             for (auto next = boundaries.upper_bound(at); next != boundaries.end() && *next <= engine.fact.layers.to; ++next) {
                 int layers = *next - at;
@@ -135,15 +148,11 @@
         }
     }
     LayerPath path;
-    std::set<std::string> used;
     for (int at = model_.layers; at > 0;) {
         auto found = best.find(at);
         if (found == best.end())
             return std::nullopt;
         const auto& [cost, tokenTime, engine, previous] = found->second;
-        // An engine may stand in a path only once.
-        if (!used.insert(engine->fact.id).second)
-            return std::nullopt;
         path.insert(path.begin(), { engine->fact.id, engine->fact.endpoint(), { previous, at }, engine->progressAt });
         at = previous;
     }
