--- a/include/forwarding/Gate.h
+++ b/include/forwarding/Gate.h
@@ -70,6 +70,8 @@
 
     // Connections end after their present request.
     void stop() { isStopping_ = true; }
+    // Every later request is refused as not run.
+    void refuseNew() { isRefusingNew_ = true; }
     std::size_t openExchanges() const { return exchanges_.size(); }
     // Applies the time limits of requests; call many times a second.
     void tick(base::TimePoint now);
@@ -101,6 +103,7 @@
     std::uint32_t entryCount_ = 1;
     std::list<std::shared_ptr<Exchange>> exchanges_;
     bool isStopping_ = false;
+    bool isRefusingNew_ = false;
     base::TimePoint poolTickAt_;
     GateCounters counters_;
 };
--- a/src/forwarding/Exchange.cpp
+++ b/src/forwarding/Exchange.cpp
@@ -81,6 +81,8 @@
 
 base::Result<void> Exchange::admit()
 {
+    if (gate_.isRefusingNew_)
+        return makeError(ErrorKind::ShuttingDown, "this VM is shutting down");
     if (!table_)
         return makeError(ErrorKind::StaleConfiguration, "this VM has no configuration yet");
     route_ = table_->match(facts_.host, request_.head.target);
--- a/src/node/ControlNode.cpp
+++ b/src/node/ControlNode.cpp
@@ -105,8 +105,7 @@
     replica.core.maxEntryBytes = maxEntryBytes;
     replica.core.maxBatchBytes = maxBatchBytes;
     BOOST_OUTCOME_TRY(node, replica::ReplicaNode::Make(
-                                clock_, timeline_, replica, [this](const consensus::Message& message) { sendMessage(message); },
-                                [this](const replica::ReplicaStatus& status, const state::StateMachine& machine) { noteRound(status, machine); }));
+                                clock_, timeline_, replica, [this](const consensus::Message& message) { sendMessage(message); }, [this](const replica::ReplicaStatus& status, const state::StateMachine& machine) { noteRound(status, machine); }));
     replica_ = std::move(node);
 
     transport::FrameServerOptions frames;
--- a/src/node/RouterNode.cpp
+++ b/src/node/RouterNode.cpp
@@ -18,7 +18,7 @@
 // What is left of the grace when the last streams are cut.
 static constexpr std::chrono::milliseconds stopMargin(300);
 // How long an idle connection is kept while stopping.
-static constexpr std::chrono::milliseconds stopIdle(1000);
+static constexpr std::chrono::milliseconds stopIdle(200);
 
 // Answers the probes of the load balancer.
 class RouterNode::Readiness final : public http1::RequestHandler {
@@ -136,9 +136,11 @@
 {
     if (now < *stopSince_ + drainTime)
         return;
+    // The load balancer may still send callers here if it has no other VM; what is
+    // taken now would be cut off at the end.
+    gate_.refuseNew();
     callers_->closeIdle(now - stopIdle);
-    bool isDone = !gate_.openExchanges() && !callers_->connectionCount();
-    if (!isDone && now < *stopSince_ + options_.stopGrace - stopMargin)
+    if (gate_.openExchanges() && now < *stopSince_ + options_.stopGrace - stopMargin)
         return;
     if (gate_.openExchanges())
         logger.warning("Requests are cut off because the time to stop is over.", { { "requests", gate_.openExchanges() } });
