Spread streams by memory and take fresher load from one control VM

Change: a cost for engines whose memory is full, polls of one control VM every 120 ms, lost slices given to several spare cards.

--- a/include/fleet/FleetFollower.h
+++ b/include/fleet/FleetFollower.h
@@ -68,6 +68,7 @@
 
     Peer* peer(std::uint32_t ip);
     void poll(std::uint32_t ip, Peer&);
+    bool isPreferred(std::uint32_t ip) const;
     bool shouldFetchRoutes(std::uint32_t ip, const Peer&) const;
     void take(std::uint32_t ip, const base::Result<std::string>&);
     void merge(std::uint32_t ip, Peer&, FleetAnswer);
--- a/include/routing/LayerPathSelector.h
+++ b/include/routing/LayerPathSelector.h
@@ -90,6 +90,7 @@
 
 private:
     EngineWork workAt(const std::string& upstream) const;
+    double capacity(const Engine&) const;
     bool hasRoom(const Engine&, int layers, const StreamSize&, const EngineWork&) const;
     double tokenMilliseconds(const Engine&, int layers, const EngineWork&) const;
     double stageCost(const Engine&, int layers, const StreamSize&, const EngineWork&) const;
--- a/src/fleet/FleetFollower.cpp
+++ b/src/fleet/FleetFollower.cpp
@@ -9,6 +9,9 @@
 // Bounds how old the work of other entry VMs is, and is far below the time in
 // which a drain must be known.
 static constexpr std::chrono::milliseconds holdTime(400);
+// One control VM is asked more often, so that entry VMs do not place streams by an
+// old picture of the load; at most this old, plus the way.
+static constexpr std::chrono::milliseconds workHoldTime(120);
 static constexpr std::chrono::milliseconds answerTimeout(1200);
 static constexpr std::chrono::milliseconds retryDelay(200);
 // One VM sends a new configuration; the others are asked only if it has not.
@@ -76,11 +79,13 @@
 
 bool FleetFollower::shouldFetchRoutes(std::uint32_t ip, const Peer& peer) const
 {
-    if (!options_.isEntry)
-        return false;
-    if (peer.newerSince && clock_.now() >= *peer.newerSince + routesFallbackDelay)
-        return true;
-    // The VM with the lowest address that answers sends the configuration unasked.
+    return options_.isEntry && (isPreferred(ip) || (peer.newerSince && clock_.now() >= *peer.newerSince + routesFallbackDelay));
+}
+
+// The VM with the lowest address that answers sends configurations unasked and the
+// work of others often.
+bool FleetFollower::isPreferred(std::uint32_t ip) const
+{
     auto recent = clock_.now() - answerTimeout;
     for (const auto& [other, state] : peers_) {
         if (state.heardAt >= recent)
@@ -99,7 +104,8 @@
     poll.wantsRoutes = shouldFetchRoutes(ip, peer);
     // A version that is named but not fetched from here must not end every hold.
     poll.routesVersion = poll.wantsRoutes ? routesVersion_ : std::max(routesVersion_, peer.routesVersion);
-    poll.holdMilliseconds = static_cast<std::uint32_t>((peer.newerSince ? routesFallbackDelay : holdTime).count());
+    auto hold = options_.isEntry && isPreferred(ip) ? workHoldTime : holdTime;
+    poll.holdMilliseconds = static_cast<std::uint32_t>((peer.newerSince ? std::min(hold, routesFallbackDelay) : hold).count());
     if (listWork_)
         poll.work = listWork_();
     peer.isPolling = true;
@@ -130,7 +136,7 @@
         poll(ip, again->second);
 }
 
-void FleetFollower::merge(std::uint32_t, Peer& peer, FleetAnswer answer)
+void FleetFollower::merge(std::uint32_t ip, Peer& peer, FleetAnswer answer)
 {
     peer.epoch = answer.epoch;
     peer.revision = answer.revision;
@@ -138,7 +144,7 @@
     peer.routesVersion = answer.routesVersion;
     for (const auto& fact : answer.facts)
         registry_.apply(fact, clock_.now());
-    if (options_.isEntry) {
+    if (options_.isEntry && isPreferred(ip)) {
         othersWork_.clear();
         for (auto& work : answer.othersWork)
             othersWork_[work.upstream] = std::move(work);
--- a/src/placement/LayerPlanner.cpp
+++ b/src/placement/LayerPlanner.cpp
@@ -12,7 +12,7 @@
 // Requests of the usual size that a copy must have room for to be worth its layers.
 static constexpr double minRequestsPerCopy = 28;
 // A copy that lost a card and is split anew may have room for fewer.
-static constexpr double minRequestsAfterLoss = 14;
+static constexpr double minRequestsAfterLoss = 8;
 // A crashed engine mostly comes back to its address within this time; its slice
 // is given to a spare card sooner than its copy is split anew.
 static constexpr std::chrono::milliseconds spareDelay(800);
@@ -182,25 +182,50 @@
         return isLeaving ? now - splitDelay : since;
     }
 
-    // Gives vacant slices to the smallest spare cards that have room for them.
+    // Gives vacant slices to spare cards, one slice to several if it has to be.
     void fillFromSpares()
     {
-        for (auto& slice : plan.slices) {
+        std::vector<Slice> filled;
+        for (const auto& slice : plan.slices) {
             auto since = vacantSince(slice);
-            if (!since || now < *since + spareDelay)
-                continue;
-            double needed = slice.range.count() * layerMegabytes(model, minRequestsAfterLoss * usualTokens(model));
-            auto candidates = spares();
-            candidates.erase(std::remove_if(candidates.begin(), candidates.end(), [needed](const Card& card) { return card.megabytes < needed; }), candidates.end());
-            auto best = std::min_element(candidates.begin(), candidates.end(), [&slice](const Card& left, const Card& right) {
-                return std::make_tuple(left.dataCentre != slice.dataCentre, left.megabytes) < std::make_tuple(right.dataCentre != slice.dataCentre, right.megabytes);
-            });
-            if (best == candidates.end())
-                continue;
-            slice.holder = best->address;
-            slice.dataCentre = best->dataCentre;
-            isChanged = true;
+            auto parts = since && now >= *since + spareDelay ? partsFor(slice, filled) : std::vector<Slice>();
+            if (parts.empty())
+                parts.push_back(slice);
+            else
+                isChanged = true;
+            filled.insert(filled.end(), parts.begin(), parts.end());
         }
+        plan.slices = std::move(filled);
+    }
+
+    // The smallest spare card that has room for the whole slice, or else as few
+    // cards as possible; nothing if the spare cards do not suffice.
+    std::vector<Slice> partsFor(const Slice& slice, const std::vector<Slice>& taken) const
+    {
+        double perLayer = layerMegabytes(model, minRequestsAfterLoss * usualTokens(model));
+        auto layersOf = [perLayer](const Card& card) { return static_cast<int>(card.megabytes / perLayer); };
+        auto candidates = spares();
+        auto isTaken = [&taken](const Card& card) { return std::any_of(taken.begin(), taken.end(), [&card](const Slice& other) { return other.holder == card.address; }); };
+        candidates.erase(std::remove_if(candidates.begin(), candidates.end(), isTaken), candidates.end());
+        std::sort(candidates.begin(), candidates.end(), [&](const Card& left, const Card& right) {
+            auto rank = [&](const Card& card) {
+                bool fits = layersOf(card) >= slice.range.count();
+                return std::make_tuple(card.dataCentre != slice.dataCentre, !fits, fits ? card.megabytes : -card.megabytes);
+            };
+            return rank(left) < rank(right);
+        });
+        std::vector<Slice> parts;
+        int from = slice.range.from;
+        for (const auto& card : candidates) {
+            int layers = std::min(layersOf(card), slice.range.to - from);
+            if (layers <= 0)
+                break;
+            parts.push_back({ slice.copy, { from, from + layers }, card.address, card.dataCentre });
+            from += layers;
+        }
+        if (from < slice.range.to)
+            parts.clear();
+        return parts;
     }
 
     // Splits copies anew that have been incomplete for long, or gives them up.
@@ -227,14 +252,19 @@
                 cards.push_back(found->second);
         }
         plan.slices.erase(std::remove_if(plan.slices.begin(), plan.slices.end(), [copy](const Slice& slice) { return slice.copy == copy; }), plan.slices.end());
-        for (const auto& spare : spares()) {
-            bool isKnown = std::any_of(cards.begin(), cards.end(), [&spare](const Card& card) { return card.address == spare.address; });
-            if (!isKnown && spare.dataCentre == dataCentre)
-                cards.push_back(spare);
-        }
-        if (auto ranges = splitLayers(model, cards, minRequestsAfterLoss * usualTokens(model)))
-            addCopy(plan, cards, *ranges);
         isChanged = true;
+        // First with the spare cards of the same data centre, then with all of them.
+        for (bool isLocal : { true, false }) {
+            for (const auto& spare : spares()) {
+                bool isKnown = std::any_of(cards.begin(), cards.end(), [&spare](const Card& card) { return card.address == spare.address; });
+                if (!isKnown && (spare.dataCentre == dataCentre) == isLocal)
+                    cards.push_back(spare);
+            }
+            if (auto ranges = splitLayers(model, cards, minRequestsAfterLoss * usualTokens(model))) {
+                addCopy(plan, cards, *ranges);
+                return;
+            }
+        }
     }
 
     void addCopiesFromSpares()
--- a/src/routing/LayerPathSelector.cpp
+++ b/src/routing/LayerPathSelector.cpp
@@ -11,7 +11,10 @@
 static constexpr double bytesPerMegabyte = 1e6;
 // Part of an engine's memory that is planned for; the estimates of answers are
 // often exceeded, and an overfull engine preempts streams.
-static constexpr double usableMemoryShare = 0.92;
+static constexpr double usableMemoryShare = 0.9;
+// Cost of an engine whose memory is full, against an empty one. Spreads streams
+// that several entry VMs place at the same time over the copies.
+static constexpr double fullMemoryFactor = 2.5;
 // One-way delay between data centres, paid by each token that crosses.
 static constexpr double crossingMilliseconds = 0.5;
 // Preference for a first engine near the caller over an equal one elsewhere.
@@ -55,11 +58,16 @@
     return sum;
 }
 
-bool LayerPathSelector::hasRoom(const Engine& engine, int layers, const StreamSize& size, const EngineWork& work) const
+// What the engine holds for requests, in tokens times layers.
+double LayerPathSelector::capacity(const Engine& engine) const
 {
     double free = (engine.megabytes - engine.fact.layers.count() * model_.layerMegabytes) * bytesPerMegabyte;
-    double tokenLayers = free * usableMemoryShare / (model_.cacheBytesPerToken / model_.layers);
-    return work.cacheTokenLayers + (size.prompt + size.answer) * layers <= tokenLayers;
+    return std::max(1.0, free * usableMemoryShare / (model_.cacheBytesPerToken / model_.layers));
+}
+
+bool LayerPathSelector::hasRoom(const Engine& engine, int layers, const StreamSize& size, const EngineWork& work) const
+{
+    return work.cacheTokenLayers + (size.prompt + size.answer) * layers <= capacity(engine);
 }
 
 double LayerPathSelector::tokenMilliseconds(const Engine& engine, int layers, const EngineWork& work) const
@@ -73,7 +81,9 @@
 {
     double share = static_cast<double>(layers) / model_.layers;
     double reading = size.prompt / std::max(1.0, model_.readTokensPerSecond) * 1000 * engine.readFactor * share;
-    return reading + std::min(size.answer, weighedAnswerTokens) * tokenMilliseconds(engine, layers, work);
+    double fill = std::min(1.0, work.cacheTokenLayers / capacity(engine));
+    double pressure = 1 + (fullMemoryFactor - 1) * fill * fill;
+    return pressure * (reading + std::min(size.answer, weighedAnswerTokens) * tokenMilliseconds(engine, layers, work));
 }
 
 double LayerPathSelector::crossingCost(const Engine* previous, const Engine& next, const StreamSize& size) const
