--- a/include/forwarding/Gate.h
+++ b/include/forwarding/Gate.h
@@ -9,6 +9,7 @@
 #include "include/routing/LayerPathSelector.h"
 #include "include/routing/RetryAllowance.h"
 #include "include/routing/ServiceBalancer.h"
+#include "include/routing/WaitingLine.h"
 
 #include <list>
 #include <map>
@@ -51,6 +52,7 @@
     std::unique_ptr<routing::LayerPathSelector> paths;
     std::unique_ptr<routing::ServiceBalancer> balancer;
     routing::RetryAllowance retries;
+    routing::WaitingLine line;
 };
 
 // Takes callers' requests and forwards them to upstreams by the routes in force.
--- a/src/forwarding/Exchange.cpp
+++ b/src/forwarding/Exchange.cpp
@@ -43,8 +43,12 @@
 static constexpr double keepAliveShareSafe = 0.8;
 static constexpr double keepAliveShareUnsafe = 0.4;
 // Spread of the time after which a refused caller is asked to come back.
-static constexpr double retryAfterMinMs = 400;
-static constexpr double retryAfterMaxMs = 1400;
+static constexpr double comeBackSpreadMin = 0.7;
+static constexpr double comeBackSpreadMax = 1.6;
+static constexpr std::chrono::milliseconds defaultComeBack(500);
+static constexpr std::chrono::milliseconds longestLineWait(320);
+// How many waiting requests are tried; a small one may pass a large one.
+static constexpr std::size_t lineWidth = 3;
 
 Exchange::Exchange(Gate& gate, std::shared_ptr<http1::ServerConnection> caller, http1::Request request)
     : gate_(gate)
@@ -75,7 +79,8 @@
     deadline_ = request_.arrivedAt + timeout;
     if (facts_.size)
         size_ = *facts_.size;
-    if (!sendNext())
+    // Those that wait go first.
+    if ((!service_->line.isEmpty() || !sendNext()) && !waitForRoom())
         refuse(makeError(ErrorKind::NoUpstream, "no upstream of the service has room"));
 }
 
@@ -102,6 +107,36 @@
     return service_->paths ? choosePath() : chooseUpstream();
 }
 
+bool Exchange::waitForRoom()
+{
+    auto now = std::chrono::steady_clock::now();
+    if (!service_->paths || !service_->paths->hasPath(now))
+        return false;
+    auto priority = team_ && team_->priority ? *team_->priority : route_->priority;
+    ticket_ = service_->line.join(priority, now);
+    lineDeadline_ = now + longestLineWait;
+    return ticket_.has_value();
+}
+
+void Exchange::leaveLine()
+{
+    if (ticket_)
+        service_->line.leave(*ticket_);
+    ticket_.reset();
+}
+
+void Exchange::tryLine(TimePoint now)
+{
+    if (service_->line.isNearFront(*ticket_, lineWidth) && sendNext()) {
+        leaveLine();
+        return;
+    }
+    if (now < lineDeadline_)
+        return;
+    leaveLine();
+    refuse(makeError(ErrorKind::NoUpstream, "no upstream of the service has room"));
+}
+
 bool Exchange::choosePath()
 {
     auto path = service_->paths->choose(size_, avoided_, std::chrono::steady_clock::now());
@@ -307,9 +342,10 @@
 void Exchange::releaseChoice(CallResult result)
 {
     connection_.reset();
-    if (!path_.empty())
+    if (!path_.empty()) {
         service_->paths->release(path_, size_);
-    else if (service_->balancer && !upstream_.empty())
+        service_->line.recordEnd(std::chrono::steady_clock::now());
+    } else if (service_->balancer && !upstream_.empty())
         service_->balancer->finished(upstream_, result, std::chrono::steady_clock::now() - sentAt_);
 }
 
@@ -409,7 +445,7 @@
     ++(isNotRun ? gate_.counters_.refused : gate_.counters_.failed);
     std::optional<std::chrono::milliseconds> retryAfter;
     if (isNotRun && rule.mayResend)
-        retryAfter = std::chrono::milliseconds(static_cast<int>(gate_.random_.between(retryAfterMinMs, retryAfterMaxMs)));
+        retryAfter = std::chrono::duration_cast<std::chrono::milliseconds>((service_ ? service_->line.comeBackAfter(std::chrono::steady_clock::now()) : defaultComeBack) * gate_.random_.between(comeBackSpreadMin, comeBackSpreadMax));
     logger.info("A request was not answered.", { { "request", facts_.requestId }, { "kind", rule.name }, { "reason", error.detail }, { "sends", sends_ } });
     if (caller_)
         caller_->send(problemResponse(error, retryAfter));
@@ -420,6 +456,7 @@
 {
     isFinished_ = true;
     caller_.reset();
+    leaveLine();
     if (connection_) {
         connection_->abandon();
         connection_.reset();
@@ -452,7 +489,13 @@
 void Exchange::tick(TimePoint now)
 {
     auto self = shared_from_this();
-    if (isFinished_ || !connection_)
+    if (isFinished_)
+        return;
+    if (ticket_) {
+        tryLine(now);
+        return;
+    }
+    if (!connection_)
         return;
     if (now >= deadline_) {
         timeOut();
--- a/src/forwarding/Exchange.h
+++ b/src/forwarding/Exchange.h
@@ -57,6 +57,10 @@
     bool isRepeatable() const;
     // Chooses an upstream and sends the request; returns false if there is none.
     bool sendNext();
+    // Waits in line for room; returns false if that would take too long.
+    bool waitForRoom();
+    void leaveLine();
+    void tryLine(base::TimePoint now);
     bool choosePath();
     bool chooseUpstream();
     void sendTo(const net::Endpoint&);
@@ -101,6 +105,10 @@
     std::string body_;
     bool isStream_ = false;
 
+    // Set while the request waits for room.
+    std::optional<routing::WaitingLine::Ticket> ticket_;
+    base::TimePoint lineDeadline_;
+
     // All attempts.
     int sends_ = 0;
     // Attempts that may have run.
--- a/src/forwarding/Gate.cpp
+++ b/src/forwarding/Gate.cpp
@@ -8,6 +8,8 @@
 namespace arbutus::forwarding {
 
 static constexpr std::chrono::seconds poolTickInterval(1);
+// Leaves the larger part of the usual objective of a first event to the engines.
+static constexpr std::chrono::milliseconds longestWaitForRoom(280);
 
 Gate::Gate(boost::asio::io_context& context, const Dialect& dialect, GateOptions options)
     : context_(context)
@@ -40,7 +42,7 @@
     if (found == services_.end()) {
         routing::RetryAllowance retries(options_.retries.ratio, options_.retries.slack, options_.retries.window);
         retries.setEntryCount(entryCount_);
-        found = services_.emplace(name, ServiceState { name, nullptr, nullptr, retries }).first;
+        found = services_.emplace(name, ServiceState { name, nullptr, nullptr, retries, routing::WaitingLine(longestWaitForRoom) }).first;
     }
     auto& state = found->second;
     const auto* service = routes_ ? routes_->service(name) : nullptr;
--- a/src/routing/LayerPathSelector.cpp
+++ b/src/routing/LayerPathSelector.cpp
@@ -11,7 +11,10 @@
 static constexpr double bytesPerMegabyte = 1e6;
 // Part of an engine's memory that is planned for; the estimates of answers are
 // often exceeded, and an overfull engine preempts streams.
-static constexpr double usableMemoryShare = 0.9;
+static constexpr double usableMemoryShare = 0.95;
+// A stream holds its prompt and the part of its answer that is written so far; on
+// average over its life that is half of the answer, and answers vary.
+static constexpr double reservedAnswerShare = 0.65;
 // Cost of an engine whose memory is full, against an empty one. Spreads streams
 // that several entry VMs place at the same time over the copies.
 static constexpr double fullMemoryFactor = 2.5;
@@ -58,6 +61,8 @@
     return sum;
 }
 
+static double reservedTokens(const StreamSize& size) { return size.prompt + reservedAnswerShare * size.answer; }
+
 // What the engine holds for requests, in tokens times layers.
 double LayerPathSelector::capacity(const Engine& engine) const
 {
@@ -67,7 +72,7 @@
 
 bool LayerPathSelector::hasRoom(const Engine& engine, int layers, const StreamSize& size, const EngineWork& work) const
 {
-    return work.cacheTokenLayers + (size.prompt + size.answer) * layers <= capacity(engine);
+    return work.cacheTokenLayers + reservedTokens(size) * layers <= capacity(engine);
 }
 
 double LayerPathSelector::tokenMilliseconds(const Engine& engine, int layers, const EngineWork& work) const
@@ -181,7 +186,7 @@
     for (const auto& stage : path) {
         auto& work = own_[stage.upstream];
         work.running += 1;
-        work.cacheTokenLayers += (size.prompt + size.answer) * stage.layers.count();
+        work.cacheTokenLayers += reservedTokens(size) * stage.layers.count();
     }
 }
 
@@ -192,7 +197,7 @@
         if (found == own_.end())
             continue;
         found->second.running -= 1;
-        found->second.cacheTokenLayers -= (size.prompt + size.answer) * stage.layers.count();
+        found->second.cacheTokenLayers -= reservedTokens(size) * stage.layers.count();
         if (found->second.running < 0.5)
             own_.erase(found);
     }
