Resume or cut streams that stand still

Change: streams that stand still are resumed, wait in line before new ones, or are cut; layers move less after a loss.

--- a/src/forwarding/Exchange.cpp
+++ b/src/forwarding/Exchange.cpp
@@ -25,6 +25,8 @@
 static constexpr std::chrono::milliseconds nextEventStall(550);
 // A stream that stands still although its engines serve others goes elsewhere later.
 static constexpr std::chrono::milliseconds loneStall(1500);
+static constexpr std::chrono::milliseconds crowdedStall(1100);
+static constexpr std::chrono::milliseconds hopelessStall(2200);
 // A call that may be repeated is sent elsewhere after this part of its timeout.
 static constexpr double safeStallShare = 0.4;
 // An engine whose other streams had news within this time is at work.
@@ -47,6 +49,9 @@
 static constexpr double comeBackSpreadMax = 1.6;
 static constexpr std::chrono::milliseconds defaultComeBack(500);
 static constexpr std::chrono::milliseconds longestLineWait(320);
+// Callers leave a stream that stands still for 2 s.
+static constexpr std::chrono::milliseconds longestResumeWait(1200);
+static constexpr int resumePriority = -1;
 // How many waiting requests are tried; a small one may pass a large one.
 static constexpr std::size_t lineWidth = 3;
 
@@ -80,7 +85,7 @@
     if (facts_.size)
         size_ = *facts_.size;
     // Those that wait go first.
-    if ((!service_->line.isEmpty() || !sendNext()) && !waitForRoom())
+    if ((!service_->line.isEmpty() || !sendNext()) && !waitForRoom(false))
         refuse(makeError(ErrorKind::NoUpstream, "no upstream of the service has room"));
 }
 
@@ -107,14 +112,15 @@
     return service_->paths ? choosePath() : chooseUpstream();
 }
 
-bool Exchange::waitForRoom()
+bool Exchange::waitForRoom(bool isResuming)
 {
     auto now = std::chrono::steady_clock::now();
     if (!service_->paths || !service_->paths->hasPath(now))
         return false;
     auto priority = team_ && team_->priority ? *team_->priority : route_->priority;
-    ticket_ = service_->line.join(priority, now);
-    lineDeadline_ = now + longestLineWait;
+    // A stream that the caller sees already goes before everything new.
+    ticket_ = service_->line.join(isResuming ? resumePriority : priority, now);
+    lineDeadline_ = now + (isResuming ? longestResumeWait : longestLineWait);
     return ticket_.has_value();
 }
 
@@ -134,7 +140,7 @@
     if (now < lineDeadline_)
         return;
     leaveLine();
-    refuse(makeError(ErrorKind::NoUpstream, "no upstream of the service has room"));
+    giveUp(AttemptEnd::NotRun);
 }
 
 bool Exchange::choosePath()
@@ -390,8 +396,9 @@
     auto now = std::chrono::steady_clock::now();
     if (now >= deadline_)
         return false;
-    // What has not arrived anywhere does not count as a retry.
-    return end == AttemptEnd::NotSent || service_->retries.tryTake(now);
+    // What has not arrived anywhere does not count as a retry; a stall has been
+    // counted when it was found.
+    return end == AttemptEnd::NotSent || end == AttemptEnd::Stalled || service_->retries.tryTake(now);
 }
 
 void Exchange::endAttempt(AttemptEnd end)
@@ -405,7 +412,7 @@
     releaseChoice(results[static_cast<std::size_t>(end)]);
     avoided_.insert(upstream_);
     bool wasRelaying = relay_ != Relay::None;
-    if (mayTryAgain(end) && sendNext()) {
+    if (mayTryAgain(end) && (sendNext() || waitForRoom(true))) {
         ++gate_.counters_.retries;
         gate_.counters_.resumes += wasRelaying ? 1 : 0;
         return;
@@ -433,7 +440,7 @@
         return;
     }
     if (!runs_)
-        refuse(makeError(ErrorKind::NoUpstream, "no upstream took the request"));
+        refuse(makeError(ErrorKind::NoUpstream, sends_ ? "no upstream took the request" : "no upstream of the service has room"));
     else
         refuse(makeError(end == AttemptEnd::Stalled ? ErrorKind::RequestTimeout : ErrorKind::UpstreamFailed, "the answer of the upstream was lost"));
 }
@@ -521,25 +528,18 @@
 
 void Exchange::checkStall(TimePoint now)
 {
-    if (!isRepeatable() || runs_ >= route_->maxAttempts)
+    if (!isRepeatable())
         return;
     auto silence = now - progressAt_;
-    if (path_.empty()) {
-        if (relay_ != Relay::None || silence < safeStallShare * route_->timeout)
-            return;
-    } else {
-        if (silence < (events_.hasDelivered() ? nextEventStall : firstEventStall))
-            return;
-        bool isAnySilent = std::any_of(path_.begin(), path_.end(), [this](const routing::PathStage& stage) { return *stage.progressAt <= progressAt_; });
-        if (!isAnySilent && silence < loneStall)
-            return;
-        auto avoided = avoided_;
-        for (const auto& stage : path_)
-            avoided.insert(stage.upstream);
-        if (!service_->paths->choose(size_, avoided, now))
-            return;
-    }
-    if (!service_->retries.tryTake(now))
+    bool isStalled = path_.empty() ? isCallStalled(silence) : isStreamStalled(silence, now);
+    if (!isStalled)
+        return;
+    bool mayRepeat = runs_ < route_->maxAttempts;
+    // Without another attempt a call may still be answered; a stream that stands
+    // still for long is better cut, so that its caller resumes it.
+    if (!mayRepeat && (path_.empty() || silence < hopelessStall))
+        return;
+    if (mayRepeat && !service_->retries.tryTake(now))
         return;
     connection_->abandon();
     for (const auto& stage : path_)
@@ -547,4 +547,23 @@
     endAttempt(AttemptEnd::Stalled);
 }
 
+bool Exchange::isCallStalled(std::chrono::nanoseconds silence) const
+{
+    return relay_ == Relay::None && silence >= safeStallShare * route_->timeout;
+}
+
+bool Exchange::isStreamStalled(std::chrono::nanoseconds silence, TimePoint now) const
+{
+    if (silence < (events_.hasDelivered() ? nextEventStall : firstEventStall))
+        return false;
+    bool isAnySilent = std::any_of(path_.begin(), path_.end(), [this](const routing::PathStage& stage) { return *stage.progressAt <= progressAt_; });
+    if (!isAnySilent)
+        return silence >= loneStall;
+    auto avoided = avoided_;
+    for (const auto& stage : path_)
+        avoided.insert(stage.upstream);
+    // Where nothing else has room, the engines get more time to go on.
+    return silence >= crowdedStall || service_->paths->choose(size_, avoided, now);
+}
+
 } // namespace arbutus::forwarding
--- a/src/forwarding/Exchange.h
+++ b/src/forwarding/Exchange.h
@@ -58,7 +58,7 @@
     // Chooses an upstream and sends the request; returns false if there is none.
     bool sendNext();
     // Waits in line for room; returns false if that would take too long.
-    bool waitForRoom();
+    bool waitForRoom(bool isResuming);
     void leaveLine();
     void tryLine(base::TimePoint now);
     bool choosePath();
@@ -80,6 +80,8 @@
     void refuse(const base::Error&);
     void finish();
     void checkStall(base::TimePoint now);
+    bool isCallStalled(std::chrono::nanoseconds silence) const;
+    bool isStreamStalled(std::chrono::nanoseconds silence, base::TimePoint now) const;
     void timeOut();
 
     Gate& gate_;
--- a/src/placement/LayerPlanner.cpp
+++ b/src/placement/LayerPlanner.cpp
@@ -12,11 +12,13 @@
 // Requests of the usual size that a copy must have room for to be worth its layers.
 static constexpr double minRequestsPerCopy = 28;
 // A copy that lost a card and is split anew may have room for fewer.
+static constexpr double minRequestsAfterSplit = 14;
+// The least that is better than nothing.
 static constexpr double minRequestsAfterLoss = 8;
 // A crashed engine mostly comes back to its address within this time; its slice
 // is given to a spare card sooner than its copy is split anew.
 static constexpr std::chrono::milliseconds spareDelay(800);
-static constexpr std::chrono::milliseconds splitDelay(2500);
+static constexpr std::chrono::milliseconds splitDelay(1500);
 static constexpr double bytesPerMegabyte = 1e6;
 
 const Slice* LayerPlan::sliceOf(const std::string& address) const
@@ -240,31 +242,84 @@
             splitCopy(copy);
     }
 
-    void splitCopy(int copy)
+    // The cards of a copy that remain, each with the middle of its layers.
+    struct Placed {
+        double middle = 0;
+        Card card;
+    };
+
+    std::vector<Placed> remainingCards(int copy) const
     {
-        std::vector<Card> cards;
-        std::string dataCentre;
+        std::vector<Placed> cards;
         for (const auto& slice : plan.slices) {
-            if (slice.copy != copy)
-                continue;
-            dataCentre = slice.dataCentre;
-            if (auto found = present.find(slice.holder); found != present.end() && !found->second.isLeaving)
-                cards.push_back(found->second);
+            auto found = present.find(slice.holder);
+            if (slice.copy == copy && found != present.end() && !found->second.isLeaving)
+                cards.push_back({ (slice.range.from + slice.range.to) / 2.0, found->second });
         }
+        return cards;
+    }
+
+    void removeCopy(int copy)
+    {
         plan.slices.erase(std::remove_if(plan.slices.begin(), plan.slices.end(), [copy](const Slice& slice) { return slice.copy == copy; }), plan.slices.end());
+    }
+
+    // Splits all layers over `cards`, in the order of the layers that they hold, so
+    // that most of what is loaded stays. Returns false if they have no room.
+    bool trySplit(std::vector<Placed> placed, double minRequests)
+    {
+        std::stable_sort(placed.begin(), placed.end(), [](const Placed& left, const Placed& right) { return left.middle < right.middle; });
+        std::vector<Card> cards;
+        for (const auto& entry : placed)
+            cards.push_back(entry.card);
+        auto ranges = splitLayers(model, cards, minRequests * usualTokens(model));
+        if (ranges)
+            addCopy(plan, cards, *ranges);
+        return ranges.has_value();
+    }
+
+    std::optional<int> siblingOf(int copy, const std::string& dataCentre) const
+    {
+        for (const auto& slice : plan.slices) {
+            if (slice.copy != copy && slice.dataCentre == dataCentre)
+                return slice.copy;
+        }
+        return std::nullopt;
+    }
+
+    // Splits a copy that lost a card over its other cards; if they have no room, it
+    // takes spare cards, or is merged with another copy of its data centre.
+    void splitCopy(int copy)
+    {
+        auto own = remainingCards(copy);
+        auto any = std::find_if(plan.slices.begin(), plan.slices.end(), [copy](const Slice& slice) { return slice.copy == copy; });
+        if (any == plan.slices.end())
+            return;
+        std::string dataCentre = any->dataCentre;
+        removeCopy(copy);
         isChanged = true;
-        // First with the spare cards of the same data centre, then with all of them.
+        if (trySplit(own, minRequestsAfterSplit))
+            return;
+        auto withSpares = own;
         for (bool isLocal : { true, false }) {
             for (const auto& spare : spares()) {
-                bool isKnown = std::any_of(cards.begin(), cards.end(), [&spare](const Card& card) { return card.address == spare.address; });
-                if (!isKnown && (spare.dataCentre == dataCentre) == isLocal)
-                    cards.push_back(spare);
+                bool isOwn = std::any_of(own.begin(), own.end(), [&spare](const Placed& placed) { return placed.card.address == spare.address; });
+                if (!isOwn && (spare.dataCentre == dataCentre) == isLocal)
+                    withSpares.push_back({ static_cast<double>(model.layers), spare });
             }
-            if (auto ranges = splitLayers(model, cards, minRequestsAfterLoss * usualTokens(model))) {
-                addCopy(plan, cards, *ranges);
+            if (trySplit(withSpares, minRequestsAfterSplit))
                 return;
-            }
         }
+        if (auto sibling = siblingOf(copy, dataCentre)) {
+            auto merged = remainingCards(*sibling);
+            merged.insert(merged.end(), own.begin(), own.end());
+            auto before = plan.slices;
+            removeCopy(*sibling);
+            if (trySplit(merged, minRequestsAfterLoss))
+                return;
+            plan.slices = std::move(before);
+        }
+        trySplit(withSpares, minRequestsAfterLoss);
     }
 
     void addCopiesFromSpares()
