--- a/include/fleet/UpstreamFact.h
+++ b/include/fleet/UpstreamFact.h
@@ -55,12 +55,16 @@
     int slots = 0;
     std::string accelerator;
     LayerRange layers;
+    // Factor on the times of its accelerator; above 1 the engine is slow.
+    double pace = 1;
+    // Rises with every change that the registrar found by asking the engine.
+    std::uint64_t observation = 0;
 
-    MSGPACK_DEFINE(id, bornMilliseconds, sequence, registrar, service, ip, port, dataCentre, state, slots, accelerator, layers)
+    MSGPACK_DEFINE(id, bornMilliseconds, sequence, registrar, service, ip, port, dataCentre, state, slots, accelerator, layers, pace, observation)
 
     net::Endpoint endpoint() const { return { ip, port }; }
     // The order of reports of the same upstream.
-    auto order() const { return std::make_tuple(bornMilliseconds, sequence); }
+    auto order() const { return std::make_tuple(bornMilliseconds, sequence, observation); }
     // Whether others must be told of a change from `older`.
     bool differsFrom(const UpstreamFact& older) const;
 };
--- a/include/fleet/UpstreamRegistry.h
+++ b/include/fleet/UpstreamRegistry.h
@@ -22,6 +22,9 @@
     // Applies an upstream's own report, heard by `registrar`. The sequence of a
     // farewell that carries none is taken to follow the last known one.
     bool report(UpstreamFact, const std::string& registrar, base::TimePoint now);
+    // Applies what the upstream answered when it was asked. A small change of pace
+    // is not told to others.
+    bool observe(const std::string& id, std::int64_t bornMilliseconds, double pace, const LayerRange&, base::TimePoint now);
     // Marks an upstream as gone. An unknown one is remembered as gone, so that a
     // late report does not bring it back. `bornMilliseconds` is 0 if it is not said.
     void farewell(const std::string& id, std::int64_t bornMilliseconds, const std::string& registrar, base::TimePoint now);
--- a/src/fleet/UpstreamRegistry.cpp
+++ b/src/fleet/UpstreamRegistry.cpp
@@ -1,13 +1,17 @@
 #include "include/fleet/UpstreamRegistry.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace arbutus::fleet {
 
+// Relative change of pace that is worth telling others.
+static constexpr double paceTolerance = 0.15;
+
 bool UpstreamFact::differsFrom(const UpstreamFact& older) const
 {
     auto content = [](const UpstreamFact& fact) {
-        return std::tie(fact.bornMilliseconds, fact.registrar, fact.service, fact.ip, fact.port, fact.dataCentre, fact.state, fact.slots, fact.accelerator);
+        return std::tie(fact.bornMilliseconds, fact.registrar, fact.service, fact.ip, fact.port, fact.dataCentre, fact.state, fact.slots, fact.accelerator, fact.pace);
     };
     return content(*this) != content(older) || layers != older.layers;
 }
@@ -81,9 +85,30 @@
 bool UpstreamRegistry::report(UpstreamFact fact, const std::string& registrar, base::TimePoint now)
 {
     fact.registrar = registrar;
+    auto found = records_.find(fact.id);
+    if (found != records_.end() && found->second.fact.bornMilliseconds == fact.bornMilliseconds) {
+        fact.pace = found->second.fact.pace;
+        fact.observation = found->second.fact.observation;
+    }
     return apply(fact, now);
 }
 
+bool UpstreamRegistry::observe(const std::string& id, std::int64_t bornMilliseconds, double pace, const LayerRange& layers, base::TimePoint now)
+{
+    auto found = records_.find(id);
+    if (found == records_.end() || found->second.fact.bornMilliseconds != bornMilliseconds || !isPresent(found->second.fact.state))
+        return false;
+    auto fact = found->second.fact;
+    bool hasPaceChanged = std::abs(pace - fact.pace) > paceTolerance * fact.pace;
+    if (!hasPaceChanged && layers == fact.layers)
+        return false;
+    fact.pace = hasPaceChanged ? pace : fact.pace;
+    fact.layers = layers;
+    ++fact.observation;
+    store(fact, now);
+    return true;
+}
+
 void UpstreamRegistry::farewell(const std::string& id, std::int64_t bornMilliseconds, const std::string& registrar, base::TimePoint now)
 {
     auto found = records_.find(id);
--- a/src/forwarding/ControlCall.cpp
+++ b/src/forwarding/ControlCall.cpp
@@ -2,13 +2,27 @@
 
 namespace arbutus::forwarding {
 
-ControlCall::ControlCall(boost::asio::io_context& context, const net::Endpoint& endpoint, Done done)
-    : connection_(std::make_shared<UpstreamConnection>(context, endpoint, [](const std::shared_ptr<UpstreamConnection>&) {}))
+// Answers to such calls are small; what is longer is not read.
+static constexpr std::size_t maxBodyBytes = std::size_t { 64 } << 10;
+static constexpr double keepAliveShare = 0.7;
+
+ControlCall::ControlCall(UpstreamPool& pool, const net::Endpoint& endpoint, Done done, base::TimePoint now)
+    : connection_(pool.take(endpoint, keepAliveShare, now))
     , done_(std::move(done))
 {
 }
 
-ControlCall::~ControlCall() { connection_->abandon(); }
+ControlCall::~ControlCall()
+{
+    if (!isFinished_)
+        connection_->abandon();
+}
+
+void ControlCall::onBody(std::string_view bytes)
+{
+    if (answer_.body.size() + bytes.size() <= maxBodyBytes)
+        answer_.body.append(bytes);
+}
 
 void ControlCall::send(std::string request, base::TimePoint deadline)
 {
@@ -24,12 +38,12 @@
     }
 }
 
-void ControlCall::finish(std::optional<int> status)
+void ControlCall::finish(const std::optional<Answer>& answer)
 {
     if (isFinished_)
         return;
     isFinished_ = true;
-    done_(status);
+    done_(answer);
 }
 
 } // namespace arbutus::forwarding
--- a/src/forwarding/ControlCall.h
+++ b/src/forwarding/ControlCall.h
@@ -7,13 +7,17 @@
 
 namespace arbutus::forwarding {
 
-// One small call of this product to an upstream, on a connection of its own.
+// One small call of this product to an upstream.
 class ControlCall final : private ResponseListener, public std::enable_shared_from_this<ControlCall> {
 public:
-    // The status of the answer, or nothing if there was none in time.
-    using Done = std::function<void(std::optional<int> status)>;
-
-    ControlCall(boost::asio::io_context&, const net::Endpoint&, Done);
+    struct Answer {
+        int status = 0;
+        std::string body;
+    };
+    // Receives the answer, or nothing if there was none in time.
+    using Done = std::function<void(const std::optional<Answer>&)>;
+
+    ControlCall(UpstreamPool&, const net::Endpoint&, Done, base::TimePoint now);
     ~ControlCall() override;
 
     void send(std::string request, base::TimePoint deadline);
@@ -23,16 +27,16 @@
 
 private:
     ResponseOwner onOwnerOf(const http1::ResponseHead&) const override { return ResponseOwner::Own; }
-    void onHead(const http1::ResponseHead& head) override { status_ = head.status; }
-    void onBody(std::string_view) override { }
-    void onDone() override { finish(status_); }
+    void onHead(const http1::ResponseHead& head) override { answer_.status = head.status; }
+    void onBody(std::string_view bytes) override;
+    void onDone() override { finish(answer_); }
     void onBroken(Break) override { finish(std::nullopt); }
-    void finish(std::optional<int> status);
+    void finish(const std::optional<Answer>&);
 
     std::shared_ptr<UpstreamConnection> connection_;
     Done done_;
     base::TimePoint deadline_;
-    int status_ = 0;
+    Answer answer_;
     bool isFinished_ = false;
 };
 
--- a/src/node/ControlNode.cpp
+++ b/src/node/ControlNode.cpp
@@ -40,6 +40,8 @@
 static constexpr std::chrono::milliseconds changeTimeout(3000);
 static constexpr std::chrono::milliseconds orderTimeout(1000);
 static constexpr std::chrono::milliseconds decodeInterval(1000);
+static constexpr std::chrono::milliseconds engineAskInterval(1000);
+static constexpr std::chrono::milliseconds engineAskTimeout(600);
 static constexpr std::size_t frameWorkers = 1;
 static constexpr std::size_t timelineEvents = 256;
 // The disk and the memory of a control VM are small, and configurations are large.
@@ -73,6 +75,7 @@
     , follower_(clock_, links_, followerOptions(options_), registry_, [this](std::function<void()> work) { boost::asio::post(context_, std::move(work)); })
     , timer_(context)
     , replicaPlanner_(options_.targetVoters)
+    , pool_(context)
 {
 }
 
@@ -246,7 +249,11 @@
     return static_cast<std::uint32_t>(leader->replica);
 }
 
-bool ControlNode::isConnected() const { return round_.status.leader.has_value(); }
+bool ControlNode::isConnected() const
+{
+    bool isInContact = round_.status.role == consensus::Role::Follower || isLeader();
+    return isInContact && round_.status.leader.has_value();
+}
 
 void ControlNode::replaceRoutes(std::uint64_t version, std::string document, RoutesStored done)
 {
@@ -314,6 +321,7 @@
     follower_.tick();
     lapseUpstreams(now);
     askToJoin(now);
+    askEngines(now);
     if (isLeader()) {
         repairReplicas(now);
         placeLayers(now);
@@ -408,17 +416,61 @@
 void ControlNode::sendOrder(const placement::LayerOrder& order)
 {
     logger.info("An engine is ordered to hold layers.", { { "upstream", order.upstream }, { "address", order.endpoint.text() }, { "from", order.layers.from }, { "to", order.layers.to } });
-    auto done = [this, order, isAlive = std::weak_ptr<bool>(isAlive_)](std::optional<int> status) {
-        if (auto alive = isAlive.lock(); !alive || !*alive)
-            return;
-        auto result = status ? dialect_.readOrderAnswer(*status) : placement::OrderResult::Unknown;
+    startCall(order.endpoint, dialect_.orderRequest(order, round_.status.term), orderTimeout, [this, order](const auto& answer) {
+        auto result = answer ? dialect_.readOrderAnswer(answer->status) : placement::OrderResult::Unknown;
         if (result != placement::OrderResult::Accepted)
-            logger.info("An order was not accepted.", { { "upstream", order.upstream }, { "status", status.value_or(0) } });
+            logger.info("An order was not accepted.", { { "upstream", order.upstream }, { "status", answer ? answer->status : 0 } });
         layers_.orderAnswered(order, result, clock_.now());
-    };
-    auto call = std::make_shared<forwarding::ControlCall>(context_, order.endpoint, done);
+    });
+}
+
+void ControlNode::startCall(const net::Endpoint& endpoint, std::string request, std::chrono::milliseconds timeout, std::function<void(const std::optional<forwarding::ControlCall::Answer>&)> done)
+{
+    auto now = base::TimePoint(std::chrono::steady_clock::now());
+    auto call = std::make_shared<forwarding::ControlCall>(
+        pool_, endpoint, [done = std::move(done), isAlive = std::weak_ptr<bool>(isAlive_)](const auto& answer) {
+            if (auto alive = isAlive.lock(); alive && *alive)
+                done(answer);
+        },
+        now);
     calls_.push_back(call);
-    call->send(dialect_.orderRequest(order, round_.status.term), std::chrono::steady_clock::now() + orderTimeout);
+    call->send(std::move(request), now + timeout);
+}
+
+// Engines slow down without saying so in their reports, and their layers change
+// between two reports.
+void ControlNode::askEngines(base::TimePoint now)
+{
+    std::map<std::string, base::TimePoint> askAt;
+    for (const auto* fact : registry_.all()) {
+        bool isEngine = !fact->accelerator.empty() && fact->state == fleet::UpstreamState::Ready;
+        if (!isEngine || fact->registrar != net::ipText(options_.ip))
+            continue;
+        auto known = askAt_.find(fact->id);
+        auto due = known == askAt_.end() ? now : known->second;
+        if (now >= due) {
+            askEngine(*fact);
+            due = now + engineAskInterval;
+        }
+        askAt[fact->id] = due;
+    }
+    askAt_ = std::move(askAt);
+    pool_.tick(std::chrono::steady_clock::now());
+}
+
+void ControlNode::askEngine(const fleet::UpstreamFact& engine)
+{
+    startCall(engine.endpoint(), dialect_.reportRequest(engine), engineAskTimeout, [this, id = engine.id, born = engine.bornMilliseconds](const auto& answer) {
+        if (!answer || answer->status != 200)
+            return;
+        auto report = dialect_.readReport(answer->body);
+        if (!report) {
+            logger.warning("The report of an engine cannot be read.", { { "upstream", id }, { "reason", report.error().detail } });
+            return;
+        }
+        if (registry_.observe(id, born, report.value().pace, report.value().layers, clock_.now()))
+            source_.answerHeld(clock_.now());
+    });
 }
 
 } // namespace arbutus::node
--- a/src/node/ControlNode.h
+++ b/src/node/ControlNode.h
@@ -17,6 +17,12 @@
 
 namespace arbutus::node {
 
+// What an engine answers about itself.
+struct EngineReport {
+    double pace = 1;
+    fleet::LayerRange layers;
+};
+
 // The formats that differ between platforms.
 class ControlDialect {
 public:
@@ -26,11 +32,16 @@
     // The whole HTTP request that orders an engine to hold layers.
     std::string orderRequest(const placement::LayerOrder& order, std::uint64_t fencingNumber) const { return onOrderRequest(order, fencingNumber); }
     placement::OrderResult readOrderAnswer(int status) const { return onReadOrderAnswer(status); }
+    // The whole HTTP request that asks an engine for its state, and its answer.
+    std::string reportRequest(const fleet::UpstreamFact& engine) const { return onReportRequest(engine); }
+    base::Result<EngineReport> readReport(std::string_view body) const { return onReadReport(body); }
 
 private:
     virtual base::Result<routes::RouteConfiguration> onDecodeRoutes(std::string_view) const = 0;
     virtual std::string onOrderRequest(const placement::LayerOrder&, std::uint64_t fencingNumber) const = 0;
     virtual placement::OrderResult onReadOrderAnswer(int status) const = 0;
+    virtual std::string onReportRequest(const fleet::UpstreamFact&) const = 0;
+    virtual base::Result<EngineReport> onReadReport(std::string_view body) const = 0;
 };
 
 struct ControlOptions {
@@ -105,6 +116,9 @@
     void repairReplicas(base::TimePoint now);
     void placeLayers(base::TimePoint now);
     void proposePlans(const placement::LayerPlans&);
+    void askEngines(base::TimePoint now);
+    void askEngine(const fleet::UpstreamFact&);
+    void startCall(const net::Endpoint&, std::string request, std::chrono::milliseconds timeout, std::function<void(const std::optional<forwarding::ControlCall::Answer>&)>);
     void sendOrder(const placement::LayerOrder&);
     std::string introduction() const;
     std::string command(state::CommandBody) const;
@@ -141,7 +155,10 @@
     std::vector<routes::Service> services_;
     std::uint64_t decodedRoutesVersion_ = 0;
     base::TimePoint decodeRoutesAt_;
+    forwarding::UpstreamPool pool_;
     std::vector<std::shared_ptr<forwarding::ControlCall>> calls_;
+    // When each engine is asked again, by its id.
+    std::map<std::string, base::TimePoint> askAt_;
     std::shared_ptr<bool> isAlive_ = std::make_shared<bool>(true);
 };
 
--- a/src/placement/LayerPlanner.cpp
+++ b/src/placement/LayerPlanner.cpp
@@ -287,8 +287,31 @@
         return std::nullopt;
     }
 
+    // Moves cards of the sibling, small ones first, until both copies have room. Two
+    // copies answer more than one with the same memory, because the streams of a
+    // copy share the passes through its cards.
+    bool tryDonation(const std::vector<Placed>& own, int sibling)
+    {
+        auto donor = remainingCards(sibling);
+        std::stable_sort(donor.begin(), donor.end(), [](const Placed& left, const Placed& right) { return left.card.megabytes < right.card.megabytes; });
+        auto before = plan.slices;
+        removeCopy(sibling);
+        auto receiver = own;
+        while (donor.size() > 1) {
+            receiver.push_back(donor.front());
+            donor.erase(donor.begin());
+            auto base = plan.slices;
+            if (trySplit(receiver, minRequestsAfterSplit) && trySplit(donor, minRequestsAfterSplit))
+                return true;
+            plan.slices = std::move(base);
+        }
+        plan.slices = std::move(before);
+        return false;
+    }
+
     // Splits a copy that lost a card over its other cards; if they have no room, it
-    // takes spare cards, or is merged with another copy of its data centre.
+    // takes spare cards, cards of another copy of its data centre, or is merged with
+    // that copy.
     void splitCopy(int copy)
     {
         auto own = remainingCards(copy);
@@ -311,6 +334,8 @@
                 return;
         }
         if (auto sibling = siblingOf(copy, dataCentre)) {
+            if (tryDonation(own, *sibling))
+                return;
             auto merged = remainingCards(*sibling);
             merged.insert(merged.end(), own.begin(), own.end());
             auto before = plan.slices;
--- a/src/routing/LayerPathSelector.cpp
+++ b/src/routing/LayerPathSelector.cpp
@@ -38,7 +38,7 @@
     }
     auto& engine = engines_[fact.id];
     auto progressAt = engine.progressAt ? engine.progressAt : std::make_shared<base::TimePoint>();
-    engine = { fact, kind->megabytes, kind->pace, kind->readFactor, std::move(progressAt) };
+    engine = { fact, kind->megabytes, kind->pace * std::max(1.0, fact.pace), kind->readFactor * std::max(1.0, fact.pace), std::move(progressAt) };
 }
 
 void LayerPathSelector::removeEngine(const std::string& upstream) { engines_.erase(upstream); }
