--- a/include/placement/LayerController.h
+++ b/include/placement/LayerController.h
@@ -11,9 +11,6 @@
     std::string upstream;
     net::Endpoint endpoint;
     fleet::LayerRange layers;
-    // Layers that are given up wait for the streams that pass through them; else
-    // these streams are cut off, so that the new layers are loaded at once.
-    bool waitsForStreams = false;
 };
 
 enum class OrderResult {
--- a/src/placement/LayerController.cpp
+++ b/src/placement/LayerController.cpp
@@ -97,10 +97,7 @@
             double share = static_cast<double>(slice->range.count()) / service.model->layers;
             auto loadTime = std::chrono::duration_cast<std::chrono::milliseconds>(service.model->fullLoad * share * loadTimeFactor);
             sent = { slice->range, now + loadTime + loadTimeMargin };
-            // A card that only gives up layers has nothing to load. One that gets other
-            // layers belongs to a copy that is broken already.
-            bool isShrinking = fact->layers.from <= slice->range.from && slice->range.to <= fact->layers.to;
-            orders.push_back({ fact->id, fact->endpoint(), slice->range, isShrinking });
+            orders.push_back({ fact->id, fact->endpoint(), slice->range });
         }
     }
     return orders;
--- a/src/placement/LayerPlanner.cpp
+++ b/src/placement/LayerPlanner.cpp
@@ -12,7 +12,7 @@
 // Requests of the usual size that a copy must have room for to be worth its layers.
 static constexpr double minRequestsPerCopy = 28;
 // A copy that lost a card and is split anew may have room for fewer.
-static constexpr double minRequestsAfterSplit = 14;
+static constexpr double minRequestsAfterSplit = 20;
 // The least that is better than nothing.
 static constexpr double minRequestsAfterLoss = 8;
 // A crashed engine mostly comes back to its address within this time; its slice
@@ -230,16 +230,32 @@
         return parts;
     }
 
-    // Splits copies anew that have been incomplete for long, or gives them up.
-    void splitBrokenCopies()
+    // What cannot be filled from spare cards: of several broken copies the one that
+    // misses most gives its cards to the others; a single one is split over its own
+    // cards if they have room. Complete copies are left alone, because they carry
+    // all streams meanwhile.
+    void mendBrokenCopies()
     {
-        std::map<int, base::TimePoint> broken;
+        std::map<int, int> missingLayers;
         for (const auto& slice : plan.slices) {
             if (auto since = vacantSince(slice); since && now >= *since + splitDelay)
-                broken.emplace(slice.copy, *since);
+                missingLayers[slice.copy] += slice.range.count();
         }
-        for (const auto& [copy, since] : broken)
-            splitCopy(copy);
+        if (missingLayers.empty())
+            return;
+        auto worst = std::max_element(missingLayers.begin(), missingLayers.end(), [](const auto& left, const auto& right) { return left.second < right.second; });
+        if (missingLayers.size() > 1) {
+            removeCopy(worst->first);
+            isChanged = true;
+            return;
+        }
+        auto before = plan.slices;
+        auto own = remainingCards(worst->first);
+        removeCopy(worst->first);
+        if (trySplit(own, minRequestsAfterSplit))
+            isChanged = true;
+        else
+            plan.slices = std::move(before);
     }
 
     // The cards of a copy that remain, each with the middle of its layers.
@@ -278,75 +294,6 @@
         return ranges.has_value();
     }
 
-    std::optional<int> siblingOf(int copy, const std::string& dataCentre) const
-    {
-        for (const auto& slice : plan.slices) {
-            if (slice.copy != copy && slice.dataCentre == dataCentre)
-                return slice.copy;
-        }
-        return std::nullopt;
-    }
-
-    // Moves cards of the sibling, small ones first, until both copies have room. Two
-    // copies answer more than one with the same memory, because the streams of a
-    // copy share the passes through its cards.
-    bool tryDonation(const std::vector<Placed>& own, int sibling)
-    {
-        auto donor = remainingCards(sibling);
-        std::stable_sort(donor.begin(), donor.end(), [](const Placed& left, const Placed& right) { return left.card.megabytes < right.card.megabytes; });
-        auto before = plan.slices;
-        removeCopy(sibling);
-        auto receiver = own;
-        while (donor.size() > 1) {
-            receiver.push_back(donor.front());
-            donor.erase(donor.begin());
-            auto base = plan.slices;
-            if (trySplit(receiver, minRequestsAfterSplit) && trySplit(donor, minRequestsAfterSplit))
-                return true;
-            plan.slices = std::move(base);
-        }
-        plan.slices = std::move(before);
-        return false;
-    }
-
-    // Splits a copy that lost a card over its other cards; if they have no room, it
-    // takes spare cards, cards of another copy of its data centre, or is merged with
-    // that copy.
-    void splitCopy(int copy)
-    {
-        auto own = remainingCards(copy);
-        auto any = std::find_if(plan.slices.begin(), plan.slices.end(), [copy](const Slice& slice) { return slice.copy == copy; });
-        if (any == plan.slices.end())
-            return;
-        std::string dataCentre = any->dataCentre;
-        removeCopy(copy);
-        isChanged = true;
-        if (trySplit(own, minRequestsAfterSplit))
-            return;
-        auto withSpares = own;
-        for (bool isLocal : { true, false }) {
-            for (const auto& spare : spares()) {
-                bool isOwn = std::any_of(own.begin(), own.end(), [&spare](const Placed& placed) { return placed.card.address == spare.address; });
-                if (!isOwn && (spare.dataCentre == dataCentre) == isLocal)
-                    withSpares.push_back({ static_cast<double>(model.layers), spare });
-            }
-            if (trySplit(withSpares, minRequestsAfterSplit))
-                return;
-        }
-        if (auto sibling = siblingOf(copy, dataCentre)) {
-            if (tryDonation(own, *sibling))
-                return;
-            auto merged = remainingCards(*sibling);
-            merged.insert(merged.end(), own.begin(), own.end());
-            auto before = plan.slices;
-            removeCopy(*sibling);
-            if (trySplit(merged, minRequestsAfterLoss))
-                return;
-            plan.slices = std::move(before);
-        }
-        trySplit(withSpares, minRequestsAfterLoss);
-    }
-
     void addCopiesFromSpares()
     {
         auto before = plan.slices.size();
@@ -368,7 +315,7 @@
     for (const auto& card : cards)
         repair.present.emplace(card.address, card);
     repair.fillFromSpares();
-    repair.splitBrokenCopies();
+    repair.mendBrokenCopies();
     repair.addCopiesFromSpares();
     if (!repair.isChanged)
         return std::nullopt;
