Do not cut a stream because its engines are silent

A stream whose engines were slow was taken from them, refused by the next engine for want of memory, and cut after 1.2 s in line, beside a change of the configuration.

Change: a stream is taken from its engines only if other ones have room, and a stream that has begun waits in line for as long as its caller does.

--- a/src/forwarding/Exchange.cpp
+++ b/src/forwarding/Exchange.cpp
@@ -25,8 +25,6 @@
 static constexpr std::chrono::milliseconds nextEventStall(550);
 // A stream that stands still although its engines serve others goes elsewhere later.
 static constexpr std::chrono::milliseconds loneStall(1500);
-static constexpr std::chrono::milliseconds crowdedStall(1100);
-static constexpr std::chrono::milliseconds hopelessStall(2200);
 // A call that may be repeated is sent elsewhere after this part of its timeout.
 static constexpr double safeStallShare = 0.4;
 // An engine whose other streams had news within this time is at work.
@@ -49,8 +47,6 @@
 static constexpr double comeBackSpreadMax = 1.6;
 static constexpr std::chrono::milliseconds defaultComeBack(500);
 static constexpr std::chrono::milliseconds longestLineWait(320);
-// Callers leave a stream that stands still for 2 s.
-static constexpr std::chrono::milliseconds longestResumeWait(1200);
 static constexpr int resumePriority = -1;
 // How many waiting requests are tried; a small one may pass a large one.
 static constexpr std::size_t lineWidth = 3;
@@ -118,9 +114,10 @@
     if (!service_->paths || !service_->paths->hasPath(now))
         return false;
     auto priority = team_ && team_->priority ? *team_->priority : route_->priority;
-    // A stream that the caller sees already goes before everything new.
+    // A stream that the caller sees already goes before everything new, and is not
+    // cut off while its caller waits for it.
     ticket_ = service_->line.join(isResuming ? resumePriority : priority, now);
-    lineDeadline_ = now + (isResuming ? longestResumeWait : longestLineWait);
+    lineDeadline_ = isResuming && relay_ != Relay::None ? deadline_ : now + longestLineWait;
     return ticket_.has_value();
 }
 
@@ -528,18 +525,13 @@
 
 void Exchange::checkStall(TimePoint now)
 {
-    if (!isRepeatable())
+    if (!isRepeatable() || runs_ >= route_->maxAttempts)
         return;
     auto silence = now - progressAt_;
     bool isStalled = path_.empty() ? isCallStalled(silence) : isStreamStalled(silence, now);
     if (!isStalled)
         return;
-    bool mayRepeat = runs_ < route_->maxAttempts;
-    // Without another attempt a call may still be answered; a stream that stands
-    // still for long is better cut, so that its caller resumes it.
-    if (!mayRepeat && (path_.empty() || silence < hopelessStall))
-        return;
-    if (mayRepeat && !service_->retries.tryTake(now))
+    if (!service_->retries.tryTake(now))
         return;
     connection_->abandon();
     for (const auto& stage : path_)
@@ -557,13 +549,13 @@
     if (silence < (events_.hasDelivered() ? nextEventStall : firstEventStall))
         return false;
     bool isAnySilent = std::any_of(path_.begin(), path_.end(), [this](const routing::PathStage& stage) { return *stage.progressAt <= progressAt_; });
-    if (!isAnySilent)
-        return silence >= loneStall;
+    if (!isAnySilent && silence < loneStall)
+        return false;
+    // Silence alone is no reason to end an attempt: its engines may go on.
     auto avoided = avoided_;
     for (const auto& stage : path_)
         avoided.insert(stage.upstream);
-    // Where nothing else has room, the engines get more time to go on.
-    return silence >= crowdedStall || service_->paths->choose(size_, avoided, now);
+    return service_->paths->choose(size_, avoided, now).has_value();
 }
 
 } // namespace arbutus::forwarding
