Test the modules of the platform's path

Cause: routes, registry, placement, paths, waiting line, retry allowance and the repair of replicas had no tests that need no bench.

--- a/src/entry/ControlPlane.cpp
+++ b/src/entry/ControlPlane.cpp
@@ -113,6 +113,8 @@
         return handleFeedPoll(*body, reply);
     case FrameKind::Replication:
     case FrameKind::ReplicaHello:
+    case FrameKind::FleetPoll:
+    case FrameKind::ReplicaJoin:
         break;
     }
     return std::nullopt;
--- a/src/replica/ReplicaProcess.cpp
+++ b/src/replica/ReplicaProcess.cpp
@@ -232,6 +232,8 @@
         return handlePoll(*body, reply);
     case FrameKind::Gossip:
     case FrameKind::Heartbeat:
+    case FrameKind::FleetPoll:
+    case FrameKind::ReplicaJoin:
         break;
     }
     return std::nullopt;
--- a/src/routing/LayerPathSelector.cpp
+++ b/src/routing/LayerPathSelector.cpp
@@ -137,6 +137,7 @@
         boundaries.insert(engine->fact.layers.to);
     }
     std::vector<EngineWork> works;
+    works.reserve(engines.size());
     for (const auto* engine : engines)
         works.push_back(workAt(engine->fact.id));
     std::map<int, Step> best;
--- /dev/null
+++ b/tests/EventSplitterTest.cpp
@@ -0,0 +1,44 @@
+#include "include/forwarding/EventSplitter.h"
+
+#include <boost/test/unit_test.hpp>
+
+using arbutus::forwarding::EventSplitter;
+
+static std::string event(int id) { return "id: " + std::to_string(id) + "\ndata: x" + std::to_string(id) + "\n\n"; }
+
+// Guards against a part of an event that reaches the caller before a stream goes
+// on at another engine, where the event comes whole.
+BOOST_AUTO_TEST_CASE(OnlyWholeEventsArePassedOnInAnyPieces)
+{
+    std::string text = event(1) + event(2) + "id: 3\r\ndata: y\r\n\r\n";
+    for (std::size_t step = 1; step <= text.size(); ++step) {
+        EventSplitter splitter;
+        std::string result;
+        for (std::size_t at = 0; at < text.size(); at += step)
+            result += splitter.feed(text.substr(at, step));
+        BOOST_TEST(result == text);
+        BOOST_TEST(splitter.lastId().value() == "3");
+        BOOST_TEST(splitter.takePartial().empty());
+    }
+}
+
+// Guards against a gap or a repeat where two runs of a stream meet.
+BOOST_AUTO_TEST_CASE(AResumedStreamHasNoRepeatAndNoHalfEvent)
+{
+    EventSplitter splitter;
+    BOOST_TEST(splitter.feed(event(1) + event(2) + "id: 3\nda") == event(1) + event(2));
+    BOOST_TEST(splitter.lastId().value() == "2");
+    splitter.restart();
+    BOOST_TEST(splitter.feed(event(2) + event(3)) == event(3));
+    BOOST_TEST(splitter.lastId().value() == "3");
+}
+
+// Guards against events that are dropped because they carry no id.
+BOOST_AUTO_TEST_CASE(EventsWithoutIdArePassedOn)
+{
+    EventSplitter splitter;
+    BOOST_TEST(!splitter.hasDelivered());
+    BOOST_TEST(splitter.feed(": comment\n\n") == ": comment\n\n");
+    BOOST_TEST(splitter.hasDelivered());
+    BOOST_TEST(!splitter.lastId().has_value());
+}
--- /dev/null
+++ b/tests/LayerPathSelectorTest.cpp
@@ -0,0 +1,231 @@
+#include "include/base/Clock.h"
+#include "include/base/Random.h"
+#include "include/routing/LayerPathSelector.h"
+#include "include/routing/RetryAllowance.h"
+#include "include/routing/ServiceBalancer.h"
+#include "include/routing/WaitingLine.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace arbutus;
+using namespace arbutus::routing;
+
+static routes::LayeredModel model()
+{
+    routes::LayeredModel result;
+    result.layers = 80;
+    result.layerMegabytes = 1000;
+    result.cacheBytesPerToken = 800'000;
+    result.stepMilliseconds = 1;
+    result.perSequenceMilliseconds = 0.007;
+    result.readTokensPerSecond = 100'000;
+    result.activationBytesPerToken = 45'900;
+    result.crossLinkMegabits = 18'000;
+    result.kinds = { { "fast", 50'000, 2, 3 }, { "slow", 50'000, 16, 8 } };
+    return result;
+}
+
+static fleet::UpstreamFact engine(const std::string& id, const std::string& kind, int from, int to, const std::string& dataCentre = "catania")
+{
+    fleet::UpstreamFact result;
+    result.id = id;
+    result.accelerator = kind;
+    result.layers = { from, to };
+    result.dataCentre = dataCentre;
+    result.ip = 1;
+    return result;
+}
+
+// Every layer once and in order, and no engine twice.
+static void checkPath(const LayerPath& path)
+{
+    int at = 0;
+    std::set<std::string> used;
+    for (const auto& stage : path) {
+        BOOST_TEST(stage.layers.from == at);
+        BOOST_TEST(stage.layers.count() > 0);
+        BOOST_TEST(used.insert(stage.upstream).second);
+        at = stage.layers.to;
+    }
+    BOOST_TEST(at == 80);
+}
+
+static std::string textOf(const LayerPath& path)
+{
+    std::string text;
+    for (const auto& stage : path)
+        text += (text.empty() ? "" : " ") + stage.upstream;
+    return text;
+}
+
+// Guards against a path that skips, repeats or reorders layers, whatever the
+// ranges of the engines are.
+BOOST_AUTO_TEST_CASE(PathsRunEveryLayerOnce)
+{
+    base::VirtualClock clock;
+    base::Random random(7);
+    for (int round = 0; round < 300; ++round) {
+        LayerPathSelector selector(model(), "catania");
+        for (int i = 0; i < 14; ++i) {
+            int from = static_cast<int>(random.below(60));
+            int to = from + 1 + static_cast<int>(random.below(40));
+            selector.setEngine(engine("e" + std::to_string(i), random.below(2) ? "fast" : "slow", from, std::min(to, 80)));
+        }
+        if (auto path = selector.choose({ 700, 200 }, {}, clock.now()))
+            checkPath(*path);
+    }
+}
+
+// Guards against streams that are refused while copies stand empty: full engines
+// are not used piecemeal, and every copy takes its share.
+BOOST_AUTO_TEST_CASE(AllCopiesAreUsedUnderLoad)
+{
+    base::VirtualClock clock;
+    LayerPathSelector selector(model(), "catania");
+    selector.setEngine(engine("f1", "fast", 0, 40));
+    selector.setEngine(engine("f2", "fast", 40, 80));
+    selector.setEngine(engine("s1", "slow", 0, 30));
+    selector.setEngine(engine("s2", "slow", 30, 55));
+    selector.setEngine(engine("s3", "slow", 55, 80));
+    std::map<std::string, int> placed;
+    for (int i = 0; i < 60; ++i) {
+        auto path = selector.choose({ 700, 200 }, {}, clock.now());
+        if (!path)
+            break;
+        checkPath(*path);
+        selector.reserve(*path, { 700, 200 });
+        ++placed[textOf(*path)];
+    }
+    int total = 0;
+    for (const auto& [path, count] : placed)
+        total += count;
+    // 10 GB beside 40 layers hold 25,000 tokens, that is 28 streams with 830 tokens;
+    // the slow copy has room for more.
+    BOOST_TEST(total >= 50);
+    BOOST_TEST(placed["f1 f2"] >= 20);
+    BOOST_TEST(placed["s1 s2 s3"] >= 20);
+}
+
+// Guards against engines that are overfilled because other entry VMs use them too.
+BOOST_AUTO_TEST_CASE(TheWorkOfOthersCounts)
+{
+    base::VirtualClock clock;
+    LayerPathSelector selector(model(), "catania");
+    selector.setEngine(engine("f1", "fast", 0, 40));
+    selector.setEngine(engine("f2", "fast", 40, 80));
+    BOOST_TEST(selector.choose({ 700, 200 }, {}, clock.now()).has_value());
+    selector.setOthersWork({ { "f2", { 28, 40.0 * 24'500 } } });
+    BOOST_TEST(!selector.choose({ 700, 200 }, {}, clock.now()).has_value());
+    BOOST_TEST(selector.hasPath(clock.now()));
+}
+
+// Guards against a slow or suspected engine that keeps getting streams.
+BOOST_AUTO_TEST_CASE(SlowAndSuspectedEnginesAreAvoided)
+{
+    base::VirtualClock clock;
+    LayerPathSelector selector(model(), "catania");
+    selector.setEngine(engine("a1", "fast", 0, 40));
+    selector.setEngine(engine("b1", "fast", 0, 40));
+    selector.setEngine(engine("end", "fast", 40, 80));
+    auto first = selector.choose({ 700, 200 }, {}, clock.now()).value().front().upstream;
+    auto other = first == "a1" ? "b1" : "a1";
+    selector.suspect(first, clock.now() + std::chrono::seconds(1));
+    BOOST_TEST(selector.choose({ 700, 200 }, {}, clock.now()).value().front().upstream == other);
+    clock.advance(std::chrono::seconds(2));
+    BOOST_TEST(selector.choose({ 700, 200 }, {}, clock.now()).value().front().upstream == first);
+    auto slow = engine(first, "fast", 0, 40);
+    slow.pace = 3;
+    selector.setEngine(slow);
+    BOOST_TEST(selector.choose({ 700, 200 }, {}, clock.now()).value().front().upstream == other);
+    BOOST_TEST(!selector.choose({ 700, 200 }, { "a1", "b1" }, clock.now()).has_value());
+}
+
+// Guards against a path over the slow link between data centres while the own one has room.
+BOOST_AUTO_TEST_CASE(PathsStayInOneDataCentre)
+{
+    base::VirtualClock clock;
+    LayerPathSelector selector(model(), "palermo");
+    for (const std::string dataCentre : { "catania", "palermo" }) {
+        selector.setEngine(engine(dataCentre + "1", "fast", 0, 40, dataCentre));
+        selector.setEngine(engine(dataCentre + "2", "fast", 40, 80, dataCentre));
+    }
+    BOOST_TEST(textOf(selector.choose({ 700, 200 }, {}, clock.now()).value()) == "palermo1 palermo2");
+    selector.removeEngine("palermo2");
+    BOOST_TEST(textOf(selector.choose({ 700, 200 }, {}, clock.now()).value()) == "catania1 catania2");
+}
+
+// Guards against retries that exceed the budget that all entry VMs share.
+BOOST_AUTO_TEST_CASE(AllEntryVmsTogetherKeepTheRetryBudget)
+{
+    base::VirtualClock clock;
+    std::vector<RetryAllowance> vms(7, RetryAllowance(0.2, 198, std::chrono::seconds(10)));
+    for (auto& vm : vms)
+        vm.setEntryCount(7);
+    // A burst of failures after a calm time: 700 requests in 10 s, every one retried.
+    std::vector<base::TimePoint> taken;
+    for (int i = 0; i < 700; ++i) {
+        clock.advance(std::chrono::milliseconds(14));
+        auto& vm = vms[static_cast<std::size_t>(i) % vms.size()];
+        vm.recordRequest(clock.now());
+        if (vm.tryTake(clock.now()))
+            taken.push_back(clock.now());
+    }
+    BOOST_TEST(taken.size() <= 0.2 * 700 + 198);
+    BOOST_TEST(taken.size() >= 100U);
+    clock.advance(std::chrono::seconds(11));
+    BOOST_TEST(vms[0].tryTake(clock.now()));
+}
+
+// Guards against a request that waits although it cannot be placed in time, and
+// against a less urgent one that goes first.
+BOOST_AUTO_TEST_CASE(TheLineIsAsLongAsItMoves)
+{
+    base::VirtualClock clock;
+    WaitingLine line(std::chrono::milliseconds(300));
+    BOOST_TEST(!line.join(1, clock.now()).has_value());
+    for (int i = 0; i < 40; ++i) {
+        clock.advance(std::chrono::milliseconds(100));
+        line.recordEnd(clock.now());
+    }
+    // 10 ends a second make room for about 3 requests within 0.3 s.
+    auto first = line.join(1, clock.now());
+    auto second = line.join(1, clock.now());
+    BOOST_REQUIRE(first.has_value());
+    BOOST_REQUIRE(second.has_value());
+    line.join(1, clock.now());
+    BOOST_TEST(!line.join(1, clock.now()).has_value());
+    auto urgent = line.join(0, clock.now());
+    BOOST_REQUIRE(urgent.has_value());
+    BOOST_TEST(line.isNearFront(*urgent, 1));
+    BOOST_TEST(!line.isNearFront(*first, 1));
+    line.leave(*urgent);
+    BOOST_TEST(line.isNearFront(*first, 1));
+    BOOST_TEST((line.comeBackAfter(clock.now()) > std::chrono::milliseconds(250)));
+    clock.advance(std::chrono::seconds(20));
+    BOOST_TEST(!line.join(1, clock.now()).has_value());
+}
+
+// Guards against calls that go on to an upstream which fails or which is unknown.
+BOOST_AUTO_TEST_CASE(TheBalancerAvoidsFailingUpstreams)
+{
+    base::VirtualClock clock;
+    ServiceBalancer balancer("catania");
+    for (const std::string id : { "a", "b" }) {
+        auto upstream = engine(id, "", 0, 0);
+        upstream.slots = 6;
+        balancer.setUpstream(upstream);
+    }
+    for (int i = 0; i < 10; ++i) {
+        balancer.started("a");
+        balancer.finished("a", CallResult::Failed, std::chrono::milliseconds(20));
+        balancer.started("b");
+        balancer.finished("b", CallResult::Answered, std::chrono::milliseconds(20));
+    }
+    BOOST_TEST(balancer.choose({}, clock.now()).value().id == "b");
+    BOOST_TEST(balancer.choose({ "b" }, clock.now()).value().id == "a");
+    BOOST_TEST(!balancer.choose({ "a", "b" }, clock.now()).has_value());
+    auto leaving = engine("b", "", 0, 0);
+    leaving.state = fleet::UpstreamState::Leaving;
+    balancer.setUpstream(leaving);
+    BOOST_TEST(balancer.choose({}, clock.now()).value().id == "a");
+}
--- /dev/null
+++ b/tests/LayerPlannerTest.cpp
@@ -0,0 +1,221 @@
+#include "include/base/Clock.h"
+#include "include/placement/LayerController.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace arbutus;
+using namespace arbutus::placement;
+
+static routes::LayeredModel model()
+{
+    routes::LayeredModel result;
+    result.layers = 80;
+    result.layerMegabytes = 1750;
+    result.cacheBytesPerToken = 918'000;
+    result.stepMilliseconds = 1.02;
+    result.usualPromptTokens = 774;
+    result.usualAnswerTokens = 203;
+    result.fullLoad = std::chrono::seconds(14);
+    result.kinds = { { "a100", 72'000, 2.4, 3.2 }, { "l40s", 43'200, 5.6, 2.7 }, { "l4", 21'600, 16, 8.2 } };
+    return result;
+}
+
+static void addCards(std::vector<Card>& cards, const std::string& dataCentre, int a100, int l40s, int l4)
+{
+    auto add = [&](int count, double megabytes, double pace) {
+        for (int i = 0; i < count; ++i)
+            cards.push_back({ "10.0.0." + std::to_string(cards.size()) + ":80", dataCentre, megabytes, pace, false });
+    };
+    add(a100, 72'000, 2.4);
+    add(l40s, 43'200, 5.6);
+    add(l4, 21'600, 16);
+}
+
+static std::vector<Card> fleetCards()
+{
+    std::vector<Card> cards;
+    addCards(cards, "catania", 1, 6, 5);
+    addCards(cards, "palermo", 2, 2, 5);
+    addCards(cards, "ragusa", 1, 3, 8);
+    return cards;
+}
+
+static const Card& cardAt(const std::vector<Card>& cards, const std::string& address)
+{
+    return *std::find_if(cards.begin(), cards.end(), [&address](const Card& card) { return card.address == address; });
+}
+
+// Every copy holds each layer once, no card holds two slices, and none more than
+// its memory.
+static std::size_t checkPlan(const LayerPlan& plan, const std::vector<Card>& cards, const std::set<std::string>& lost = {})
+{
+    std::map<int, std::vector<Slice>> copies;
+    std::set<std::string> holders;
+    for (const auto& slice : plan.slices) {
+        copies[slice.copy].push_back(slice);
+        BOOST_TEST(holders.insert(slice.holder).second);
+        if (!lost.count(slice.holder))
+            BOOST_TEST(slice.range.count() * model().layerMegabytes <= cardAt(cards, slice.holder).megabytes);
+    }
+    std::size_t complete = 0;
+    for (auto& [copy, slices] : copies) {
+        std::sort(slices.begin(), slices.end(), [](const Slice& left, const Slice& right) { return left.range.from < right.range.from; });
+        int at = 0;
+        bool isComplete = true;
+        for (const auto& slice : slices) {
+            BOOST_TEST(slice.range.from == at);
+            at = slice.range.to;
+            isComplete = isComplete && !lost.count(slice.holder);
+        }
+        BOOST_TEST(at == 80);
+        complete += isComplete ? 1 : 0;
+    }
+    return complete;
+}
+
+// Guards against a first placement that leaves a data centre without a copy, a
+// layer without a card or a card over its memory.
+BOOST_AUTO_TEST_CASE(TheFirstPlanHasTwoCopiesInEachDataCentre)
+{
+    auto cards = fleetCards();
+    auto plan = LayerPlanner::plan(model(), cards);
+    BOOST_TEST(checkPlan(plan, cards) == 6U);
+    std::map<int, std::set<std::string>> dataCentres;
+    for (const auto& slice : plan.slices)
+        dataCentres[slice.copy].insert(slice.dataCentre);
+    for (const auto& [copy, names] : dataCentres)
+        BOOST_TEST(names.size() == 1U);
+}
+
+// Guards against cards of several data centres that stay unused because none of
+// them can hold a copy alone.
+BOOST_AUTO_TEST_CASE(SmallDataCentresShareACopy)
+{
+    std::vector<Card> cards;
+    addCards(cards, "catania", 1, 1, 0);
+    addCards(cards, "palermo", 1, 1, 0);
+    auto plan = LayerPlanner::plan(model(), cards);
+    BOOST_TEST(checkPlan(plan, cards) == 1U);
+}
+
+// Guards against a model that fits nowhere and is placed in part.
+BOOST_AUTO_TEST_CASE(NothingIsPlacedWithoutRoomForAWholeCopy)
+{
+    std::vector<Card> cards;
+    addCards(cards, "catania", 0, 3, 0);
+    BOOST_TEST(LayerPlanner::plan(model(), cards).slices.empty());
+    BOOST_TEST(!splitLayers(model(), {}, 0).has_value());
+}
+
+// Guards against a lost card whose layers stay missing although a spare card is there.
+BOOST_AUTO_TEST_CASE(ASpareCardTakesOverTheLayersOfALostOne)
+{
+    base::VirtualClock clock;
+    auto cards = fleetCards();
+    auto plan = LayerPlanner::plan(model(), cards);
+    auto lost = std::find_if(plan.slices.begin(), plan.slices.end(), [&cards](const Slice& slice) { return cardAt(cards, slice.holder).megabytes == 43'200; })->holder;
+    std::vector<Card> present;
+    std::copy_if(cards.begin(), cards.end(), std::back_inserter(present), [&lost](const Card& card) { return card.address != lost; });
+    present.push_back({ "10.0.1.1:80", "ragusa", 43'200, 5.6, false });
+    LayerPlanner planner;
+    BOOST_TEST(!planner.repair(model(), plan, present, clock.now()).has_value());
+    clock.advance(std::chrono::seconds(1));
+    auto repaired = planner.repair(model(), plan, present, clock.now());
+    BOOST_REQUIRE(repaired.has_value());
+    auto all = cards;
+    all.push_back(present.back());
+    BOOST_TEST(checkPlan(*repaired, all) == 6U);
+    BOOST_TEST(!repaired->sliceOf(lost));
+}
+
+// Guards against a data centre that loads all its layers anew because of one lost
+// card: complete copies carry all streams meanwhile.
+BOOST_AUTO_TEST_CASE(CompleteCopiesAreLeftAlone)
+{
+    base::VirtualClock clock;
+    auto cards = fleetCards();
+    auto plan = LayerPlanner::plan(model(), cards);
+    auto first = plan.slices.front();
+    std::vector<Card> present;
+    std::copy_if(cards.begin(), cards.end(), std::back_inserter(present), [&first](const Card& card) { return card.address != first.holder; });
+    LayerPlanner planner;
+    auto latest = plan;
+    for (int i = 0; i < 100; ++i) {
+        clock.advance(std::chrono::milliseconds(100));
+        if (auto repaired = planner.repair(model(), latest, present, clock.now()))
+            latest = std::move(*repaired);
+    }
+    for (const auto& slice : plan.slices) {
+        if (slice.copy == first.copy)
+            continue;
+        const auto* now = latest.sliceOf(slice.holder);
+        BOOST_REQUIRE(now);
+        BOOST_TEST((now->range == slice.range));
+    }
+}
+
+// Guards against two broken copies that both stay broken although the cards of one
+// could complete the other.
+BOOST_AUTO_TEST_CASE(OfTwoBrokenCopiesOneCompletesTheOther)
+{
+    base::VirtualClock clock;
+    auto cards = fleetCards();
+    auto plan = LayerPlanner::plan(model(), cards);
+    std::set<std::string> lost;
+    std::set<int> broken;
+    for (const auto& slice : plan.slices) {
+        if (broken.size() < 2 && cardAt(cards, slice.holder).pace > 10 && broken.insert(slice.copy).second)
+            lost.insert(slice.holder);
+    }
+    BOOST_REQUIRE(lost.size() == 2);
+    std::vector<Card> present;
+    std::copy_if(cards.begin(), cards.end(), std::back_inserter(present), [&lost](const Card& card) { return !lost.count(card.address); });
+    LayerPlanner planner;
+    auto latest = plan;
+    for (int i = 0; i < 100; ++i) {
+        clock.advance(std::chrono::milliseconds(100));
+        if (auto repaired = planner.repair(model(), latest, present, clock.now()))
+            latest = std::move(*repaired);
+    }
+    BOOST_TEST(checkPlan(latest, cards, lost) >= 5U);
+}
+
+// Guards against an order that is lost for good, and against orders that are
+// repeated while the engine is loading.
+BOOST_AUTO_TEST_CASE(OrdersAreRepeatedUntilTheEngineReportsItsLayers)
+{
+    base::VirtualClock clock;
+    routes::Service service { "scriba", "", 0, model() };
+    LayerPlans plans { { "scriba", LayerPlan { { Slice { 0, { 0, 20 }, "10.0.0.1:80", "catania" } } } } };
+    fleet::UpstreamFact engine;
+    engine.id = "e1";
+    engine.service = "scriba";
+    engine.ip = net::parseIp("10.0.0.1").value();
+    engine.port = 80;
+    engine.accelerator = "l40s";
+    LayerController controller;
+    auto due = [&] { return controller.dueOrders({ service }, plans, { &engine }, clock.now()).size(); };
+    BOOST_TEST(due() == 1U);
+    BOOST_TEST(due() == 0U);
+    controller.orderAnswered({ "e1", engine.endpoint(), { 0, 20 } }, OrderResult::Unknown, clock.now());
+    clock.advance(std::chrono::seconds(1));
+    BOOST_TEST(due() == 1U);
+    controller.orderAnswered({ "e1", engine.endpoint(), { 0, 20 } }, OrderResult::Accepted, clock.now());
+    clock.advance(std::chrono::seconds(5));
+    BOOST_TEST(due() == 0U);
+    engine.layers = { 0, 20 };
+    BOOST_TEST(due() == 0U);
+    // An order that is carried out late leaves other layers; it is put right.
+    engine.layers = { 5, 25 };
+    BOOST_TEST(due() == 1U);
+}
+
+// Guards against plans that change on their way through the replicated state.
+BOOST_AUTO_TEST_CASE(PlansSurviveTheirEncoding)
+{
+    LayerPlans plans { { "scriba", LayerPlanner::plan(model(), fleetCards()) } };
+    auto decoded = decodePlans(encodePlans(plans));
+    BOOST_REQUIRE(decoded.has_value());
+    BOOST_TEST(encodePlans(decoded.value()) == encodePlans(plans));
+    BOOST_TEST(decodePlans("nonsense").has_error());
+}
--- /dev/null
+++ b/tests/ReplicaPlannerTest.cpp
@@ -0,0 +1,86 @@
+#include "include/base/Clock.h"
+#include "include/consensus/ReplicaPlanner.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace arbutus;
+using namespace arbutus::consensus;
+
+static const ReplicaKey a { 1, 10 };
+static const ReplicaKey b { 2, 20 };
+static const ReplicaKey c { 3, 30 };
+static const ReplicaKey wipedC { 3, 31 };
+static const ReplicaKey d { 4, 40 };
+
+struct Planned {
+    base::VirtualClock clock;
+    ReplicaPlanner planner { 3 };
+    Configuration configuration { { a, b, c }, {} };
+
+    // Applies every change that is planned within `span`; returns the changes.
+    std::vector<ReplicaChange> run(const std::vector<ReplicaKey>& active, std::chrono::milliseconds span, std::optional<ReplicaKey> joining = std::nullopt)
+    {
+        std::vector<ReplicaChange> changes;
+        for (auto elapsed = std::chrono::milliseconds(0); elapsed < span; elapsed += std::chrono::milliseconds(100)) {
+            clock.advance(std::chrono::milliseconds(100));
+            if (joining)
+                planner.joinRequested(*joining, clock.now());
+            if (auto change = planner.next(a, configuration, active, clock.now())) {
+                changes.push_back(*change);
+                apply(*change);
+            }
+        }
+        return changes;
+    }
+
+    void apply(const ReplicaChange& change)
+    {
+        auto erase = [&change](std::vector<ReplicaKey>& members) { members.erase(std::remove(members.begin(), members.end(), change.replica), members.end()); };
+        erase(configuration.learners);
+        if (change.kind != ChangeKind::Promote)
+            erase(configuration.voters);
+        if (change.kind == ChangeKind::AddLearner)
+            configuration.learners.push_back(change.replica);
+        if (change.kind == ChangeKind::Promote)
+            configuration.voters.push_back(change.replica);
+    }
+};
+
+// Guards against a disk that was wiped and keeps the seat of the old one, whose
+// votes it does not remember.
+BOOST_AUTO_TEST_CASE(AWipedDiskTakesItsSeatAsALearner)
+{
+    Planned planned;
+    auto changes = planned.run({ b, wipedC }, std::chrono::seconds(2), wipedC);
+    const std::vector<ReplicaChange> expected { { ChangeKind::AddLearner, wipedC }, { ChangeKind::Remove, c }, { ChangeKind::Promote, wipedC } };
+    BOOST_TEST((changes == expected));
+}
+
+// Guards against a deployment that loses a voter for good and is left with two.
+BOOST_AUTO_TEST_CASE(ANewMachineReplacesALostVoter)
+{
+    Planned planned;
+    auto changes = planned.run({ b, d }, std::chrono::seconds(4), d);
+    const std::vector<ReplicaChange> expected { { ChangeKind::AddLearner, d }, { ChangeKind::Promote, d }, { ChangeKind::Remove, c } };
+    BOOST_TEST((changes == expected));
+    BOOST_TEST((planned.configuration.voters == std::vector<ReplicaKey> { a, b, d }));
+}
+
+// Guards against a voter that loses its seat because it is down for a while with
+// nobody to take its place.
+BOOST_AUTO_TEST_CASE(ASilentVoterKeepsItsSeatWithoutASuccessor)
+{
+    Planned planned;
+    BOOST_TEST(planned.run({ b }, std::chrono::seconds(60)).empty());
+}
+
+// Guards against more and more voters, of which a majority is harder to reach.
+BOOST_AUTO_TEST_CASE(AtMostOneVoterAboveTheTarget)
+{
+    Planned planned;
+    planned.run({ b, c, d }, std::chrono::seconds(2), d);
+    BOOST_TEST(planned.configuration.voters.size() == 4U);
+    const ReplicaKey e { 5, 50 };
+    planned.run({ b, c, d, e }, std::chrono::seconds(2), e);
+    BOOST_TEST(planned.configuration.voters.size() == 4U);
+}
--- /dev/null
+++ b/tests/UpstreamRegistryTest.cpp
@@ -0,0 +1,160 @@
+#include "include/base/Clock.h"
+#include "include/fleet/FleetSource.h"
+#include "include/fleet/UpstreamRegistry.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace arbutus;
+using namespace arbutus::fleet;
+
+static UpstreamFact fact(const std::string& id, std::int64_t born, std::uint64_t sequence, std::uint32_t ip = 1)
+{
+    UpstreamFact result;
+    result.id = id;
+    result.bornMilliseconds = born;
+    result.sequence = sequence;
+    result.service = "scriba";
+    result.ip = ip;
+    result.port = 80;
+    return result;
+}
+
+static UpstreamState stateOf(const UpstreamRegistry& registry, const std::string& id) { return registry.find(id)->state; }
+
+// Guards against a late report that brings back an upstream which is leaving.
+BOOST_AUTO_TEST_CASE(LateReportsChangeNothing)
+{
+    base::VirtualClock clock;
+    UpstreamRegistry registry;
+    registry.report(fact("a", 100, 5), "c1", clock.now());
+    auto leaving = fact("a", 100, 7);
+    leaving.state = UpstreamState::Leaving;
+    BOOST_TEST(registry.report(leaving, "c1", clock.now()));
+    BOOST_TEST(!registry.report(fact("a", 100, 6), "c2", clock.now()));
+    BOOST_TEST((stateOf(registry, "a") == UpstreamState::Leaving));
+    registry.report(fact("a", 100, 8), "c2", clock.now());
+    BOOST_TEST((stateOf(registry, "a") == UpstreamState::Leaving));
+    registry.farewell("a", 100, "c1", clock.now());
+    registry.report(fact("a", 100, 20), "c2", clock.now());
+    BOOST_TEST((stateOf(registry, "a") == UpstreamState::Gone));
+    // The same id may start again.
+    BOOST_TEST(registry.report(fact("a", 200, 1), "c2", clock.now()));
+    BOOST_TEST((stateOf(registry, "a") == UpstreamState::Ready));
+}
+
+// Guards against a delayed report of a crashed incarnation at an address that
+// belongs to another upstream now.
+BOOST_AUTO_TEST_CASE(AnAddressBelongsToTheUpstreamThatStartedLast)
+{
+    base::VirtualClock clock;
+    UpstreamRegistry registry;
+    registry.report(fact("old", 100, 5), "c1", clock.now());
+    registry.report(fact("new", 200, 1), "c1", clock.now());
+    BOOST_TEST((stateOf(registry, "old") == UpstreamState::Gone));
+    registry.report(fact("old", 100, 6), "c2", clock.now());
+    registry.report(fact("older", 50, 9), "c2", clock.now());
+    BOOST_TEST((stateOf(registry, "old") == UpstreamState::Gone));
+    BOOST_TEST((stateOf(registry, "older") == UpstreamState::Gone));
+    BOOST_TEST((stateOf(registry, "new") == UpstreamState::Ready));
+}
+
+// Guards against control VMs that end up with different pictures: the order in
+// which facts arrive must not matter.
+BOOST_AUTO_TEST_CASE(MergingIsIdempotentAndIndependentOfOrder)
+{
+    base::VirtualClock clock;
+    auto ready = fact("a", 100, 1);
+    auto leaving = fact("a", 100, 2);
+    leaving.state = UpstreamState::Leaving;
+    auto successor = fact("b", 300, 1);
+    const std::vector<UpstreamFact> facts { ready, leaving, successor };
+    std::vector<std::size_t> order { 0, 1, 2 };
+    do {
+        UpstreamRegistry registry;
+        for (auto index : order) {
+            registry.apply(facts[index], clock.now());
+            registry.apply(facts[index], clock.now());
+        }
+        BOOST_TEST((stateOf(registry, "a") == UpstreamState::Gone));
+        BOOST_TEST((stateOf(registry, "b") == UpstreamState::Ready));
+    } while (std::next_permutation(order.begin(), order.end()));
+}
+
+// Guards against upstreams that are declared silent by a VM which does not hear
+// them, or which itself stood still.
+BOOST_AUTO_TEST_CASE(OnlyTheAuthorityDeclaresSilence)
+{
+    base::VirtualClock clock;
+    UpstreamRegistry registry;
+    registry.report(fact("mine", 100, 1, 1), "c1", clock.now());
+    registry.report(fact("other", 100, 1, 2), "c2", clock.now());
+    auto isMine = [](const UpstreamFact& upstream) { return upstream.registrar == "c1"; };
+    clock.advance(std::chrono::seconds(10));
+    registry.restartPeriods(clock.now());
+    registry.lapse(clock.now() - std::chrono::seconds(4), isMine, clock.now());
+    BOOST_TEST((stateOf(registry, "mine") == UpstreamState::Ready));
+    clock.advance(std::chrono::seconds(10));
+    registry.lapse(clock.now() - std::chrono::seconds(4), isMine, clock.now());
+    BOOST_TEST((stateOf(registry, "mine") == UpstreamState::Silent));
+    BOOST_TEST((stateOf(registry, "other") == UpstreamState::Ready));
+    registry.report(fact("mine", 100, 2, 1), "c2", clock.now());
+    BOOST_TEST((stateOf(registry, "mine") == UpstreamState::Ready));
+}
+
+// Guards against a pace that is lost with the next report, and against a feed that
+// wakes every entry VM for a change that does not matter.
+BOOST_AUTO_TEST_CASE(ObservationsOutliveReports)
+{
+    base::VirtualClock clock;
+    UpstreamRegistry registry;
+    registry.report(fact("a", 100, 1), "c1", clock.now());
+    BOOST_TEST(!registry.observe("a", 100, 1.1, {}, clock.now()));
+    BOOST_TEST(registry.observe("a", 100, 3.0, {}, clock.now()));
+    BOOST_TEST(!registry.report(fact("a", 100, 2), "c1", clock.now()));
+    BOOST_TEST(registry.find("a")->pace == 3.0);
+    BOOST_TEST(!registry.observe("a", 99, 1.0, {}, clock.now()));
+}
+
+// Guards against entry VMs that hear late of a change, and against answers that
+// leave out what the asker lacks.
+BOOST_AUTO_TEST_CASE(PollsAreAnsweredAsSoonAsThereIsNews)
+{
+    base::VirtualClock clock;
+    UpstreamRegistry registry;
+    FleetSource source(registry, 77);
+    std::vector<FleetAnswer> answers;
+    auto reply = [&answers](const std::string& bytes) { answers.push_back(decode<FleetAnswer>(bytes).value()); };
+    FleetPoll poll;
+    poll.sender = "entry-1";
+    poll.isEntry = true;
+    poll.holdMilliseconds = 400;
+    poll.work = { { "a", 3, 100 } };
+    source.poll(poll, reply, clock.now());
+    BOOST_REQUIRE(answers.size() == 1);
+    poll.epoch = 77;
+    poll.revision = answers[0].revision;
+    source.poll(poll, reply, clock.now());
+    BOOST_TEST(answers.size() == 1);
+    registry.report(fact("a", 100, 1), "c1", clock.now());
+    source.answerHeld(clock.now());
+    BOOST_REQUIRE(answers.size() == 2);
+    BOOST_TEST(answers[1].facts.size() == 1);
+
+    poll.revision = answers[1].revision;
+    poll.wantsRoutes = true;
+    source.poll(poll, reply, clock.now());
+    source.setRoutes(4, std::make_shared<const std::string>("document"));
+    source.answerHeld(clock.now());
+    BOOST_REQUIRE(answers.size() == 3);
+    BOOST_TEST(answers[2].routesDocument == "document");
+
+    // The own work is not counted among that of the others.
+    BOOST_TEST(answers[2].othersWork.empty());
+    FleetPoll other;
+    other.sender = "entry-2";
+    other.isEntry = true;
+    source.poll(other, reply, clock.now());
+    BOOST_REQUIRE(answers.back().othersWork.size() == 1);
+    BOOST_TEST(answers.back().othersWork[0].running == 3U);
+    BOOST_TEST(answers.back().entryCount == 2U);
+}
