Keep the best way to each data centre in the path search

Cause: LayerPathSelectorTest: a path over the link between data centres was taken although one without it was cheaper; the search kept one way to a layer boundary, whatever data centre it ended in.

Change: the position of the search includes the data centre.

--- a/include/routing/LayerPathSelector.h
+++ b/include/routing/LayerPathSelector.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace arbutus::routing {
@@ -52,12 +53,17 @@
         double readFactor = 1;
         std::shared_ptr<base::TimePoint> progressAt;
     };
+    struct Position {
+        int layer = 0;
+        std::string dataCentre;
+        friend bool operator<(const Position& left, const Position& right) { return std::tie(left.layer, left.dataCentre) < std::tie(right.layer, right.dataCentre); }
+    };
     struct Step {
         double cost = 0;
         // Time of one token so far.
         double tokenTime = 0;
         const Engine* engine = nullptr;
-        int previous = -1;
+        Position previous;
     };
 
     LayerPathSelector(routes::LayeredModel model, std::string dataCentre)
--- a/src/routing/LayerPathSelector.cpp
+++ b/src/routing/LayerPathSelector.cpp
@@ -115,11 +115,14 @@
     return usable;
 }
 
+using Position = LayerPathSelector::Position;
+using Steps = std::map<Position, LayerPathSelector::Step>;
+
 // Whether the path that led to `at` runs through `engine`; an engine may stand in
 // a path only once.
-static bool isUsed(const std::map<int, LayerPathSelector::Step>& best, int at, const LayerPathSelector::Engine& engine)
+static bool isUsed(const Steps& best, Position at, const LayerPathSelector::Engine& engine)
 {
-    while (at > 0) {
+    while (at.layer > 0) {
         const auto& step = best.at(at);
         if (step.engine == &engine)
             return true;
@@ -128,49 +131,53 @@
     return false;
 }
 
-// The least cost from layer 0 to the last over the boundaries of the engines' ranges.
+// The least cost from layer 0 to the last over the boundaries of the engines'
+// ranges. A position also holds the data centre, because the cost of going on
+// depends on where the path is.
 std::optional<LayerPath> LayerPathSelector::search(const std::vector<const Engine*>& engines, const StreamSize& size, bool checksRoom) const
 {
     std::set<int> boundaries { 0, model_.layers };
+    std::vector<EngineWork> works;
+    works.reserve(engines.size());
     for (const auto* engine : engines) {
         boundaries.insert(engine->fact.layers.from);
         boundaries.insert(engine->fact.layers.to);
-    }
-    std::vector<EngineWork> works;
-    works.reserve(engines.size());
-    for (const auto* engine : engines)
         works.push_back(workAt(engine->fact.id));
-    std::map<int, Step> best;
-    best[0] = {};
-    for (int at : boundaries) {
-        auto reached = best.find(at);
-        if (reached == best.end() || at == model_.layers)
-            continue;
-        const Step step = reached->second;
+    }
+    Steps best;
+    best[{ 0, {} }] = {};
+    // The positions are visited by layer, and a step only leads to a higher one.
+    for (auto reached = best.begin(); reached != best.end(); ++reached) {
+        const auto [at, step] = *reached;
+        if (at.layer == model_.layers)
+            break;
         for (std::size_t i = 0; i < engines.size(); ++i) {
             const auto& engine = *engines[i];
-            if (engine.fact.layers.from > at || engine.fact.layers.to <= at || isUsed(best, at, engine))
+            if (engine.fact.layers.from > at.layer || engine.fact.layers.to <= at.layer || isUsed(best, at, engine))
                 continue;
-            for (auto next = boundaries.upper_bound(at); next != boundaries.end() && *next <= engine.fact.layers.to; ++next) {
-                int layers = *next - at;
+            for (auto next = boundaries.upper_bound(at.layer); next != boundaries.end() && *next <= engine.fact.layers.to; ++next) {
+                int layers = *next - at.layer;
                 double tokenTime = step.tokenTime + tokenMilliseconds(engine, layers, works[i]);
                 if (checksRoom && (!hasRoom(engine, layers, size, works[i]) || tokenTime > maxTokenMilliseconds))
                     continue;
                 double cost = step.cost + stageCost(engine, layers, size, works[i]) + crossingCost(step.engine, engine, size);
-                auto [known, inserted] = best.try_emplace(*next, Step { cost, tokenTime, &engine, at });
+                auto [known, inserted] = best.try_emplace({ *next, engine.fact.dataCentre }, Step { cost, tokenTime, &engine, at });
                 if (!inserted && cost < known->second.cost)
                     known->second = { cost, tokenTime, &engine, at };
             }
         }
     }
+    auto last = best.end();
+    for (auto it = best.lower_bound({ model_.layers, {} }); it != best.end(); ++it) {
+        if (last == best.end() || it->second.cost < last->second.cost)
+            last = it;
+    }
+    if (last == best.end())
+        return std::nullopt;
     LayerPath path;
-    for (int at = model_.layers; at > 0;) {
-        auto found = best.find(at);
-        if (found == best.end())
-            return std::nullopt;
-        const auto& [cost, tokenTime, engine, previous] = found->second;
-        path.insert(path.begin(), { engine->fact.id, engine->fact.endpoint(), { previous, at }, engine->progressAt });
-        at = previous;
+    for (auto at = last->first; at.layer > 0; at = best.at(at).previous) {
+        const auto& step = best.at(at);
+        path.insert(path.begin(), { step.engine->fact.id, step.engine->fact.endpoint(), { step.previous.layer, at.layer }, step.engine->progressAt });
     }
     return path;
 }
--- a/tests/LayerPathSelectorTest.cpp
+++ b/tests/LayerPathSelectorTest.cpp
@@ -1,6 +1,6 @@
+#include "include/routing/LayerPathSelector.h"
 #include "include/base/Clock.h"
 #include "include/base/Random.h"
-#include "include/routing/LayerPathSelector.h"
 #include "include/routing/RetryAllowance.h"
 #include "include/routing/ServiceBalancer.h"
 #include "include/routing/WaitingLine.h"
--- a/tests/ReplicaPlannerTest.cpp
+++ b/tests/ReplicaPlannerTest.cpp
@@ -1,5 +1,5 @@
-#include "include/base/Clock.h"
 #include "include/consensus/ReplicaPlanner.h"
+#include "include/base/Clock.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/UpstreamRegistryTest.cpp
+++ b/tests/UpstreamRegistryTest.cpp
@@ -1,6 +1,6 @@
+#include "include/fleet/UpstreamRegistry.h"
 #include "include/base/Clock.h"
 #include "include/fleet/FleetSource.h"
-#include "include/fleet/UpstreamRegistry.h"
 
 #include <boost/test/unit_test.hpp>
 
