--- /dev/null
+++ b/tests/ForwardingTest.cpp
@@ -0,0 +1,261 @@
+#include "include/forwarding/Gate.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <functional>
+
+using namespace arbutus;
+using boost::asio::ip::tcp;
+
+// Names of the test's own: the forwarding must not depend on any platform's.
+class TestDialect final : public forwarding::Dialect {
+    forwarding::RequestFacts onReadRequest(const http1::RequestHead& head) const override
+    {
+        forwarding::RequestFacts facts;
+        facts.host = *head.fields.find("Host");
+        facts.requestId = *head.fields.find("Id");
+        return facts;
+    }
+    forwarding::ResponseFacts onReadResponse(const http1::ResponseHead& head) const override
+    {
+        forwarding::ResponseFacts facts;
+        if (const auto* id = head.fields.find("Id"))
+            facts.requestId = *id;
+        facts.isSigned = head.fields.has("Signed");
+        facts.isNotRun = head.fields.has("Not-Run");
+        return facts;
+    }
+    bool onIsOwnField(std::string_view name) const override { return name == "Upstream"; }
+    void onAppendCall(std::string& head, const forwarding::UpstreamCall& call) const override
+    {
+        http1::appendField(head, "Upstream", call.expectedUpstream);
+        if (call.lastEventId)
+            http1::appendField(head, "After", *call.lastEventId);
+    }
+};
+
+// A connection whose other end is scripted: it collects what arrives.
+class Peer final : public net::StreamListener, public std::enable_shared_from_this<Peer> {
+public:
+    explicit Peer(boost::asio::io_context& context)
+        : socket(std::make_shared<net::StreamSocket>(context))
+    {
+        socket->setListener(this);
+    }
+    ~Peer() override { socket->close(); }
+
+    std::shared_ptr<net::StreamSocket> socket;
+    std::string received;
+    bool hasEnded = false;
+    std::function<void(Peer&)> arrived;
+
+private:
+    void onBytes(std::string_view bytes) override
+    {
+        received.append(bytes);
+        if (arrived)
+            arrived(*this);
+    }
+    void onEnd(net::EndReason) override { hasEnded = true; }
+};
+
+// A gate in front of upstreams that answer by a script.
+struct Fixture {
+    using Script = std::function<void(Peer& connection, const std::string& request, int number)>;
+
+    boost::asio::io_context context { 1 };
+    TestDialect dialect;
+    forwarding::Gate gate { context, dialect, { "catania", { 1, 50, std::chrono::seconds(10) }, 1 } };
+    std::unique_ptr<http1::Server> server;
+    tcp::endpoint address;
+    tcp::acceptor upstreams { context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0) };
+    std::vector<std::shared_ptr<Peer>> connections;
+    std::vector<std::string> requests;
+    fleet::UpstreamRegistry registry;
+    Script script;
+
+    explicit Fixture(routes::RequestKind kind)
+    {
+        routes::RouteConfiguration configuration;
+        configuration.version = 1;
+        routes::Route route;
+        route.host = "desk";
+        route.pathPrefix = "/";
+        route.kind = kind;
+        route.mayResume = true;
+        route.maxAttempts = 2;
+        route.timeout = std::chrono::milliseconds(1500);
+        route.shares = { { "service", 1 } };
+        configuration.routes = { route };
+        configuration.services = { { "service", "", 0, std::nullopt } };
+        gate.setRoutes(routes::RouteTable::Make(configuration));
+        for (int i = 0; i < 2; ++i) {
+            fleet::UpstreamFact fact;
+            fact.id = "u" + std::to_string(i);
+            fact.service = "service";
+            fact.slots = 4;
+            fact.dataCentre = "catania";
+            // Both answer at one port, on two addresses of this host.
+            fact.ip = 0x7f000001 + static_cast<std::uint32_t>(i);
+            fact.port = upstreams.local_endpoint().port();
+            registry.apply(fact, {});
+        }
+        upstreams.close();
+        upstreams = tcp::acceptor(context, tcp::endpoint(boost::asio::ip::address_v4::any(), registry.find("u0")->port));
+        gate.setUpstreams(registry);
+        tcp::acceptor probe(context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+        address = probe.local_endpoint();
+        probe.close();
+        server = http1::Server::Make(context, address, gate).value();
+        accept();
+    }
+
+    void accept()
+    {
+        upstreams.async_accept([this](const boost::system::error_code& error, tcp::socket socket) {
+            if (error)
+                return;
+            auto peer = std::make_shared<Peer>(context);
+            peer->arrived = [this](Peer& connection) {
+                auto end = connection.received.find("\r\n\r\n");
+                if (end == std::string::npos)
+                    return;
+                requests.push_back(std::move(connection.received));
+                connection.received.clear();
+                script(connection, requests.back(), static_cast<int>(requests.size()));
+            };
+            connections.push_back(peer);
+            peer->socket->adopt(std::move(socket));
+            accept();
+        });
+    }
+
+    // Sends a request and runs the loop until the answer or the connection ends.
+    std::string ask(const std::string& id, const std::string& endMark)
+    {
+        auto caller = std::make_shared<Peer>(context);
+        caller->socket->connect(address);
+        // Writing waits for the connection.
+        for (int i = 0; i < 20; ++i)
+            context.run_for(std::chrono::milliseconds(1));
+        caller->socket->write("POST /order HTTP/1.1\r\nHost: desk\r\nId: " + id + "\r\nContent-Length: 2\r\n\r\nab");
+        auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(3);
+        while (!caller->hasEnded && caller->received.find(endMark) == std::string::npos && std::chrono::steady_clock::now() < deadline) {
+            context.run_for(std::chrono::milliseconds(5));
+            gate.tick(std::chrono::steady_clock::now());
+        }
+        return caller->received + (caller->hasEnded ? "<end>" : "");
+    }
+};
+
+static std::string answer(const std::string& id, const std::string& body) { return "HTTP/1.1 200 OK\r\nSigned: s\r\nId: " + id + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body; }
+static std::string chunk(const std::string& data) { return http1::chunkHeader(data.size()) + data + "\r\n"; }
+static std::string event(int id) { return "id: " + std::to_string(id) + "\ndata: x\n\n"; }
+static const std::string streamHead = "HTTP/1.1 200 OK\r\nSigned: s\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n";
+static const std::string notRun = "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nId: r1\r\nContent-Length: 0\r\n\r\n";
+
+static bool has(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
+
+// Guards against an answer that belongs to another request.
+BOOST_AUTO_TEST_CASE(ALateAnswerToAnotherRequestIsNotPassedOn)
+{
+    Fixture fixture(routes::RequestKind::Safe);
+    fixture.script = [](Peer& connection, const std::string&, int) { connection.socket->write(answer("earlier", "wrong"), answer("r1", "right")); };
+    auto received = fixture.ask("r1", "right");
+    BOOST_TEST(has(received, "right"));
+    BOOST_TEST(!has(received, "wrong"));
+    BOOST_TEST(has(fixture.requests.at(0), "POST /order HTTP/1.1\r\n"));
+    BOOST_TEST(has(fixture.requests.at(0), "\r\n\r\nab"));
+}
+
+// Guards against an order that is sent twice because its answer was lost.
+BOOST_AUTO_TEST_CASE(AnUnsafeCallIsNotRepeatedAfterALostAnswer)
+{
+    Fixture fixture(routes::RequestKind::Unsafe);
+    fixture.script = [](Peer& connection, const std::string&, int) { connection.socket->reset(); };
+    auto received = fixture.ask("r1", "detail");
+    BOOST_TEST(has(received, "502"));
+    BOOST_TEST(!has(received, "Retry-After"));
+    BOOST_TEST(fixture.requests.size() == 1U);
+}
+
+// Guards against a refusal that is passed on although another upstream has room.
+BOOST_AUTO_TEST_CASE(AnUnsafeCallThatDidNotRunIsSentElsewhere)
+{
+    Fixture fixture(routes::RequestKind::Unsafe);
+    fixture.script = [](Peer& connection, const std::string&, int number) { connection.socket->write(number == 1 ? notRun : answer("r1", "done")); };
+    BOOST_TEST(has(fixture.ask("r1", "done"), "done"));
+    BOOST_TEST(fixture.requests.size() == 2U);
+}
+
+// Guards against bytes without the upstream's signature that reach the caller.
+BOOST_AUTO_TEST_CASE(AnUnsignedSuccessIsNoAnswer)
+{
+    Fixture fixture(routes::RequestKind::Unsafe);
+    fixture.script = [](Peer& connection, const std::string&, int) { connection.socket->write("HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 4\r\n\r\nfake"); };
+    auto received = fixture.ask("r1", "detail");
+    BOOST_TEST(has(received, "502"));
+    BOOST_TEST(!has(received, "fake"));
+}
+
+// Guards against a gap, a repeat or a half event where a stream goes on elsewhere.
+BOOST_AUTO_TEST_CASE(ACutStreamGoesOnBehindTheLastWholeEvent)
+{
+    Fixture fixture(routes::RequestKind::Streaming);
+    fixture.script = [](Peer& connection, const std::string&, int number) {
+        if (number == 1) {
+            connection.socket->write(streamHead + chunk(event(1) + event(2) + "id: 3\nda"));
+            connection.socket->closeAfterWriting();
+        } else {
+            connection.socket->write(streamHead + chunk(event(3) + event(4)) + "0\r\n\r\n");
+        }
+    };
+    auto received = fixture.ask("r1", "0\r\n\r\n");
+    std::string ids;
+    for (auto at = received.find("id: "); at != std::string::npos; at = received.find("id: ", at + 1))
+        ids += received[at + 4];
+    BOOST_TEST(ids == "1234");
+    BOOST_TEST(has(fixture.requests.at(1), "After: 2\r\n"));
+}
+
+// Guards against a stream that is ended as complete because its next engine refused it.
+BOOST_AUTO_TEST_CASE(AStreamThatCannotGoOnLooksCut)
+{
+    Fixture fixture(routes::RequestKind::Streaming);
+    fixture.script = [](Peer& connection, const std::string&, int number) {
+        if (number == 1) {
+            connection.socket->write(streamHead + chunk(event(1)));
+            connection.socket->closeAfterWriting();
+        } else {
+            connection.socket->write(notRun);
+        }
+    };
+    auto received = fixture.ask("r1", "0\r\n\r\n");
+    BOOST_TEST(has(received, "id: 1"));
+    BOOST_TEST(has(received, "<end>"));
+    BOOST_TEST(!has(received, "0\r\n\r\n"));
+}
+
+// Guards against a caller that waits beyond the time its route allows.
+BOOST_AUTO_TEST_CASE(ASilentUpstreamIsAnsweredForAtTheTimeout)
+{
+    Fixture fixture(routes::RequestKind::Unsafe);
+    fixture.script = [](Peer&, const std::string&, int) {};
+    BOOST_TEST(has(fixture.ask("r1", "detail"), "504"));
+    BOOST_TEST(fixture.requests.size() == 1U);
+}
+
+// Guards against a promise that a request has not run while the upstreams are unknown.
+BOOST_AUTO_TEST_CASE(WithoutUpstreamsARequestIsRefusedAsNotRun)
+{
+    Fixture fixture(routes::RequestKind::Unsafe);
+    fixture.registry.farewell("u0", 0, "c", {});
+    fixture.registry.farewell("u1", 0, "c", {});
+    fixture.gate.setUpstreams(fixture.registry);
+    auto received = fixture.ask("r1", "detail");
+    BOOST_TEST(has(received, "503"));
+    BOOST_TEST(has(received, "Retry-After: "));
+    BOOST_TEST(has(received, "\"notRun\":true"));
+}
--- /dev/null
+++ b/tests/PlatformTest.cpp
@@ -0,0 +1,131 @@
+#include "platform/ControlFormats.h"
+#include "platform/HeaderDialect.h"
+#include "platform/RouteCodec.h"
+#include "platform/Settings.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <cstdio>
+#include <fstream>
+
+using namespace arbutus;
+using namespace arbutus::platform;
+
+static const std::string routesText = R"({"version":7,"routes":[{"name":"r1","host":"desk","path_prefix":"/a/","route_type":"streaming","timeout_ms":20000,
+"target_latency_ms":500,"priority":1,"traffic_split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"max_attempts":2,"public":true,"stream_resume":true}],
+"services":[{"name":"s1","health_check":"/h","max_connections":9,"engine":{"slots":192,"kv_token_bytes":918000,"models":[{"name":"m","load_s":14.0}],"step_ms":1.02,
+"read_per_s":105000.0,"layers":80,"layer_mb":1750.0,"kinds":[{"name":"l4","mb":21600.0,"pace":16.0,"read_x":8.2}]}},{"name":"s2"}],
+"limits":{"max_header_bytes":100,"max_body_bytes":200,"header_timeout_ms":300,"idle_timeout_ms":400},"tenants":[{"name":"t","api_keys":["k"],"priority":1}]})";
+
+// Guards against a field of the platform that is lost or read as another one.
+BOOST_AUTO_TEST_CASE(RoutesAreDecodedInFull)
+{
+    auto decoded = decodeRoutes(routesText);
+    BOOST_REQUIRE(decoded.has_value());
+    const auto& value = decoded.value();
+    BOOST_TEST(value.version == 7U);
+    const auto& route = value.routes.at(0);
+    BOOST_TEST((route.kind == routes::RequestKind::Streaming));
+    BOOST_TEST((route.timeout == std::chrono::seconds(20)));
+    BOOST_TEST(route.maxAttempts == 2);
+    BOOST_TEST(route.isPublic);
+    BOOST_TEST(route.mayResume);
+    BOOST_TEST(route.shares.at(1).weight == 10);
+    BOOST_REQUIRE(value.services.at(0).model.has_value());
+    BOOST_TEST((value.services.at(0).model->fullLoad == std::chrono::seconds(14)));
+    BOOST_TEST(value.services.at(0).model->kind("l4")->pace == 16);
+    BOOST_TEST(!value.services.at(1).model.has_value());
+    BOOST_TEST((value.limits.idleTimeout == std::chrono::milliseconds(400)));
+    BOOST_TEST(value.teams.at(0).keys.at(0) == "k");
+    BOOST_TEST(routes::validate(value).has_value());
+}
+
+// Guards against a configuration that is stored although a part of it cannot be read.
+BOOST_AUTO_TEST_CASE(RoutesThatCannotBeReadInFullAreRefused)
+{
+    for (std::size_t length = 0; length < routesText.size(); length += 7)
+        BOOST_TEST(decodeRoutes(routesText.substr(0, length)).has_error());
+    auto spoilt = [](const std::string& from, const std::string& to) {
+        auto text = routesText;
+        text.replace(text.find(from), from.size(), to);
+        return decodeRoutes(text).has_error();
+    };
+    BOOST_TEST(spoilt("\"version\":7", "\"version\":\"7\""));
+    BOOST_TEST(spoilt("\"streaming\"", "\"sometimes\""));
+    BOOST_TEST(spoilt("\"timeout_ms\":20000", "\"timeout_ms\":null"));
+    BOOST_TEST(spoilt("[\"k\"]", "[1]"));
+}
+
+// Guards against a heartbeat of another writer that adds an upstream.
+BOOST_AUTO_TEST_CASE(OnlyWholeHeartbeatsNameAnUpstream)
+{
+    const std::string beat = R"({"service":"s1","address":"10.128.0.9:8080","zone":"caxias","version":"v1","slots":192,"state":"draining","seq":4,"born":1700000000000,"route_type":"l4","layers":{"from":3,"target":9,"version":1}})";
+    auto fact = decodeHeartbeat("i-1", beat);
+    BOOST_REQUIRE(fact.has_value());
+    BOOST_TEST(fact.value().endpoint().text() == "10.128.0.9:8080");
+    BOOST_TEST((fact.value().state == fleet::UpstreamState::Leaving));
+    BOOST_TEST((fact.value().layers == fleet::LayerRange { 3, 9 }));
+    for (const std::string field : { "\"service\":\"s1\",", "\"born\":1700000000000,", "\"seq\":4,", "\"zone\":\"caxias\"," }) {
+        auto text = beat;
+        text.erase(text.find(field), field.size());
+        BOOST_TEST(decodeHeartbeat("i-1", text).has_error());
+    }
+    auto text = beat;
+    text.replace(text.find("draining"), 8, "sleeping");
+    BOOST_TEST(decodeHeartbeat("i-1", text).has_error());
+    BOOST_TEST(decodeHeartbeat("i-1", "\x80\xff").has_error());
+    BOOST_TEST(decodeFarewell("{\"born\":5}") == 5);
+    BOOST_TEST(decodeFarewell("") == 0);
+}
+
+// Guards against a key that reaches an upstream and against a path in another form.
+BOOST_AUTO_TEST_CASE(CallsCarryThePlatformsFields)
+{
+    HeaderDialect dialect;
+    BOOST_TEST(dialect.isOwnField("authorization"));
+    BOOST_TEST(dialect.isOwnField("X-Tenant"));
+    BOOST_TEST(!dialect.isOwnField("X-Request-Id"));
+    forwarding::UpstreamCall call;
+    call.timeLeft = std::chrono::milliseconds(900);
+    call.expectedUpstream = "i-1";
+    call.team = "t";
+    call.path = { { "i-1", net::Endpoint::Make("10.1.64.9:8080").value(), { 0, 20 }, nullptr }, { "i-2", net::Endpoint::Make("10.2.64.3:8080").value(), { 20, 80 }, nullptr } };
+    std::string head;
+    dialect.appendCall(head, call);
+    BOOST_TEST(head == "X-Deadline-Ms: 900\r\nX-Expect-Instance: i-1\r\nX-Tenant: t\r\nX-Hop-Count: 10.1.64.9:8080=0-20,10.2.64.3:8080=20-80\r\n");
+
+    http1::RequestHead request;
+    request.fields.add("Authorization", "Bearer k1");
+    request.fields.add("X-Token-Count", "1460,591");
+    request.fields.add("X-Length-Hint", "80");
+    request.fields.add("X-Deadline-Ms", "20000");
+    auto facts = dialect.readRequest(request);
+    BOOST_TEST(facts.key.value() == "k1");
+    BOOST_TEST(facts.size->prompt == 1460);
+    BOOST_TEST(facts.size->answer == 80);
+    BOOST_TEST((facts.patience.value() == std::chrono::seconds(20)));
+}
+
+// Guards against a process that starts with settings it cannot use.
+BOOST_AUTO_TEST_CASE(SettingsAreChecked)
+{
+    const std::string path = "platform-settings-test.json";
+    auto read = [&path](const std::string& text) {
+        std::ofstream(path) << text;
+        return readSettings(path);
+    };
+    const std::string text = R"({"node_name":"core-1","ip":"10.1.0.43","zone":"catania","internal_ports":[7340,7355],"seeds":["10.1.0.43:8229"],
+"bootstrap":true,"data_dir":"/data","listen":{"control":"10.1.0.43:8229"},"fault_tolerance":{"machines":2},"bounds":{"grace_s":8,"budget_slack":198}})";
+    auto settings = read(text);
+    BOOST_REQUIRE(settings.has_value());
+    BOOST_TEST(settings.value().internalPort == 7340);
+    BOOST_TEST(settings.value().toleratedLosses == 2);
+    BOOST_TEST((settings.value().stopGrace == std::chrono::seconds(8)));
+    BOOST_TEST(settings.value().control->text() == "10.1.0.43:8229");
+    auto spoilt = text;
+    spoilt.replace(spoilt.find("10.1.0.43"), 9, "somewhere");
+    BOOST_TEST(read(spoilt).has_error());
+    BOOST_TEST(read("{").has_error());
+    std::remove(path.c_str());
+    BOOST_TEST(readSettings(path).has_error());
+}
