Let a stopping entry VM take calls that it can finish

Change: calls are taken while their route's timeout ends before the process; streams are refused as before. ForwardingTest/AStoppingVmTakesWhatItCanFinish.

--- a/include/forwarding/Gate.h
+++ b/include/forwarding/Gate.h
@@ -72,8 +72,9 @@
 
     // Connections end after their present request.
     void stop() { isStopping_ = true; }
-    // Every later request is refused as not run.
-    void refuseNew() { isRefusingNew_ = true; }
+    // Later requests that cannot be finished before `end` are refused as not run: at
+    // once the streams, whose length is not known, and calls by their route's timeout.
+    void refuseUnfinishable(base::TimePoint end) { refuseBeyond_ = end; }
     std::size_t openExchanges() const { return exchanges_.size(); }
     // Applies the time limits of requests; call many times a second.
     void tick(base::TimePoint now);
@@ -105,7 +106,7 @@
     std::uint32_t entryCount_ = 1;
     std::list<std::shared_ptr<Exchange>> exchanges_;
     bool isStopping_ = false;
-    bool isRefusingNew_ = false;
+    std::optional<base::TimePoint> refuseBeyond_;
     base::TimePoint poolTickAt_;
     GateCounters counters_;
 };
--- a/src/forwarding/Exchange.cpp
+++ b/src/forwarding/Exchange.cpp
@@ -87,8 +87,6 @@
 
 base::Result<void> Exchange::admit()
 {
-    if (gate_.isRefusingNew_)
-        return makeError(ErrorKind::ShuttingDown, "this VM is shutting down");
     if (!table_)
         return makeError(ErrorKind::StaleConfiguration, "this VM has no configuration yet");
     route_ = table_->match(facts_.host, request_.head.target);
@@ -98,6 +96,9 @@
         team_ = table_->teamOf(*facts_.key);
     if (table_->needsKeys() && !route_->isPublic && !team_)
         return makeError(ErrorKind::Unauthorized, "the key is missing or not known");
+    bool isUnfinishable = gate_.refuseBeyond_ && (route_->kind == RequestKind::Streaming || request_.arrivedAt + route_->timeout > *gate_.refuseBeyond_);
+    if (isUnfinishable)
+        return makeError(ErrorKind::ShuttingDown, "this VM is shutting down");
     return base::outcome::success();
 }
 
--- a/src/node/RouterNode.cpp
+++ b/src/node/RouterNode.cpp
@@ -138,7 +138,7 @@
         return;
     // The load balancer may still send callers here if it has no other VM; what is
     // taken now would be cut off at the end.
-    gate_.refuseNew();
+    gate_.refuseUnfinishable(*stopSince_ + options_.stopGrace - stopMargin);
     callers_->closeIdle(now - stopIdle);
     if (gate_.openExchanges() && now < *stopSince_ + options_.stopGrace - stopMargin)
         return;
--- a/src/placement/LayerPlanner.cpp
+++ b/src/placement/LayerPlanner.cpp
@@ -286,6 +286,7 @@
     {
         std::stable_sort(placed.begin(), placed.end(), [](const Placed& left, const Placed& right) { return left.middle < right.middle; });
         std::vector<Card> cards;
+        cards.reserve(placed.size());
         for (const auto& entry : placed)
             cards.push_back(entry.card);
         auto ranges = splitLayers(model, cards, minRequests * usualTokens(model));
--- a/tests/ForwardingTest.cpp
+++ b/tests/ForwardingTest.cpp
@@ -247,6 +247,23 @@
     BOOST_TEST(fixture.requests.size() == 1U);
 }
 
+// Guards against requests that are cut off because the process ends, and against
+// calls that are refused although there is time for them.
+BOOST_AUTO_TEST_CASE(AStoppingVmTakesWhatItCanFinish)
+{
+    auto end = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+    Fixture calls(routes::RequestKind::Unsafe);
+    calls.script = [](Peer& connection, const std::string&, int) { connection.socket->write(answer("r1", "done")); };
+    calls.gate.refuseUnfinishable(end);
+    BOOST_TEST(has(calls.ask("r1", "done"), "done"));
+    calls.gate.refuseUnfinishable(std::chrono::steady_clock::now() + std::chrono::seconds(1));
+    BOOST_TEST(has(calls.ask("r1", "detail"), "503"));
+    Fixture streams(routes::RequestKind::Streaming);
+    streams.gate.refuseUnfinishable(end);
+    BOOST_TEST(has(streams.ask("r1", "detail"), "503"));
+    BOOST_TEST(streams.requests.empty());
+}
+
 // Guards against a promise that a request has not run while the upstreams are unknown.
 BOOST_AUTO_TEST_CASE(WithoutUpstreamsARequestIsRefusedAsNotRun)
 {
