Keep the forwarding test from losing its port to another process

Cause: read on a second pass: the test closed a probe and then bound its port, which another test may have taken meanwhile.

Change: the upstreams' acceptor keeps its port; the server is bound again at another port if its own was taken.

--- a/tests/ForwardingTest.cpp
+++ b/tests/ForwardingTest.cpp
@@ -70,7 +70,7 @@
     forwarding::Gate gate { context, dialect, { "catania", { 1, 50, std::chrono::seconds(10) }, 1 } };
     std::unique_ptr<http1::Server> server;
     tcp::endpoint address;
-    tcp::acceptor upstreams { context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0) };
+    tcp::acceptor upstreams { context, tcp::endpoint(boost::asio::ip::address_v4::any(), 0) };
     std::vector<std::shared_ptr<Peer>> connections;
     std::vector<std::string> requests;
     fleet::UpstreamRegistry registry;
@@ -102,16 +102,25 @@
             fact.port = upstreams.local_endpoint().port();
             registry.apply(fact, {});
         }
-        upstreams.close();
-        upstreams = tcp::acceptor(context, tcp::endpoint(boost::asio::ip::address_v4::any(), registry.find("u0")->port));
         gate.setUpstreams(registry);
-        tcp::acceptor probe(context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-        address = probe.local_endpoint();
-        probe.close();
-        server = http1::Server::Make(context, address, gate).value();
+        listen();
         accept();
     }
 
+    // Another process may take a free port before the server does.
+    void listen()
+    {
+        constexpr int attempts = 20;
+        for (int i = 0; i < attempts && !server; ++i) {
+            tcp::acceptor probe(context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+            address = probe.local_endpoint();
+            probe.close();
+            if (auto made = http1::Server::Make(context, address, gate))
+                server = std::move(made).value();
+        }
+        BOOST_REQUIRE(server);
+    }
+
     void accept()
     {
         upstreams.async_accept([this](const boost::system::error_code& error, tcp::socket socket) {
