--- a/include/fleet/FleetFollower.h
+++ b/include/fleet/FleetFollower.h
@@ -40,8 +40,7 @@
     // Starts polls that are due; call several times a second.
     void tick();
 
-    // Whether a control VM has answered since `time`.
-    bool hasHeardSince(base::TimePoint time) const;
+    // Whether this control VM has answered since then.
     bool hasHeardFrom(std::uint32_t ip, base::TimePoint since) const;
     // The largest count of entry VMs that a control VM has named; at least 1.
     std::uint32_t entryCount() const;
--- /dev/null
+++ b/include/net/RepeatingTimer.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "include/net/Asio.h"
+
+#include <functional>
+
+namespace arbutus::net {
+
+// Calls a function at intervals until it is destroyed. The next interval begins
+// when the call has returned.
+class RepeatingTimer {
+public:
+    RepeatingTimer(boost::asio::io_context& context, std::chrono::milliseconds interval, std::function<void()> work)
+        : timer_(context)
+        , interval_(interval)
+        , work_(std::move(work))
+    {
+    }
+
+    // The first call follows after one interval.
+    void start()
+    {
+        timer_.expires_after(interval_);
+        timer_.async_wait([this](const boost::system::error_code& error) {
+            if (error)
+                return;
+            work_();
+            start();
+        });
+    }
+
+private:
+    boost::asio::steady_timer timer_;
+    const std::chrono::milliseconds interval_;
+    const std::function<void()> work_;
+};
+
+} // namespace arbutus::net
--- a/src/fleet/FleetFollower.cpp
+++ b/src/fleet/FleetFollower.cpp
@@ -161,11 +161,6 @@
         this->peer(replica);
 }
 
-bool FleetFollower::hasHeardSince(base::TimePoint time) const
-{
-    return std::any_of(peers_.begin(), peers_.end(), [time](const auto& entry) { return entry.second.heardAt >= time; });
-}
-
 bool FleetFollower::hasHeardFrom(std::uint32_t ip, base::TimePoint since) const
 {
     auto found = peers_.find(ip);
--- a/src/node/ControlNode.cpp
+++ b/src/node/ControlNode.cpp
@@ -73,7 +73,7 @@
     , links_(linkOptions(options_))
     , source_(registry_, options_.seed | 1)
     , follower_(clock_, links_, followerOptions(options_), registry_, [this](std::function<void()> work) { boost::asio::post(context_, std::move(work)); })
-    , timer_(context)
+    , timer_(context, tickInterval, [this] { tick(); })
     , replicaPlanner_(options_.targetVoters)
     , pool_(context)
 {
@@ -91,7 +91,7 @@
     lastTickAt_ = leaderSeenAt_ = clock_.now();
     follower_.setSeeds(options_.seeds);
     BOOST_OUTCOME_TRYV(startReplica());
-    scheduleTick();
+    timer_.start();
     return base::outcome::success();
 }
 
@@ -299,17 +299,6 @@
 
 void ControlNode::setSeeds(const std::vector<std::uint32_t>& ips) { follower_.setSeeds(ips); }
 
-void ControlNode::scheduleTick()
-{
-    timer_.expires_after(tickInterval);
-    timer_.async_wait([this](const boost::system::error_code& error) {
-        if (error)
-            return;
-        tick();
-        scheduleTick();
-    });
-}
-
 void ControlNode::tick()
 {
     auto now = clock_.now();
--- a/src/node/ControlNode.h
+++ b/src/node/ControlNode.h
@@ -6,6 +6,7 @@
 #include "include/fleet/FleetFollower.h"
 #include "include/fleet/FleetSource.h"
 #include "include/http1/ServerConnection.h"
+#include "include/net/RepeatingTimer.h"
 #include "include/placement/LayerController.h"
 #include "include/transport/FrameServer.h"
 #include "src/forwarding/ControlCall.h"
@@ -109,7 +110,6 @@
     void takeRound(const Round&);
     void sendMessage(const consensus::Message&);
 
-    void scheduleTick();
     void tick();
     void lapseUpstreams(base::TimePoint now);
     void askToJoin(base::TimePoint now);
@@ -135,7 +135,7 @@
     fleet::FleetFollower follower_;
     std::unique_ptr<replica::ReplicaNode> replica_;
     std::unique_ptr<transport::FrameServer> frames_;
-    boost::asio::steady_timer timer_;
+    net::RepeatingTimer timer_;
     base::TimePoint lastTickAt_;
     base::TimePoint lapseAt_;
     base::TimePoint joinAt_;
--- a/src/node/RouterNode.cpp
+++ b/src/node/RouterNode.cpp
@@ -61,7 +61,7 @@
     , readiness_(std::make_shared<Readiness>(*this))
     , links_({ options_.name, options_.internalPort, options_.sharedKey, options_.seed })
     , follower_(clock_, links_, followerOptions(options_), registry_, [this](std::function<void()> work) { boost::asio::post(context_, std::move(work)); })
-    , timer_(context)
+    , timer_(context, tickInterval, [this] { tick(); })
 {
 }
 
@@ -73,7 +73,7 @@
     callers_ = std::move(callers);
     BOOST_OUTCOME_TRY(probes, http1::Server::Make(context_, endpointOf(options_.readiness), *readiness_));
     probes_ = std::move(probes);
-    scheduleTick();
+    timer_.start();
     logger.info("The entry VM started.", { { "address", options_.callers.text() } });
     return base::outcome::success();
 }
@@ -92,17 +92,6 @@
 
 bool RouterNode::isReady() const { return !stopSince_ && gate_.routes(); }
 
-void RouterNode::scheduleTick()
-{
-    timer_.expires_after(tickInterval);
-    timer_.async_wait([this](const boost::system::error_code& error) {
-        if (error)
-            return;
-        tick();
-        scheduleTick();
-    });
-}
-
 void RouterNode::tick()
 {
     auto now = base::TimePoint(std::chrono::steady_clock::now());
--- a/src/node/RouterNode.h
+++ b/src/node/RouterNode.h
@@ -3,6 +3,7 @@
 #include "include/base/Clock.h"
 #include "include/fleet/FleetFollower.h"
 #include "include/forwarding/Gate.h"
+#include "include/net/RepeatingTimer.h"
 
 #include <functional>
 #include <memory>
@@ -42,7 +43,6 @@
 private:
     class Readiness;
 
-    void scheduleTick();
     void tick();
     void takeRoutes(std::uint64_t version, const std::string& document);
     bool isReady() const;
@@ -60,7 +60,7 @@
     std::unique_ptr<http1::Server> probes_;
     fleet::PeerLinks links_;
     fleet::FleetFollower follower_;
-    boost::asio::steady_timer timer_;
+    net::RepeatingTimer timer_;
     unsigned ticks_ = 0;
     std::optional<base::TimePoint> stopSince_;
     std::function<void()> finished_;
