Let streams share whole copies of the layers

Ruled out: too little memory or speed (the load after the final fault is the same and is served in its aim), reservations that leak (the engines' own reports show the memory in use), refusals by the line (few requests wait).

Change: the path search prices each end of an engine's layers that a path leaves out (300 ms). Test: LayerPathSelectorTest/StreamsShareTheWholeCopies, 243 of 500 streams on whole copies before, at least 450 required.

--- a/src/routing/LayerPathSelector.cpp
+++ b/src/routing/LayerPathSelector.cpp
@@ -22,6 +22,10 @@
 static constexpr double crossingMilliseconds = 0.5;
 // Preference for a first engine near the caller over an equal one elsewhere.
 static constexpr double remoteFirstMilliseconds = 40;
+// Price of each end of an engine's layers that a path leaves out. An engine works
+// in batches, and streams on many different paths break its batches up: the same
+// engines then make fewer tokens, until no stream finishes and all memory is full.
+static constexpr double splitRangeMilliseconds = 300;
 // The longest time for one token: an event of several tokens must stay within the
 // pause that a caller accepts.
 static constexpr double maxTokenMilliseconds = 50;
@@ -103,6 +107,11 @@
     return 2 * transfer + crossingMilliseconds * std::min(size.answer, weighedAnswerTokens);
 }
 
+static double splitRangeCost(fleet::LayerRange held, fleet::LayerRange used)
+{
+    return ((used.from != held.from ? 1 : 0) + (used.to != held.to ? 1 : 0)) * splitRangeMilliseconds;
+}
+
 std::vector<const LayerPathSelector::Engine*> LayerPathSelector::usableEngines(const std::set<std::string>& avoided, base::TimePoint now) const
 {
     std::vector<const Engine*> usable;
@@ -160,7 +169,7 @@
                 double tokenTime = step.tokenTime + tokenMilliseconds(engine, layers, works[i]);
                 if (checksRoom && (!hasRoom(engine, layers, size, works[i]) || tokenTime > maxTokenMilliseconds))
                     continue;
-                double cost = step.cost + stageCost(engine, layers, size, works[i]) + crossingCost(step.engine, engine, size);
+                double cost = step.cost + stageCost(engine, layers, size, works[i]) + crossingCost(step.engine, engine, size) + splitRangeCost(engine.fact.layers, { at.layer, *next });
                 auto [known, inserted] = best.try_emplace({ *next, engine.fact.dataCentre }, Step { cost, tokenTime, &engine, at });
                 if (!inserted && cost < known->second.cost)
                     known->second = { cost, tokenTime, &engine, at };
--- a/tests/LayerPathSelectorTest.cpp
+++ b/tests/LayerPathSelectorTest.cpp
@@ -106,6 +106,40 @@
     BOOST_TEST(placed["s1 s2 s3"] >= 20);
 }
 
+// Guards against streams that are scattered over many different paths, which breaks
+// up the engines' batches: while the copies have room, nearly every stream takes a
+// whole one. What is left on a fast copy may still serve a few in part.
+BOOST_AUTO_TEST_CASE(StreamsShareTheWholeCopies)
+{
+    base::VirtualClock clock;
+    base::Random random(11);
+    LayerPathSelector selector(model(), "catania");
+    const std::vector<std::vector<int>> copies { { 0, 40, 80 }, { 0, 30, 55, 80 }, { 0, 27, 52, 80 } };
+    for (std::size_t copy = 0; copy < copies.size(); ++copy) {
+        for (std::size_t i = 0; i + 1 < copies[copy].size(); ++i)
+            selector.setEngine(engine(std::to_string(copy) + "-" + std::to_string(i), copy ? "slow" : "fast", copies[copy][i], copies[copy][i + 1]));
+    }
+    const int placements = 500;
+    int onWholeCopies = 0;
+    std::vector<LayerPath> open;
+    for (int i = 0; i < placements; ++i) {
+        // Two thirds of the memory of the copies.
+        if (open.size() >= 80) {
+            auto ended = open.begin() + static_cast<std::ptrdiff_t>(random.below(open.size()));
+            selector.release(*ended, { 700, 200 });
+            open.erase(ended);
+        }
+        auto path = selector.choose({ 700, 200 }, {}, clock.now());
+        BOOST_REQUIRE(path.has_value());
+        selector.reserve(*path, { 700, 200 });
+        auto copy = static_cast<std::size_t>(path->front().upstream.front() - '0');
+        bool isWhole = std::all_of(path->begin(), path->end(), [&](const PathStage& stage) { return stage.upstream.front() == path->front().upstream.front(); });
+        onWholeCopies += isWhole && path->size() + 1 == copies[copy].size() ? 1 : 0;
+        open.push_back(std::move(*path));
+    }
+    BOOST_TEST(onWholeCopies >= 0.9 * placements);
+}
+
 // Guards against engines that are overfilled because other entry VMs use them too.
 BOOST_AUTO_TEST_CASE(TheWorkOfOthersCounts)
 {
