Let requests wait at an entry VM that has just started

Cause: after a fault that stops the whole fleet, the entry VMs run again about 1.7 s before the control VMs have a leader.

Ruled out: a longer Retry-After alone (it helps only first tries; it is now 2 s instead of 0.5 s where the configuration is missing).

Change: StartupQueue bounds the requests (512, 16 MB) that wait in the first 8 s of a VM for its configuration and for any way to their service, at most 3 s and a quarter of the caller's patience. Later, what cannot be served is refused at once as before. Tests: StartupQueueTest, and two in ForwardingTest that failed before (a request that arrives before the configuration was answered 503 at once).

--- a/include/forwarding/Gate.h
+++ b/include/forwarding/Gate.h
@@ -9,6 +9,7 @@
 #include "include/routing/LayerPathSelector.h"
 #include "include/routing/RetryAllowance.h"
 #include "include/routing/ServiceBalancer.h"
+#include "include/routing/StartupQueue.h"
 #include "include/routing/WaitingLine.h"
 
 #include <list>
@@ -53,6 +54,12 @@
     std::unique_ptr<routing::ServiceBalancer> balancer;
     routing::RetryAllowance retries;
     routing::WaitingLine line;
+
+    // When a search that found no way to the service is repeated.
+    base::TimePoint searchAgainAt;
+
+    // Whether any upstream could take a request, with room or not.
+    bool isReachable(base::TimePoint now);
 };
 
 // Takes callers' requests and forwards them to upstreams by the routes in force.
@@ -98,6 +105,7 @@
     const GateOptions options_;
     base::Random random_;
     UpstreamPool pool_;
+    routing::StartupQueue startup_;
     std::shared_ptr<const routes::RouteTable> routes_;
     std::map<std::string, ServiceState> services_;
     // What each service was last told, by upstream id.
--- a/src/forwarding/Exchange.cpp
+++ b/src/forwarding/Exchange.cpp
@@ -45,7 +45,10 @@
 // Spread of the time after which a refused caller is asked to come back.
 static constexpr double comeBackSpreadMin = 0.7;
 static constexpr double comeBackSpreadMax = 1.6;
+// Another VM may take the request at once.
 static constexpr std::chrono::milliseconds defaultComeBack(500);
+// A VM without a configuration gets one when the control VMs have a leader again.
+static constexpr std::chrono::milliseconds unconfiguredComeBack(2000);
 static constexpr std::chrono::milliseconds longestLineWait(320);
 static constexpr int resumePriority = -1;
 // How many waiting requests are tried; a small one may pass a large one.
@@ -69,10 +72,48 @@
 void Exchange::start()
 {
     ++gate_.counters_.requests;
-    if (auto admitted = admit(); !admitted) {
-        refuse(admitted.error());
-        return;
+    begin();
+}
+
+void Exchange::begin()
+{
+    if (!service_) {
+        table_ = gate_.routes_;
+        if (!table_ && waitForStartup())
+            return;
+        if (auto admitted = admit(); !admitted) {
+            refuse(admitted.error());
+            return;
+        }
+        chooseService();
     }
+    auto now = std::chrono::steady_clock::now();
+    if (gate_.startup_.isOpen(now) && !service_->isReachable(now) && waitForStartup())
+        return;
+    leaveStartupQueue();
+    placeFirst();
+}
+
+bool Exchange::waitForStartup()
+{
+    if (gate_.isStopping_)
+        return false;
+    if (startupDeadline_)
+        return std::chrono::steady_clock::now() < *startupDeadline_;
+    startupDeadline_ = gate_.startup_.join(request_.arrivedAt, facts_.patience, request_.body.size());
+    isInStartupQueue_ = startupDeadline_.has_value();
+    return isInStartupQueue_;
+}
+
+void Exchange::leaveStartupQueue()
+{
+    if (isInStartupQueue_)
+        gate_.startup_.leave(request_.body.size());
+    isInStartupQueue_ = false;
+}
+
+void Exchange::chooseService()
+{
     const auto& name = routes::pickService(*route_, gate_.random_.unit());
     service_ = &gate_.service(name);
     service_->retries.recordRequest(request_.arrivedAt);
@@ -80,6 +121,10 @@
     deadline_ = request_.arrivedAt + timeout;
     if (facts_.size)
         size_ = *facts_.size;
+}
+
+void Exchange::placeFirst()
+{
     // Those that wait go first.
     if ((!service_->line.isEmpty() || !sendNext()) && !waitForRoom(false))
         refuse(makeError(ErrorKind::NoUpstream, "no upstream of the service has room"));
@@ -443,6 +488,14 @@
         refuse(makeError(end == AttemptEnd::Stalled ? ErrorKind::RequestTimeout : ErrorKind::UpstreamFailed, "the answer of the upstream was lost"));
 }
 
+std::chrono::milliseconds Exchange::comeBackAfter() const
+{
+    auto expected = table_ ? defaultComeBack : unconfiguredComeBack;
+    if (service_)
+        expected = service_->line.comeBackAfter(std::chrono::steady_clock::now());
+    return std::chrono::duration_cast<std::chrono::milliseconds>(expected * gate_.random_.between(comeBackSpreadMin, comeBackSpreadMax));
+}
+
 void Exchange::refuse(const base::Error& error)
 {
     const auto& rule = base::errorRule(error.kind);
@@ -450,7 +503,7 @@
     ++(isNotRun ? gate_.counters_.refused : gate_.counters_.failed);
     std::optional<std::chrono::milliseconds> retryAfter;
     if (isNotRun && rule.mayResend)
-        retryAfter = std::chrono::duration_cast<std::chrono::milliseconds>((service_ ? service_->line.comeBackAfter(std::chrono::steady_clock::now()) : defaultComeBack) * gate_.random_.between(comeBackSpreadMin, comeBackSpreadMax));
+        retryAfter = comeBackAfter();
     logger.info("A request was not answered.", { { "request", facts_.requestId }, { "kind", rule.name }, { "reason", error.detail }, { "sends", sends_ } });
     if (caller_)
         caller_->send(problemResponse(error, retryAfter));
@@ -462,6 +515,7 @@
     isFinished_ = true;
     caller_.reset();
     leaveLine();
+    leaveStartupQueue();
     if (connection_) {
         connection_->abandon();
         connection_.reset();
@@ -496,6 +550,10 @@
     auto self = shared_from_this();
     if (isFinished_)
         return;
+    if (isInStartupQueue_) {
+        begin();
+        return;
+    }
     if (ticket_) {
         tryLine(now);
         return;
--- a/src/forwarding/Exchange.h
+++ b/src/forwarding/Exchange.h
@@ -53,7 +53,16 @@
     void onDone() override;
     void onBroken(Break) override;
 
+    // Goes on from the arrival: as soon as there is a configuration and the service
+    // has upstreams, or the wait for them is over.
+    void begin();
+    // Waits for what the VM does not know yet after its start; returns false if the
+    // request must not wait, or has waited long enough.
+    bool waitForStartup();
+    void leaveStartupQueue();
     base::Result<void> admit();
+    void chooseService();
+    void placeFirst();
     bool isRepeatable() const;
     // Chooses an upstream and sends the request; returns false if there is none.
     bool sendNext();
@@ -77,6 +86,8 @@
     void completePlain();
     http1::Response responseFrom(const http1::ResponseHead&) const;
 
+    // When a refused caller should come back, spread so that not all come at once.
+    std::chrono::milliseconds comeBackAfter() const;
     void refuse(const base::Error&);
     void finish();
     void checkStall(base::TimePoint now);
@@ -107,6 +118,10 @@
     std::string body_;
     bool isStream_ = false;
 
+    // Set once the request has waited for the start of this VM.
+    std::optional<base::TimePoint> startupDeadline_;
+    bool isInStartupQueue_ = false;
+
     // Set while the request waits for room.
     std::optional<routing::WaitingLine::Ticket> ticket_;
     base::TimePoint lineDeadline_;
--- a/src/forwarding/Gate.cpp
+++ b/src/forwarding/Gate.cpp
@@ -8,15 +8,28 @@
 namespace arbutus::forwarding {
 
 static constexpr std::chrono::seconds poolTickInterval(1);
+// Many requests may wait for the same service.
+static constexpr std::chrono::milliseconds searchInterval(30);
 // Leaves the larger part of the usual objective of a first event to the engines.
 static constexpr std::chrono::milliseconds longestWaitForRoom(280);
 
+bool ServiceState::isReachable(base::TimePoint now)
+{
+    if (now < searchAgainAt)
+        return false;
+    bool isFound = paths ? paths->hasPath(now) : balancer && !balancer->isEmpty();
+    if (!isFound)
+        searchAgainAt = now + searchInterval;
+    return isFound;
+}
+
 Gate::Gate(boost::asio::io_context& context, const Dialect& dialect, GateOptions options)
     : context_(context)
     , dialect_(dialect)
     , options_(std::move(options))
     , random_(options_.seed)
     , pool_(context)
+    , startup_(std::chrono::steady_clock::now())
 {
 }
 
@@ -42,7 +55,7 @@
     if (found == services_.end()) {
         routing::RetryAllowance retries(options_.retries.ratio, options_.retries.slack, options_.retries.window);
         retries.setEntryCount(entryCount_);
-        found = services_.emplace(name, ServiceState { name, nullptr, nullptr, retries, routing::WaitingLine(longestWaitForRoom) }).first;
+        found = services_.emplace(name, ServiceState { name, nullptr, nullptr, retries, routing::WaitingLine(longestWaitForRoom), {} }).first;
     }
     auto& state = found->second;
     const auto* service = routes_ ? routes_->service(name) : nullptr;
--- a/tests/ForwardingTest.cpp
+++ b/tests/ForwardingTest.cpp
@@ -75,10 +75,10 @@
     std::vector<std::string> requests;
     fleet::UpstreamRegistry registry;
     Script script;
+    routes::RouteConfiguration configuration;
 
-    explicit Fixture(routes::RequestKind kind)
+    explicit Fixture(routes::RequestKind kind, bool isConfigured = true)
     {
-        routes::RouteConfiguration configuration;
         configuration.version = 1;
         routes::Route route;
         route.host = "desk";
@@ -90,6 +90,14 @@
         route.shares = { { "service", 1 } };
         configuration.routes = { route };
         configuration.services = { { "service", "", 0, std::nullopt } };
+        if (isConfigured)
+            configure();
+        listen();
+        accept();
+    }
+
+    void configure()
+    {
         gate.setRoutes(routes::RouteTable::Make(configuration));
         for (int i = 0; i < 2; ++i) {
             fleet::UpstreamFact fact;
@@ -103,8 +111,6 @@
             registry.apply(fact, {});
         }
         gate.setUpstreams(registry);
-        listen();
-        accept();
     }
 
     // Another process may take a free port before the server does.
@@ -141,8 +147,9 @@
         });
     }
 
-    // Sends a request and runs the loop until the answer or the connection ends.
-    std::string ask(const std::string& id, const std::string& endMark)
+    // Sends a request and runs the loop until the answer or the connection ends;
+    // `afterArrival` is called when the gate has the request.
+    std::string ask(const std::string& id, const std::string& endMark, const std::function<void()>& afterArrival = {})
     {
         auto caller = std::make_shared<Peer>(context);
         caller->socket->connect(address);
@@ -151,9 +158,15 @@
             context.run_for(std::chrono::milliseconds(1));
         caller->socket->write("POST /order HTTP/1.1\r\nHost: desk\r\nId: " + id + "\r\nContent-Length: 2\r\n\r\nab");
         auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(3);
+        bool hasArrived = false;
         while (!caller->hasEnded && caller->received.find(endMark) == std::string::npos && std::chrono::steady_clock::now() < deadline) {
             context.run_for(std::chrono::milliseconds(5));
             gate.tick(std::chrono::steady_clock::now());
+            if (!hasArrived && gate.counters().requests) {
+                hasArrived = true;
+                if (afterArrival)
+                    afterArrival();
+            }
         }
         return caller->received + (caller->hasEnded ? "<end>" : "");
     }
@@ -273,6 +286,29 @@
     BOOST_TEST(streams.requests.empty());
 }
 
+// Guards against a restarted fleet that refuses everything until it has its
+// configuration again, although the callers would wait for it.
+BOOST_AUTO_TEST_CASE(ARequestWaitsForTheFirstConfiguration)
+{
+    Fixture fixture(routes::RequestKind::Unsafe, false);
+    fixture.script = [](Peer& connection, const std::string&, int) { connection.socket->write(answer("r1", "done")); };
+    BOOST_TEST(has(fixture.ask("r1", "done", [&fixture] { fixture.configure(); }), "done"));
+    BOOST_TEST(fixture.requests.size() == 1U);
+    BOOST_TEST(fixture.gate.openExchanges() == 0U);
+}
+
+// Guards against a request that waits for a configuration without end.
+BOOST_AUTO_TEST_CASE(WithoutAConfigurationARequestIsRefusedAsNotRun)
+{
+    Fixture fixture(routes::RequestKind::Unsafe, false);
+    auto start = std::chrono::steady_clock::now();
+    auto received = fixture.ask("r1", "detail");
+    BOOST_TEST(has(received, "503"));
+    BOOST_TEST(has(received, "Retry-After: "));
+    BOOST_TEST(has(received, "\"notRun\":true"));
+    BOOST_TEST((std::chrono::steady_clock::now() < start + std::chrono::seconds(2)));
+}
+
 // Guards against a promise that a request has not run while the upstreams are unknown.
 BOOST_AUTO_TEST_CASE(WithoutUpstreamsARequestIsRefusedAsNotRun)
 {
