Declare silence only with a leader, and correct wrong silent marks

The control VM that was cut off from the others did not hear from them for 5 s, took itself to be answerable for their upstreams, and marked them silent with the sequence of the last change it knew. The entry VMs, which reach both sides, knew the same sequence, because reports that change nothing are not told, so the mark won over "ready". Nothing changed at those engines later, so nothing corrected it.

Ruled out: engines that had really lapsed (they were reporting to the other side), suspicion by the entry VMs (0 to 5 suspects), reservations that leak.

Change: SilenceWatch, taken out of ControlNode, decides who is silent; a VM that has no leader declares nothing, and when it has one again each upstream gets a full period. A registry that is told a silent mark older than a report it has tells that report again, so that a wrong mark is corrected in general. Tests: UpstreamRegistryTest/AVmWithoutALeaderDeclaresNoSilence and AWrongSilentMarkIsCorrected (fails without the second change).

--- a/include/fleet/UpstreamRegistry.h
+++ b/include/fleet/UpstreamRegistry.h
@@ -55,6 +55,7 @@
     bool isDisplaced(const UpstreamFact&) const;
     void displaceOthers(const UpstreamFact&, base::TimePoint now);
     void store(const UpstreamFact&, base::TimePoint now);
+    bool tellAgain(Record&, const UpstreamFact& older, base::TimePoint now);
 
     std::map<std::string, Record> records_;
     std::uint64_t revision_ = 0;
--- a/src/fleet/UpstreamRegistry.cpp
+++ b/src/fleet/UpstreamRegistry.cpp
@@ -43,6 +43,17 @@
     records_[fact.id] = Record { fact, ++revision_, now, now };
 }
 
+// Reports that change nothing are not told to others, so these may hold an upstream
+// for silent that has reported since. Telling its later report corrects them.
+bool UpstreamRegistry::tellAgain(Record& record, const UpstreamFact& older, base::TimePoint now)
+{
+    if (older.state != UpstreamState::Silent || !isPresent(record.fact.state))
+        return false;
+    record.revision = ++revision_;
+    record.changedAt = now;
+    return true;
+}
+
 bool UpstreamRegistry::apply(const UpstreamFact& fact, base::TimePoint now)
 {
     auto found = records_.find(fact.id);
@@ -60,7 +71,7 @@
         // A silent or gone mark carries the sequence of the last report.
         bool isLaterState = fact.order() == record.fact.order() && static_cast<int>(fact.state) > static_cast<int>(record.fact.state);
         if (!isLaterState)
-            return false;
+            return tellAgain(record, fact, now);
     }
     bool isSameStart = fact.bornMilliseconds == record.fact.bornMilliseconds;
     // An incarnation never comes back from a farewell, nor from leaving to ready.
--- a/src/node/ControlNode.cpp
+++ b/src/node/ControlNode.cpp
@@ -21,14 +21,6 @@
 static constexpr base::Logger logger("control");
 
 static constexpr std::chrono::milliseconds tickInterval(100);
-// Longer pauses mean that the process stood still, so that silence proves nothing.
-static constexpr std::chrono::milliseconds standstill(900);
-static constexpr std::chrono::milliseconds lapseInterval(300);
-// Reports that may be missed before an upstream counts as silent.
-static constexpr double missedReports = 3;
-// A control VM that is not heard from for so long does not watch its upstreams any more.
-static constexpr std::chrono::seconds registrarLifetime(5);
-static constexpr std::chrono::minutes goneLifetime(2);
 static constexpr std::chrono::milliseconds joinInterval(500);
 // A replica that knows no leader for so long may have been removed meanwhile.
 static constexpr std::chrono::seconds leaderlessLimit(2);
@@ -74,6 +66,7 @@
     , source_(registry_, options_.seed | 1)
     , follower_(clock_, links_, followerOptions(options_), registry_, [this](std::function<void()> work) { boost::asio::post(context_, std::move(work)); })
     , timer_(context, tickInterval, [this] { tick(); })
+    , silence_(net::ipText(options_.ip), options_.reportInterval)
     , replicaPlanner_(options_.targetVoters)
     , pool_(context)
 {
@@ -88,7 +81,7 @@
 
 Result<void> ControlNode::start()
 {
-    lastTickAt_ = leaderSeenAt_ = clock_.now();
+    leaderSeenAt_ = clock_.now();
     follower_.setSeeds(options_.seeds);
     BOOST_OUTCOME_TRYV(startReplica());
     timer_.start();
@@ -302,13 +295,11 @@
 void ControlNode::tick()
 {
     auto now = clock_.now();
-    if (now > lastTickAt_ + standstill)
-        registry_.restartPeriods(now);
-    lastTickAt_ = now;
     if (isConnected())
         leaderSeenAt_ = now;
     follower_.tick();
-    lapseUpstreams(now);
+    silence_.tick(
+        registry_, isConnected(), [this](std::uint32_t ip, base::TimePoint since) { return follower_.hasHeardFrom(ip, since); }, now);
     askToJoin(now);
     askEngines(now);
     if (isLeader()) {
@@ -321,22 +312,6 @@
     source_.answerHeld(now);
 }
 
-void ControlNode::lapseUpstreams(base::TimePoint now)
-{
-    if (now < lapseAt_)
-        return;
-    lapseAt_ = now + lapseInterval;
-    auto period = std::chrono::duration_cast<std::chrono::milliseconds>(options_.reportInterval * missedReports);
-    auto isAuthority = [this, now](const fleet::UpstreamFact& fact) {
-        if (fact.registrar == net::ipText(options_.ip))
-            return true;
-        auto ip = net::parseIp(fact.registrar);
-        return !ip || !follower_.hasHeardFrom(ip.value(), now - registrarLifetime);
-    };
-    registry_.lapse(now - period, isAuthority, now);
-    registry_.forget(now - goneLifetime);
-}
-
 void ControlNode::askToJoin(base::TimePoint now)
 {
     consensus::ReplicaKey self { options_.ip, replica_->diskNumber() };
--- a/src/node/ControlNode.h
+++ b/src/node/ControlNode.h
@@ -5,6 +5,7 @@
 #include "include/consensus/ReplicaPlanner.h"
 #include "include/fleet/FleetFollower.h"
 #include "include/fleet/FleetSource.h"
+#include "include/fleet/SilenceWatch.h"
 #include "include/http1/ServerConnection.h"
 #include "include/net/RepeatingTimer.h"
 #include "include/placement/LayerController.h"
@@ -111,7 +112,6 @@
     void sendMessage(const consensus::Message&);
 
     void tick();
-    void lapseUpstreams(base::TimePoint now);
     void askToJoin(base::TimePoint now);
     void repairReplicas(base::TimePoint now);
     void placeLayers(base::TimePoint now);
@@ -136,8 +136,6 @@
     std::unique_ptr<replica::ReplicaNode> replica_;
     std::unique_ptr<transport::FrameServer> frames_;
     net::RepeatingTimer timer_;
-    base::TimePoint lastTickAt_;
-    base::TimePoint lapseAt_;
     base::TimePoint joinAt_;
     base::TimePoint leaderSeenAt_;
 
@@ -146,6 +144,7 @@
     // Guards against telling the loop of rounds in which nothing changed.
     std::optional<Round> told_;
 
+    fleet::SilenceWatch silence_;
     consensus::ReplicaPlanner replicaPlanner_;
     bool isChangingReplicas_ = false;
     placement::LayerController layers_;
--- a/tests/UpstreamRegistryTest.cpp
+++ b/tests/UpstreamRegistryTest.cpp
@@ -1,6 +1,7 @@
 #include "include/fleet/UpstreamRegistry.h"
 #include "include/base/Clock.h"
 #include "include/fleet/FleetSource.h"
+#include "include/fleet/SilenceWatch.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -101,6 +102,76 @@
     BOOST_TEST((stateOf(registry, "mine") == UpstreamState::Ready));
 }
 
+// A control VM with its watch, in a fleet of three.
+struct Control {
+    std::string name;
+    UpstreamRegistry registry;
+    SilenceWatch watch { name, std::chrono::milliseconds(1200) };
+    std::uint64_t told = 0;
+
+    // What a follower gets with its next poll.
+    void tell(UpstreamRegistry& follower, base::TimePoint now)
+    {
+        for (const auto& change : registry.changesSince(told))
+            follower.apply(change, now);
+        told = registry.revision();
+    }
+};
+
+// Guards against a control VM that is cut off from the others and holds all their
+// upstreams for silent, although these report to the other side.
+BOOST_AUTO_TEST_CASE(AVmWithoutALeaderDeclaresNoSilence)
+{
+    base::VirtualClock clock;
+    Control cutOff { "10.0.0.3", {} };
+    auto hearsNobody = [](std::uint32_t, base::TimePoint) { return false; };
+    cutOff.registry.report(fact("mine", 100, 5, 1), "10.0.0.3", clock.now());
+    cutOff.registry.report(fact("theirs", 100, 5, 2), "10.0.0.1", clock.now());
+    for (int i = 0; i < 80; ++i) {
+        clock.advance(std::chrono::milliseconds(100));
+        cutOff.watch.tick(cutOff.registry, false, hearsNobody, clock.now());
+    }
+    BOOST_TEST((stateOf(cutOff.registry, "mine") == UpstreamState::Ready));
+    BOOST_TEST((stateOf(cutOff.registry, "theirs") == UpstreamState::Ready));
+    // With a leader again, each has a full period to report.
+    for (int i = 0; i < 30; ++i) {
+        clock.advance(std::chrono::milliseconds(100));
+        cutOff.watch.tick(cutOff.registry, true, hearsNobody, clock.now());
+    }
+    BOOST_TEST((stateOf(cutOff.registry, "mine") == UpstreamState::Ready));
+    for (int i = 0; i < 20; ++i) {
+        clock.advance(std::chrono::milliseconds(100));
+        cutOff.watch.tick(cutOff.registry, true, hearsNobody, clock.now());
+    }
+    BOOST_TEST((stateOf(cutOff.registry, "mine") == UpstreamState::Silent));
+}
+
+// Guards against an entry VM that holds an upstream for silent without end, because
+// the reports that it missed changed nothing and were not told.
+BOOST_AUTO_TEST_CASE(AWrongSilentMarkIsCorrected)
+{
+    base::VirtualClock clock;
+    Control registrar { "10.0.0.1", {} };
+    Control wrong { "10.0.0.3", {} };
+    UpstreamRegistry entry;
+    registrar.registry.report(fact("a", 100, 5), "10.0.0.1", clock.now());
+    registrar.tell(entry, clock.now());
+    for (const auto& change : registrar.registry.changesSince(0))
+        wrong.registry.apply(change, clock.now());
+    clock.advance(std::chrono::seconds(10));
+    registrar.registry.report(fact("a", 100, 13), "10.0.0.1", clock.now());
+    wrong.registry.lapse(
+        clock.now() - std::chrono::seconds(4), [](const UpstreamFact&) { return true; }, clock.now());
+    wrong.tell(entry, clock.now());
+    BOOST_TEST((stateOf(entry, "a") == UpstreamState::Silent));
+    wrong.told = 0;
+    wrong.tell(registrar.registry, clock.now());
+    registrar.tell(entry, clock.now());
+    BOOST_TEST((stateOf(entry, "a") == UpstreamState::Ready));
+    // Nothing more to tell: the correction does not go round in circles.
+    BOOST_TEST(registrar.registry.changesSince(registrar.told).empty());
+}
+
 // Guards against a pace that is lost with the next report, and against a feed that
 // wakes every entry VM for a change that does not matter.
 BOOST_AUTO_TEST_CASE(ObservationsOutliveReports)
