Leave a broken copy alone until its engine can be back

Cause: an engine that crashes comes back empty after 2 to 5 s and needs only its own slice loaded. A copy was split anew 1.5 s after its engine counted as silent, mostly just before the engine was back. Besides, an engine that had loaded its layers was ordered once more and left out for another second, because it was asked before its own report but described its state of up to 200 ms earlier.

Ruled out: orders that are lost (all were answered with 202), stuck streams (the engines' memory was in use by streams that made events).

Change: a copy is split 5 s after its engine counts as silent; an engine's answer takes no layers away that it reported less than 500 ms ago. Tests: LayerPlannerTest/ACrashedEngineGetsItsSliceBack and UpstreamRegistryTest/AnOlderObservationDoesNotTakeLayersAway.

--- a/src/fleet/UpstreamRegistry.cpp
+++ b/src/fleet/UpstreamRegistry.cpp
@@ -7,6 +7,9 @@
 
 // Relative change of pace that is worth telling others.
 static constexpr double paceTolerance = 0.15;
+// An engine that is asked describes its state of up to this long ago; what it
+// reports by itself is current.
+static constexpr std::chrono::milliseconds observationAge(500);
 
 bool UpstreamFact::differsFrom(const UpstreamFact& older) const
 {
@@ -111,12 +114,17 @@
         return false;
     auto fact = found->second.fact;
     bool hasPaceChanged = std::abs(pace - fact.pace) > paceTolerance * fact.pace;
-    if (!hasPaceChanged && layers == fact.layers)
+    bool haveLayersChanged = layers != fact.layers && now >= found->second.heardAt + observationAge;
+    if (!hasPaceChanged && !haveLayersChanged)
         return false;
-    fact.pace = hasPaceChanged ? pace : fact.pace;
-    fact.layers = layers;
+    if (hasPaceChanged)
+        fact.pace = pace;
+    if (haveLayersChanged)
+        fact.layers = layers;
     ++fact.observation;
+    auto heardAt = found->second.heardAt;
     store(fact, now);
+    found->second.heardAt = heardAt;
     return true;
 }
 
--- a/src/placement/LayerPlanner.cpp
+++ b/src/placement/LayerPlanner.cpp
@@ -15,10 +15,12 @@
 static constexpr double minRequestsAfterSplit = 20;
 // The least that is better than nothing.
 static constexpr double minRequestsAfterLoss = 8;
-// A crashed engine mostly comes back to its address within this time; its slice
-// is given to a spare card sooner than its copy is split anew.
+// A crashed engine mostly comes back to its address within seconds and needs only
+// its own slice loaded; its slice is given to a spare card sooner than that.
 static constexpr std::chrono::milliseconds spareDelay(800);
-static constexpr std::chrono::milliseconds splitDelay(1500);
+// A copy that is split anew is out of use until the streams on all layers that its
+// cards give up have ended, which takes longer than most crashes.
+static constexpr std::chrono::milliseconds splitDelay(5000);
 static constexpr double bytesPerMegabyte = 1e6;
 
 const Slice* LayerPlan::sliceOf(const std::string& address) const
--- a/tests/LayerPlannerTest.cpp
+++ b/tests/LayerPlannerTest.cpp
@@ -159,6 +159,25 @@
     }
 }
 
+// Guards against a copy that is split anew, and so out of use for much longer, while
+// its crashed engine is about to come back empty to its address.
+BOOST_AUTO_TEST_CASE(ACrashedEngineGetsItsSliceBack)
+{
+    base::VirtualClock clock;
+    auto cards = fleetCards();
+    auto plan = LayerPlanner::plan(model(), cards);
+    auto crashed = plan.slices.front().holder;
+    std::vector<Card> present;
+    std::copy_if(cards.begin(), cards.end(), std::back_inserter(present), [&crashed](const Card& card) { return card.address != crashed; });
+    LayerPlanner planner;
+    for (int i = 0; i < 40; ++i) {
+        clock.advance(std::chrono::milliseconds(100));
+        BOOST_TEST(!planner.repair(model(), plan, present, clock.now()).has_value());
+    }
+    BOOST_TEST(!planner.repair(model(), plan, cards, clock.now()).has_value());
+    BOOST_TEST(plan.sliceOf(crashed));
+}
+
 // Guards against two broken copies that both stay broken although the cards of one
 // could complete the other.
 BOOST_AUTO_TEST_CASE(OfTwoBrokenCopiesOneCompletesTheOther)
--- a/tests/UpstreamRegistryTest.cpp
+++ b/tests/UpstreamRegistryTest.cpp
@@ -186,6 +186,27 @@
     BOOST_TEST(!registry.observe("a", 99, 1.0, {}, clock.now()));
 }
 
+// Guards against an engine that is taken to have no layers, and is ordered to load
+// them again, because it was asked just before the report that it has them.
+BOOST_AUTO_TEST_CASE(AnOlderObservationDoesNotTakeLayersAway)
+{
+    base::VirtualClock clock;
+    UpstreamRegistry registry;
+    auto loaded = fact("a", 100, 1);
+    loaded.layers = { 0, 20 };
+    registry.report(loaded, "c1", clock.now());
+    clock.advance(std::chrono::milliseconds(200));
+    BOOST_TEST(!registry.observe("a", 100, 1, {}, clock.now()));
+    BOOST_TEST(registry.find("a")->layers.count() == 20);
+    // A crash that lost the layers is seen before the next report.
+    clock.advance(std::chrono::milliseconds(500));
+    BOOST_TEST(registry.observe("a", 100, 1, { 0, 10 }, clock.now()));
+    BOOST_TEST(registry.find("a")->layers.count() == 10);
+    // An answer to a question is not a report.
+    clock.advance(std::chrono::milliseconds(100));
+    BOOST_TEST(registry.observe("a", 100, 1, { 0, 20 }, clock.now()));
+}
+
 // Guards against entry VMs that hear late of a change, and against answers that
 // leave out what the asker lacks.
 BOOST_AUTO_TEST_CASE(PollsAreAnsweredAsSoonAsThereIsNews)
