Do not cut a stream because its next engine has no room

A stream that is taken from a silent engine and refused by the next one gave up 2 ms later. The engine that had refused was besides avoided until the end of the request.

Change: a stream that its caller sees already always joins the line, before everything that has not begun; without a retry it waits for the allowance outside of the line, where it holds up nobody. Both waits end at the deadline or when the caller leaves.

--- a/include/routing/WaitingLine.h
+++ b/include/routing/WaitingLine.h
@@ -29,6 +29,9 @@
     // Adds a request behind all that are at least as urgent; 0 is the most urgent.
     // Returns nothing if it would wait too long.
     std::optional<Ticket> join(int priority, base::TimePoint now);
+    // Adds a stream that its caller sees already before all that have not begun; to
+    // refuse it would cut it off.
+    Ticket rejoin();
     void leave(Ticket);
 
     bool isEmpty() const { return waiting_.empty(); }
@@ -44,10 +47,14 @@
         int priority = 0;
     };
 
+    using Places = std::list<Waiting>;
+
     double endsPerSecond(base::TimePoint now) const;
+    Places::const_iterator placeFor(int priority) const;
+    Ticket insert(Places::const_iterator place, int priority);
 
     std::chrono::milliseconds limit_;
-    std::list<Waiting> waiting_;
+    Places waiting_;
     Ticket nextTicket_ = 1;
     // A moving average, decayed to the time of the last end.
     double rate_ = 0;
--- a/src/forwarding/Exchange.cpp
+++ b/src/forwarding/Exchange.cpp
@@ -157,13 +157,19 @@
 bool Exchange::waitForRoom(bool isResuming)
 {
     auto now = std::chrono::steady_clock::now();
-    if (!service_->paths || !service_->paths->hasPath(now))
+    if (!service_->paths)
+        return false;
+    // A stream that the caller sees already is not cut off while its caller waits for it.
+    if (relay_ != Relay::None) {
+        ticket_ = service_->line.rejoin();
+        lineDeadline_ = deadline_;
+        return true;
+    }
+    if (!service_->paths->hasPath(now))
         return false;
     auto priority = team_ && team_->priority ? *team_->priority : route_->priority;
-    // A stream that the caller sees already goes before everything new, and is not
-    // cut off while its caller waits for it.
     ticket_ = service_->line.join(isResuming ? resumePriority : priority, now);
-    lineDeadline_ = isResuming && relay_ != Relay::None ? deadline_ : now + longestLineWait;
+    lineDeadline_ = now + longestLineWait;
     return ticket_.has_value();
 }
 
@@ -429,19 +435,47 @@
     }
 }
 
-bool Exchange::mayTryAgain(AttemptEnd end)
+bool Exchange::mayTryAgain(AttemptEnd end) const
 {
     bool isCertainlyNotRun = end == AttemptEnd::NotSent || end == AttemptEnd::NotRun;
     if (!caller_ || (!isCertainlyNotRun && !isRepeatable()))
         return false;
     if (runs_ >= route_->maxAttempts || sends_ >= route_->maxAttempts + extraSends)
         return false;
-    auto now = std::chrono::steady_clock::now();
-    if (now >= deadline_)
+    return std::chrono::steady_clock::now() < deadline_;
+}
+
+// Takes the retry that is due; returns false while the allowance is used up.
+bool Exchange::takeRetry(TimePoint now)
+{
+    isRetryDue_ = !service_->retries.tryTake(now);
+    return !isRetryDue_;
+}
+
+// Sends the request again or waits for it; returns false if neither is possible.
+bool Exchange::tryAgain(AttemptEnd end)
+{
+    if (!mayTryAgain(end))
         return false;
     // What has not arrived anywhere does not count as a retry; a stall has been
     // counted when it was found.
-    return end == AttemptEnd::NotSent || end == AttemptEnd::Stalled || service_->retries.tryTake(now);
+    bool isCounted = end != AttemptEnd::NotSent && end != AttemptEnd::Stalled;
+    if (!isCounted || takeRetry(std::chrono::steady_clock::now()))
+        return sendNext() || waitForRoom(true);
+    // A stream that the caller sees already waits for the allowance outside of the
+    // line, where it would hold up those that need no retry.
+    isRetryDue_ = relay_ != Relay::None;
+    return isRetryDue_;
+}
+
+void Exchange::awaitRetry(TimePoint now)
+{
+    bool isOver = now >= deadline_;
+    if (!isOver && !takeRetry(now))
+        return;
+    isRetryDue_ = false;
+    if (isOver || (!sendNext() && !waitForRoom(true)))
+        giveUp(AttemptEnd::NotRun);
 }
 
 void Exchange::endAttempt(AttemptEnd end)
@@ -453,9 +487,11 @@
     suspectAfter(end);
     logger.debug("An attempt ended without an answer.", { { "request", facts_.requestId }, { "upstream", upstream_ }, { "end", names[static_cast<std::size_t>(end)] }, { "sends", sends_ } });
     releaseChoice(results[static_cast<std::size_t>(end)]);
-    avoided_.insert(upstream_);
+    // An engine that has no room now may have some later; it is only suspected.
+    if (path_.empty() || end != AttemptEnd::NotRun)
+        avoided_.insert(upstream_);
     bool wasRelaying = relay_ != Relay::None;
-    if (mayTryAgain(end) && (sendNext() || waitForRoom(true))) {
+    if (tryAgain(end)) {
         ++gate_.counters_.retries;
         gate_.counters_.resumes += wasRelaying ? 1 : 0;
         return;
@@ -558,6 +594,10 @@
         tryLine(now);
         return;
     }
+    if (isRetryDue_) {
+        awaitRetry(now);
+        return;
+    }
     if (!connection_)
         return;
     if (now >= deadline_) {
--- a/src/forwarding/Exchange.h
+++ b/src/forwarding/Exchange.h
@@ -77,7 +77,11 @@
     void endAttempt(AttemptEnd);
     void releaseChoice(routing::CallResult);
     void suspectAfter(AttemptEnd);
-    bool mayTryAgain(AttemptEnd);
+    // Whether another attempt is allowed, apart from the retry allowance.
+    bool mayTryAgain(AttemptEnd) const;
+    bool tryAgain(AttemptEnd);
+    bool takeRetry(base::TimePoint now);
+    void awaitRetry(base::TimePoint now);
     void giveUp(AttemptEnd);
 
     void takeEvents(std::string_view);
@@ -125,6 +129,8 @@
     // Set while the request waits for room.
     std::optional<routing::WaitingLine::Ticket> ticket_;
     base::TimePoint lineDeadline_;
+    // Whether a stream waits for the retry allowance before it goes on.
+    bool isRetryDue_ = false;
 
     // All attempts.
     int sends_ = 0;
--- a/tests/ForwardingTest.cpp
+++ b/tests/ForwardingTest.cpp
@@ -67,7 +67,8 @@
 
     boost::asio::io_context context { 1 };
     TestDialect dialect;
-    forwarding::Gate gate { context, dialect, { "catania", { 1, 50, std::chrono::seconds(10) }, 1 } };
+    forwarding::RetryLimits retries { 1, 50, std::chrono::seconds(10) };
+    forwarding::Gate gate { context, dialect, { "catania", retries, 1 } };
     std::unique_ptr<http1::Server> server;
     tcp::endpoint address;
     tcp::acceptor upstreams { context, tcp::endpoint(boost::asio::ip::address_v4::any(), 0) };
@@ -77,7 +78,8 @@
     Script script;
     routes::RouteConfiguration configuration;
 
-    explicit Fixture(routes::RequestKind kind, bool isConfigured = true)
+    explicit Fixture(routes::RequestKind kind, bool isConfigured = true, forwarding::RetryLimits limits = { 1, 50, std::chrono::seconds(10) })
+        : retries(limits)
     {
         configuration.version = 1;
         routes::Route route;
@@ -104,6 +106,9 @@
             fact.id = "u" + std::to_string(i);
             fact.service = "service";
             fact.slots = 4;
+            // Where the service has a model, each upstream is an engine with all layers.
+            fact.accelerator = "card";
+            fact.layers = { 0, 10 };
             fact.dataCentre = "catania";
             // Both answer at one port, on two addresses of this host.
             fact.ip = 0x7f000001 + static_cast<std::uint32_t>(i);
@@ -260,6 +265,62 @@
     BOOST_TEST(!has(received, "0\r\n\r\n"));
 }
 
+static routes::LayeredModel smallModel()
+{
+    routes::LayeredModel model;
+    model.layers = 10;
+    model.layerMegabytes = 100;
+    model.cacheBytesPerToken = 100'000;
+    model.stepMilliseconds = 1;
+    model.readTokensPerSecond = 100'000;
+    model.kinds = { { "card", 10'000, 1, 1 } };
+    return model;
+}
+
+// Cuts the stream after its first event, refuses it `refusals` times, and then goes on.
+static Fixture::Script cutAndRefused(int refusals)
+{
+    return [refusals](Peer& connection, const std::string&, int number) {
+        if (number == 1) {
+            connection.socket->write(streamHead + chunk(event(1)));
+            connection.socket->closeAfterWriting();
+        } else if (number <= 1 + refusals) {
+            connection.socket->write(notRun);
+        } else {
+            connection.socket->write(streamHead + chunk(event(2)) + "0\r\n\r\n");
+        }
+    };
+}
+
+// Guards against a stream that is cut 2 ms after the next engine refused it, although
+// that engine may have room a moment later.
+BOOST_AUTO_TEST_CASE(AStreamThatFindsNoRoomWaitsForIt)
+{
+    Fixture fixture(routes::RequestKind::Streaming, false);
+    fixture.configuration.services.front().model = smallModel();
+    fixture.configure();
+    fixture.script = cutAndRefused(1);
+    auto received = fixture.ask("r1", "0\r\n\r\n");
+    BOOST_TEST(has(received, "id: 2"));
+    BOOST_TEST(has(received, "0\r\n\r\n"));
+    BOOST_TEST(fixture.requests.size() == 3U);
+}
+
+// Guards against a stream that is cut because the retries of the last moments are
+// used up, although its caller waits longer than that.
+BOOST_AUTO_TEST_CASE(AStreamWaitsForTheRetryAllowance)
+{
+    // One retry in 0.4 s.
+    Fixture fixture(routes::RequestKind::Streaming, false, { 0, 2, std::chrono::milliseconds(400) });
+    fixture.configuration.services.front().model = smallModel();
+    fixture.configure();
+    fixture.script = cutAndRefused(1);
+    auto start = std::chrono::steady_clock::now();
+    BOOST_TEST(has(fixture.ask("r1", "0\r\n\r\n"), "id: 2"));
+    BOOST_TEST(fixture.requests.size() == 3U);
+    BOOST_TEST((std::chrono::steady_clock::now() >= start + std::chrono::milliseconds(350)));
+}
+
 // Guards against a caller that waits beyond the time its route allows.
 BOOST_AUTO_TEST_CASE(ASilentUpstreamIsAnsweredForAtTheTimeout)
 {
--- a/tests/LayerPathSelectorTest.cpp
+++ b/tests/LayerPathSelectorTest.cpp
@@ -239,6 +239,28 @@
     BOOST_TEST(!line.join(1, clock.now()).has_value());
 }
 
+// Guards against a stream in mid-answer that is turned away by a line that stands
+// still, or that waits behind requests which have not begun.
+BOOST_AUTO_TEST_CASE(AStreamInMidAnswerIsNeverTurnedAway)
+{
+    base::VirtualClock clock;
+    WaitingLine line(std::chrono::milliseconds(300));
+    for (int i = 0; i < 40; ++i) {
+        clock.advance(std::chrono::milliseconds(100));
+        line.recordEnd(clock.now());
+    }
+    auto urgent = line.join(-1, clock.now());
+    BOOST_REQUIRE(urgent.has_value());
+    auto begun = line.rejoin();
+    auto second = line.rejoin();
+    BOOST_TEST(line.isNearFront(begun, 1));
+    BOOST_TEST(line.isNearFront(second, 2));
+    BOOST_TEST(!line.isNearFront(*urgent, 2));
+    clock.advance(std::chrono::seconds(60));
+    line.rejoin();
+    BOOST_TEST(line.size() == 4U);
+}
+
 // Guards against calls that go on to an upstream which fails or which is unknown.
 BOOST_AUTO_TEST_CASE(TheBalancerAvoidsFailingUpstreams)
 {
