Let callers leave before the first configuration

A caller that leaves while its request waits for the first configuration made the VM ask whether the request may be repeated, which only its route says; the VM ended, and all requests that waited there with it.

Change: only a request that has been sent is asked for its kind. Test: ForwardingTest/ACallerMayLeaveBeforeTheFirstConfiguration, a memory fault before.

--- a/src/forwarding/Exchange.cpp
+++ b/src/forwarding/Exchange.cpp
@@ -566,7 +566,7 @@
     ++gate_.counters_.callersLeft;
     caller_.reset();
     // A call that may not be repeated is not broken off: it may have begun to run.
-    if (!isRepeatable() && connection_)
+    if (connection_ && !isRepeatable())
         return;
     if (connection_) {
         connection_->abandon();
--- a/tests/ForwardingTest.cpp
+++ b/tests/ForwardingTest.cpp
@@ -370,6 +370,24 @@
     BOOST_TEST((std::chrono::steady_clock::now() < start + std::chrono::seconds(2)));
 }
 
+// Guards against a crash of the VM when a caller leaves before there is a
+// configuration that says what kind of request it was.
+BOOST_AUTO_TEST_CASE(ACallerMayLeaveBeforeTheFirstConfiguration)
+{
+    Fixture fixture(routes::RequestKind::Unsafe, false);
+    auto caller = std::make_shared<Peer>(fixture.context);
+    caller->socket->connect(fixture.address);
+    fixture.context.run_for(std::chrono::milliseconds(20));
+    caller->socket->write("GET / HTTP/1.1\r\nHost: desk\r\nId: r1\r\n\r\n");
+    fixture.context.run_for(std::chrono::milliseconds(50));
+    BOOST_TEST(fixture.gate.openExchanges() == 1U);
+    caller->socket->reset();
+    fixture.context.run_for(std::chrono::milliseconds(50));
+    fixture.gate.tick(std::chrono::steady_clock::now());
+    BOOST_TEST(fixture.gate.openExchanges() == 0U);
+    BOOST_TEST(fixture.gate.counters().callersLeft == 1U);
+}
+
 // Guards against a promise that a request has not run while the upstreams are unknown.
 BOOST_AUTO_TEST_CASE(WithoutUpstreamsARequestIsRefusedAsNotRun)
 {
