Complete a broken copy with the cards of the one that is given up

Of several broken copies the one that misses most is given up for the others, but in the same pass its cards became a copy of their own, and the other copy had nothing to fill its gap with and was split anew next.

Ruled out: silent engines, control VMs without a leader, the waiting line.

Change: the freed cards fill the gaps of the others first. Test: LayerPlannerTest/OfTwoBrokenCopiesOneCompletesTheOther also counts the copies whose cards move: two before, one now.

--- a/src/placement/LayerPlanner.cpp
+++ b/src/placement/LayerPlanner.cpp
@@ -249,6 +249,8 @@
         if (missingLayers.size() > 1) {
             removeCopy(worst->first);
             isChanged = true;
+            // Before what is left of its cards becomes a copy of its own.
+            fillFromSpares();
             return;
         }
         auto before = plan.slices;
--- a/tests/LayerPlannerTest.cpp
+++ b/tests/LayerPlannerTest.cpp
@@ -202,6 +202,14 @@
             latest = std::move(*repaired);
     }
     BOOST_TEST(checkPlan(latest, cards, lost) >= 4U);
+    // Only the copy that gives its cards is loaded anew.
+    std::set<int> moved;
+    for (const auto& slice : plan.slices) {
+        const auto* now = latest.sliceOf(slice.holder);
+        if (!lost.count(slice.holder) && (!now || now->range != slice.range))
+            moved.insert(slice.copy);
+    }
+    BOOST_TEST(moved.size() <= 1U);
 }
 
 // Guards against an order that is lost for good, and against orders that are
