Take a retry in one place less

Exchange::takeRetry set a member as a side effect that both its callers set again right after. They ask the allowance directly; isRetryDue_ is set where a stream begins to wait and cleared where it goes on.

--- a/src/forwarding/Exchange.cpp
+++ b/src/forwarding/Exchange.cpp
@@ -445,13 +445,6 @@
     return std::chrono::steady_clock::now() < deadline_;
 }
 
-// Takes the retry that is due; returns false while the allowance is used up.
-bool Exchange::takeRetry(TimePoint now)
-{
-    isRetryDue_ = !service_->retries.tryTake(now);
-    return !isRetryDue_;
-}
-
 // Sends the request again or waits for it; returns false if neither is possible.
 bool Exchange::tryAgain(AttemptEnd end)
 {
@@ -460,7 +453,7 @@
     // What has not arrived anywhere does not count as a retry; a stall has been
     // counted when it was found.
     bool isCounted = end != AttemptEnd::NotSent && end != AttemptEnd::Stalled;
-    if (!isCounted || takeRetry(std::chrono::steady_clock::now()))
+    if (!isCounted || service_->retries.tryTake(std::chrono::steady_clock::now()))
         return sendNext() || waitForRoom(true);
     // A stream that the caller sees already waits for the allowance outside of the
     // line, where it would hold up those that need no retry.
@@ -471,7 +464,7 @@
 void Exchange::awaitRetry(TimePoint now)
 {
     bool isOver = now >= deadline_;
-    if (!isOver && !takeRetry(now))
+    if (!isOver && !service_->retries.tryTake(now))
         return;
     isRetryDue_ = false;
     if (isOver || (!sendNext() && !waitForRoom(true)))
--- a/src/forwarding/Exchange.h
+++ b/src/forwarding/Exchange.h
@@ -80,7 +80,6 @@
     // Whether another attempt is allowed, apart from the retry allowance.
     bool mayTryAgain(AttemptEnd) const;
     bool tryAgain(AttemptEnd);
-    bool takeRetry(base::TimePoint now);
     void awaitRetry(base::TimePoint now);
     void giveUp(AttemptEnd);
 
