Log what delays a configuration: copies sent, late threads, the lease's age

The lines that existed said when a leader changed and when an entry VM applied a version, but not whether the link, the processor or the lease was the reason. Control VMs now log once a second how many documents and bytes they sent to pollers, how late their event loop and their replica's thread were and how old the leader's newest confirmed heartbeat was; entry VMs log the delay, the documents received and the failed polls of each version.

--- a/include/consensus/ReplicaCore.h
+++ b/include/consensus/ReplicaCore.h
@@ -192,6 +192,8 @@
     const Configuration& configuration() const { return log_.configuration(); }
     // Returns when the leader's lease ends; a time in the past in any other role.
     base::TimePoint leaseEnd() const;
+    // Returns how long a lease lasts from the sending of the heartbeat that grants it.
+    std::chrono::nanoseconds leaseDuration() const;
     // Returns the peers that have responded to this leader within an election timeout;
     // empty in any other role.
     std::vector<ReplicaKey> activePeers() const;
@@ -301,7 +303,6 @@
     bool isActive(const Peer&) const;
     void updateLease();
     void advanceCommit();
-    std::chrono::nanoseconds leaseDuration() const;
     ProposalStatus checkLeadership() const;
     ProposalStatus checkConfigurationChange(const ChangeConfiguration&, Configuration& changed) const;
     bool hasActiveMajority(const Configuration&) const;
--- a/include/fleet/FleetPollServer.h
+++ b/include/fleet/FleetPollServer.h
@@ -7,6 +7,7 @@
 #include <list>
 #include <memory>
 #include <optional>
+#include <utility>
 
 namespace arbutus::fleet {
 
@@ -17,6 +18,14 @@
 public:
     using Reply = std::function<void(std::string)>;
 
+    // What was sent to pollers. Bytes exclude frame headers.
+    struct SentTotals {
+        std::uint64_t answers = 0;
+        std::uint64_t answerBytes = 0;
+        std::uint64_t routeDocuments = 0;
+        std::uint64_t routeDocumentBytes = 0;
+    };
+
     // `epoch` must differ at every start of the process. `registry` must outlive this
     // object.
     FleetPollServer(const UpstreamRegistry& registry, std::uint64_t epoch)
@@ -33,6 +42,9 @@
     // Answers every pending poll that has changes to receive or whose deadline has passed.
     void answerPendingPolls(base::TimePoint now);
 
+    // Returns what was sent since the last call.
+    SentTotals takeSentTotals() { return std::exchange(sent_, {}); }
+
     // Returns the number of entry VMs that have polled recently.
     std::size_t entryVmCount(base::TimePoint now) const;
     // Returns the in-flight load of all entry VMs by upstream.
@@ -50,6 +62,7 @@
     };
 
     bool hasUpdates(const FleetPoll&) const;
+    void sendAnswer(const FleetPoll&, const Reply&, base::TimePoint now);
     FleetAnswer answer(const FleetPoll&, base::TimePoint now) const;
     std::map<std::string, UpstreamInFlightLoad> loadExcluding(const std::string& sender, base::TimePoint now) const;
 
@@ -60,6 +73,7 @@
     std::vector<std::uint32_t> replicas_;
     std::list<PendingPoll> pendingPolls_;
     std::map<std::string, EntryVm> entryVms_;
+    SentTotals sent_;
 };
 
 } // namespace arbutus::fleet
--- a/include/fleet/FleetPoller.h
+++ b/include/fleet/FleetPoller.h
@@ -25,7 +25,17 @@
         std::uint32_t ownIp = 0;
     };
     using Post = std::function<void(std::function<void()>)>;
-    using RoutesHandler = std::function<void(std::uint64_t version, const std::string& document)>;
+    // How a route configuration reached this VM.
+    struct RoutesDelivery {
+        // Since a control VM first announced a version above the one in force.
+        std::chrono::milliseconds delay {};
+        // Documents received since the last version was adopted, repeated and older ones
+        // included.
+        std::uint64_t documents = 0;
+        std::uint64_t documentBytes = 0;
+        std::uint64_t failedPolls = 0;
+    };
+    using RoutesHandler = std::function<void(std::uint64_t version, const std::string& document, const RoutesDelivery&)>;
     using LoadProvider = std::function<std::vector<UpstreamInFlightLoad>()>;
 
     FleetPoller(const base::Clock&, PeerLinks&, Options, UpstreamRegistry&, Post);
@@ -75,6 +85,7 @@
     bool shouldFetchRoutes(std::uint32_t ip, const Peer&) const;
     void handlePollResult(std::uint32_t ip, const base::Result<std::string>&);
     void merge(std::uint32_t ip, Peer&, FleetAnswer);
+    void adoptRoutes(const FleetAnswer&);
     void dropStalePeers();
 
     const base::Clock& clock_;
@@ -87,6 +98,7 @@
     std::set<std::uint32_t> seeds_;
     std::map<std::uint32_t, Peer> peers_;
     std::uint64_t routesVersion_ = 0;
+    RoutesDelivery delivery_;
     std::map<std::string, UpstreamInFlightLoad> peerLoad_;
     std::shared_ptr<bool> isAlive_ = std::make_shared<bool>(true);
 };
--- a/src/fleet/FleetPollServer.cpp
+++ b/src/fleet/FleetPollServer.cpp
@@ -58,12 +58,23 @@
     return result;
 }
 
+void FleetPollServer::sendAnswer(const FleetPoll& poll, const Reply& reply, base::TimePoint now)
+{
+    auto content = answer(poll, now);
+    auto bytes = encode(content);
+    ++sent_.answers;
+    sent_.answerBytes += bytes.size();
+    sent_.routeDocuments += content.routesDocument.empty() ? 0 : 1;
+    sent_.routeDocumentBytes += content.routesDocument.size();
+    reply(std::move(bytes));
+}
+
 void FleetPollServer::poll(FleetPoll poll, Reply reply, base::TimePoint now)
 {
     if (poll.isEntry)
         entryVms_[poll.sender] = { now, poll.load };
     if (hasUpdates(poll) || !poll.maxWaitMilliseconds) {
-        reply(encode(answer(poll, now)));
+        sendAnswer(poll, reply, now);
         return;
     }
     auto deadline = now + std::chrono::milliseconds(poll.maxWaitMilliseconds);
@@ -77,7 +88,7 @@
             ++it;
             continue;
         }
-        it->reply(encode(answer(it->poll, now)));
+        sendAnswer(it->poll, it->reply, now);
         it = pendingPolls_.erase(it);
     }
     for (auto it = entryVms_.begin(); it != entryVms_.end();)
--- a/src/fleet/FleetPoller.cpp
+++ b/src/fleet/FleetPoller.cpp
@@ -130,6 +130,7 @@
     peer.isPolling = false;
     auto decoded = answer ? decode<FleetAnswer>(answer.value()) : base::Result<FleetAnswer>(answer.error());
     if (!decoded) {
+        ++delivery_.failedPolls;
         peer.nextPollAt = clock_.now() + retryDelay;
         return;
     }
@@ -152,8 +153,8 @@
         for (auto& load : answer.peerLoad)
             peerLoad_[load.upstream] = std::move(load);
     }
-    if (!answer.routesDocument.empty() && answer.routesVersion > routesVersion_ && routesHandler_)
-        routesHandler_(answer.routesVersion, answer.routesDocument);
+    if (!answer.routesDocument.empty())
+        adoptRoutes(answer);
     if (answer.routesVersion > routesVersion_ && options_.isEntry) {
         if (!peer.newerRoutesSince)
             peer.newerRoutesSince = clock_.now();
@@ -164,6 +165,19 @@
         this->findOrAddPeer(replica);
 }
 
+void FleetPoller::adoptRoutes(const FleetAnswer& answer)
+{
+    ++delivery_.documents;
+    delivery_.documentBytes += answer.routesDocument.size();
+    if (answer.routesVersion <= routesVersion_ || !routesHandler_)
+        return;
+    auto announcedAt = clock_.now();
+    for (const auto& [ip, peer] : peers_)
+        announcedAt = std::min(announcedAt, peer.newerRoutesSince.value_or(announcedAt));
+    delivery_.delay = std::chrono::duration_cast<std::chrono::milliseconds>(clock_.now() - announcedAt);
+    routesHandler_(answer.routesVersion, answer.routesDocument, std::exchange(delivery_, {}));
+}
+
 bool FleetPoller::hasHeardFrom(std::uint32_t ip, base::TimePoint since) const
 {
     auto found = peers_.find(ip);
--- a/src/node/ControlNode.cpp
+++ b/src/node/ControlNode.cpp
@@ -22,6 +22,7 @@
 
 static constexpr std::chrono::milliseconds tickInterval(100);
 static constexpr std::chrono::milliseconds joinRequestInterval(500);
+static constexpr std::chrono::seconds activityReportInterval(1);
 // A replica without a leader for this long may have been removed from the
 // configuration and asks to join again.
 static constexpr std::chrono::seconds leaderlessTimeout(2);
@@ -296,6 +297,8 @@
 void ControlNode::tick()
 {
     auto now = clock_.now();
+    if (tickDueAt_ != base::TimePoint())
+        tickLateness_.record(now - tickDueAt_);
     if (isConnected())
         leaderSeenAt_ = now;
     fleetPoller_.tick();
@@ -311,6 +314,17 @@
         call->tick(std::chrono::steady_clock::now());
     calls_.erase(std::remove_if(calls_.begin(), calls_.end(), [](const auto& call) { return call->isFinished(); }), calls_.end());
     fleetPollServer_.answerPendingPolls(now);
+    reportActivity(now);
+    tickDueAt_ = clock_.now() + tickInterval;
+}
+
+void ControlNode::reportActivity(base::TimePoint now)
+{
+    if (now < nextReportAt_)
+        return;
+    nextReportAt_ = now + activityReportInterval;
+    auto sent = fleetPollServer_.takeSentTotals();
+    logger.info("Activity of the last second.", { { "answers", sent.answers }, { "answer_bytes", sent.answerBytes }, { "route_documents", sent.routeDocuments }, { "route_document_bytes", sent.routeDocumentBytes }, { "tick_late_ms", tickLateness_.take().count() }, { "replica_late_ms", replica_->takeLateness().count() }, { "lease_age_ms", replica_->takeLeaseAge().count() } });
 }
 
 void ControlNode::requestToJoin(base::TimePoint now)
--- a/src/node/ControlNode.h
+++ b/src/node/ControlNode.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "include/base/Clock.h"
+#include "include/base/LatenessMeter.h"
 #include "include/base/Timeline.h"
 #include "include/consensus/ReplicaPlanner.h"
 #include "include/fleet/FleetPollServer.h"
@@ -127,6 +128,8 @@
     void sendMessage(const consensus::Message&);
 
     void tick();
+    // Logs once a second what was sent and how late this VM acted.
+    void reportActivity(base::TimePoint now);
     void requestToJoin(base::TimePoint now);
     void reconcileReplicas(base::TimePoint now);
     void placeLayers(base::TimePoint now);
@@ -153,6 +156,9 @@
     net::RepeatingTimer timer_;
     base::TimePoint nextJoinAt_;
     base::TimePoint leaderSeenAt_;
+    base::LatenessMeter tickLateness_;
+    base::TimePoint tickDueAt_;
+    base::TimePoint nextReportAt_;
 
     // The last published view; accessed on the event loop only.
     ReplicaView replicaView_;
--- a/src/node/EntryNode.cpp
+++ b/src/node/EntryNode.cpp
@@ -67,7 +67,7 @@
 
 base::Result<void> EntryNode::start()
 {
-    fleetPoller_.setEntryHooks([this](std::uint64_t version, const std::string& document) { applyRoutes(version, document); }, [this] { return proxy_.ownLoad(); });
+    fleetPoller_.setEntryHooks([this](std::uint64_t version, const std::string& document, const auto& delivery) { applyRoutes(version, document, delivery); }, [this] { return proxy_.ownLoad(); });
     fleetPoller_.setSeeds(options_.seeds);
     BOOST_OUTCOME_TRY(callerServer, http1::Server::Make(context_, tcpEndpoint(options_.callerEndpoint), proxy_));
     callerServer_ = std::move(callerServer);
@@ -78,7 +78,7 @@
     return base::outcome::success();
 }
 
-void EntryNode::applyRoutes(std::uint64_t version, const std::string& document)
+void EntryNode::applyRoutes(std::uint64_t version, const std::string& document, const fleet::FleetPoller::RoutesDelivery& delivery)
 {
     auto decoded = decodeRoutes_(document);
     if (!decoded) {
@@ -87,7 +87,7 @@
     }
     fleetPoller_.setRoutesVersion(version);
     proxy_.setRoutes(routes::RouteTable::Make(std::move(decoded).value()));
-    logger.info("Applied a configuration.", { { "version", version } });
+    logger.info("Applied a configuration.", { { "version", version }, { "bytes", document.size() }, { "delay_ms", delivery.delay.count() }, { "documents", delivery.documents }, { "document_bytes", delivery.documentBytes }, { "failed_polls", delivery.failedPolls } });
 }
 
 bool EntryNode::isReady() const { return !stoppingSince_ && proxy_.routes(); }
--- a/src/replica/ReplicaNode.cpp
+++ b/src/replica/ReplicaNode.cpp
@@ -117,6 +117,7 @@
             if (isStopping_)
                 return;
         }
+        recordTiming();
         handleEvents(std::move(events));
         step(consensus::Tick {});
         flushWrites();
@@ -380,6 +381,14 @@
     step(consensus::Read { leadershipReadId_ });
 }
 
+void ReplicaNode::recordTiming()
+{
+    auto now = clock_.now();
+    lateness_.record(now - core_->nextDeadline());
+    if (core_->role() == consensus::Role::Leader && core_->leaseEnd() != base::TimePoint())
+        leaseAge_.record(now - (core_->leaseEnd() - core_->leaseDuration()));
+}
+
 void ReplicaNode::publishStatus()
 {
     if (lastRole_ != core_->role()) {
--- a/src/replica/ReplicaNode.h
+++ b/src/replica/ReplicaNode.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "include/base/Clock.h"
+#include "include/base/LatenessMeter.h"
 #include "include/base/RankedMutex.h"
 #include "include/base/Timeline.h"
 #include "include/consensus/ReplicaCore.h"
@@ -95,6 +96,13 @@
 
     ReplicaStatus status() const;
 
+    // Returns the longest delay of a due heartbeat or election since the last call.
+    std::chrono::milliseconds takeLateness() { return lateness_.take(); }
+    // Returns the longest age of the newest heartbeat round that a majority has
+    // acknowledged to this leader since the last call. A leader steps down when it
+    // reaches the lease.
+    std::chrono::milliseconds takeLeaseAge() { return leaseAge_.take(); }
+
 private:
     struct ProposeRequest {
         std::string command;
@@ -143,6 +151,7 @@
     void flushWrites();
     void expirePendingRequests();
     void takeSnapshotIfDue();
+    void recordTiming();
     // Keeps the proof of leadership recent, which the configuration feed requires.
     void confirmLeadership();
     void publishStatus();
@@ -173,6 +182,8 @@
     // Bytes of the entries applied since the last snapshot.
     std::uint64_t appliedBytes_ = 0;
     consensus::Role lastRole_ = consensus::Role::Follower;
+    base::LatenessMeter lateness_;
+    base::LatenessMeter leaseAge_;
 
     mutable base::RankedMutex mutex_;
     std::condition_variable_any eventsAvailable_;
