--- a/include/fleet/FleetPoller.h
+++ b/include/fleet/FleetPoller.h
@@ -2,7 +2,6 @@
 
 #include "include/base/Clock.h"
 #include "include/fleet/FleetMessages.h"
-#include "include/fleet/PeerLinks.h"
 #include "include/fleet/UpstreamRegistry.h"
 
 #include <functional>
@@ -25,6 +24,10 @@
         std::uint32_t ownIp = 0;
     };
     using Post = std::function<void(std::function<void()>)>;
+    // Sends an encoded poll to the control VM at `ip`. The callback runs once, on any
+    // thread, no later than shortly after the timeout. Returns false, without a call, if
+    // no connection to that address can be created.
+    using SendPoll = std::function<bool(std::uint32_t ip, std::string poll, std::chrono::milliseconds timeout, std::function<void(base::Result<std::string>)>)>;
     // How a route configuration reached this VM.
     struct RoutesDelivery {
         // Since a control VM first announced a version above the one in force.
@@ -38,7 +41,7 @@
     using RoutesHandler = std::function<void(std::uint64_t version, const std::string& document, const RoutesDelivery&)>;
     using LoadProvider = std::function<std::vector<UpstreamInFlightLoad>()>;
 
-    FleetPoller(const base::Clock&, PeerLinks&, Options, UpstreamRegistry&, Post);
+    FleetPoller(const base::Clock&, SendPoll, Options, UpstreamRegistry&, Post);
     ~FleetPoller();
 
     // Sets the callbacks of an entry VM. The handler receives new route configurations;
@@ -63,7 +66,6 @@
 
 private:
     struct Peer {
-        transport::FrameClient* client = nullptr;
         bool isPolling = false;
         base::TimePoint nextPollAt;
         base::TimePoint lastHeardAt;
@@ -77,9 +79,8 @@
         base::TimePoint lastListedAt;
     };
 
-    // Refreshes the peer's listing time. Returns null for the own address, or if no
-    // connection can be created.
-    Peer* findOrAddPeer(std::uint32_t ip);
+    // Adds a peer, or refreshes its listing time. The own address is not added.
+    void addOrRefreshPeer(std::uint32_t ip);
     void poll(std::uint32_t ip, Peer&);
     bool isPreferred(std::uint32_t ip) const;
     bool shouldFetchRoutes(std::uint32_t ip, const Peer&) const;
@@ -89,7 +90,7 @@
     void dropStalePeers();
 
     const base::Clock& clock_;
-    PeerLinks& links_;
+    const SendPoll sendPoll_;
     const Options options_;
     UpstreamRegistry& registry_;
     const Post post_;
--- a/include/fleet/PeerLinks.h
+++ b/include/fleet/PeerLinks.h
@@ -28,6 +28,9 @@
     // Logs the reason and returns null if it cannot be created.
     transport::FrameClient* link(std::uint32_t ip);
 
+    // Sends a fleet poll; see FleetPoller::SendPoll.
+    bool sendPoll(std::uint32_t ip, std::string poll, std::chrono::milliseconds timeout, transport::FrameClient::Done);
+
 private:
     const Options options_;
     std::shared_ptr<transport::ClientThread> thread_;
--- a/src/fleet/FleetPoller.cpp
+++ b/src/fleet/FleetPoller.cpp
@@ -1,7 +1,5 @@
 #include "include/fleet/FleetPoller.h"
 
-#include "include/control/Frames.h"
-
 #include <algorithm>
 
 namespace arbutus::fleet {
@@ -20,9 +18,9 @@
 // A control VM that no answer lists any more is removed after this time.
 static constexpr std::chrono::seconds listingLifetime(20);
 
-FleetPoller::FleetPoller(const base::Clock& clock, PeerLinks& links, Options options, UpstreamRegistry& registry, Post post)
+FleetPoller::FleetPoller(const base::Clock& clock, SendPoll sendPoll, Options options, UpstreamRegistry& registry, Post post)
     : clock_(clock)
-    , links_(links)
+    , sendPoll_(std::move(sendPoll))
     , options_(std::move(options))
     , registry_(registry)
     , post_(std::move(post))
@@ -41,23 +39,13 @@
 {
     seeds_ = { ips.begin(), ips.end() };
     for (auto ip : seeds_)
-        findOrAddPeer(ip);
+        addOrRefreshPeer(ip);
 }
 
-FleetPoller::Peer* FleetPoller::findOrAddPeer(std::uint32_t ip)
+void FleetPoller::addOrRefreshPeer(std::uint32_t ip)
 {
-    if (ip == options_.ownIp)
-        return nullptr;
-    auto [it, inserted] = peers_.try_emplace(ip);
-    it->second.lastListedAt = clock_.now();
-    if (!inserted)
-        return &it->second;
-    it->second.client = links_.link(ip);
-    if (!it->second.client) {
-        peers_.erase(it);
-        return nullptr;
-    }
-    return &it->second;
+    if (ip != options_.ownIp)
+        peers_[ip].lastListedAt = clock_.now();
 }
 
 void FleetPoller::dropStalePeers()
@@ -111,14 +99,15 @@
     poll.maxWaitMilliseconds = static_cast<std::uint32_t>((peer.newerRoutesSince ? std::min(maxWait, routesFallbackDelay) : maxWait).count());
     if (loadProvider_)
         poll.load = loadProvider_();
-    peer.isPolling = true;
     auto done = [this, ip, isAlive = std::weak_ptr<bool>(isAlive_), post = post_](base::Result<std::string> answer) {
         post([this, ip, isAlive, answer = std::move(answer)] {
             if (auto alive = isAlive.lock(); alive && *alive)
                 handlePollResult(ip, answer);
         });
     };
-    peer.client->request(static_cast<std::uint8_t>(control::FrameKind::FleetPoll), encode(poll), std::chrono::steady_clock::now() + answerTimeout, std::move(done));
+    peer.isPolling = sendPoll_(ip, encode(poll), answerTimeout, std::move(done));
+    if (!peer.isPolling)
+        peer.nextPollAt = clock_.now() + retryDelay;
 }
 
 void FleetPoller::handlePollResult(std::uint32_t ip, const base::Result<std::string>& answer)
@@ -162,7 +151,7 @@
         peer.newerRoutesSince.reset();
     }
     for (auto replica : answer.replicas)
-        this->findOrAddPeer(replica);
+        addOrRefreshPeer(replica);
 }
 
 void FleetPoller::adoptRoutes(const FleetAnswer& answer)
--- a/src/fleet/PeerLinks.cpp
+++ b/src/fleet/PeerLinks.cpp
@@ -2,6 +2,7 @@
 
 #include "include/base/LockRanks.h"
 #include "include/base/Logger.h"
+#include "include/control/Frames.h"
 #include "include/net/Endpoint.h"
 
 namespace arbutus::fleet {
@@ -38,4 +39,12 @@
     return links_.emplace(ip, std::move(made).value()).first->second.get();
 }
 
+bool PeerLinks::sendPoll(std::uint32_t ip, std::string poll, std::chrono::milliseconds timeout, transport::FrameClient::Done done)
+{
+    auto* client = link(ip);
+    if (client)
+        client->request(static_cast<std::uint8_t>(control::FrameKind::FleetPoll), std::move(poll), std::chrono::steady_clock::now() + timeout, std::move(done));
+    return client;
+}
+
 } // namespace arbutus::fleet
--- a/src/node/ControlNode.cpp
+++ b/src/node/ControlNode.cpp
@@ -66,7 +66,8 @@
     , timeline_(clock_, options_.name, timelineCapacity)
     , links_(linkOptions(options_))
     , fleetPollServer_(registry_, options_.seed | 1)
-    , fleetPoller_(clock_, links_, pollerOptions(options_), registry_, [this](std::function<void()> task) { boost::asio::post(context_, std::move(task)); })
+    , fleetPoller_(
+          clock_, [this](auto&&... request) { return links_.sendPoll(std::forward<decltype(request)>(request)...); }, pollerOptions(options_), registry_, [this](std::function<void()> task) { boost::asio::post(context_, std::move(task)); })
     , timer_(context, tickInterval, [this] { tick(); })
     , heartbeatMonitor_(net::ipText(options_.ip), options_.heartbeatInterval)
     , replicaPlanner_(options_.targetVoters)
--- a/src/node/ControlNode.h
+++ b/src/node/ControlNode.h
@@ -7,6 +7,7 @@
 #include "include/fleet/FleetPollServer.h"
 #include "include/fleet/FleetPoller.h"
 #include "include/fleet/HeartbeatMonitor.h"
+#include "include/fleet/PeerLinks.h"
 #include "include/http1/ServerConnection.h"
 #include "include/net/RepeatingTimer.h"
 #include "include/placement/LayerController.h"
--- a/src/node/EntryNode.cpp
+++ b/src/node/EntryNode.cpp
@@ -60,7 +60,8 @@
     , proxy_(context, headerCodec, { options_.dataCentre, options_.retryBudget, options_.seed })
     , readinessHandler_(std::make_shared<ReadinessHandler>(*this))
     , links_({ options_.name, options_.internalPort, options_.sharedKey, options_.seed })
-    , fleetPoller_(clock_, links_, pollerOptions(options_), registry_, [this](std::function<void()> task) { boost::asio::post(context_, std::move(task)); })
+    , fleetPoller_(
+          clock_, [this](auto&&... request) { return links_.sendPoll(std::forward<decltype(request)>(request)...); }, pollerOptions(options_), registry_, [this](std::function<void()> task) { boost::asio::post(context_, std::move(task)); })
     , timer_(context, tickInterval, [this] { tick(); })
 {
 }
--- a/src/node/EntryNode.h
+++ b/src/node/EntryNode.h
@@ -2,6 +2,7 @@
 
 #include "include/base/Clock.h"
 #include "include/fleet/FleetPoller.h"
+#include "include/fleet/PeerLinks.h"
 #include "include/forwarding/ReverseProxy.h"
 #include "include/net/RepeatingTimer.h"
 
--- /dev/null
+++ b/tests/FleetNetwork.h
@@ -0,0 +1,233 @@
+#pragma once
+
+#include "include/base/Random.h"
+#include "include/fleet/FleetPollServer.h"
+#include "include/fleet/FleetPoller.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace arbutus::fleet {
+
+using Milliseconds = std::chrono::milliseconds;
+
+// Simulates control and entry VMs in virtual time. Each VM has a link of limited speed in
+// each direction, on which messages wait for each other.
+class FleetNetwork {
+public:
+    struct Link {
+        double bytesPerSecond = 0;
+        base::TimePoint busyUntil;
+    };
+    struct ControlVm {
+        UpstreamRegistry registry;
+        std::unique_ptr<FleetPollServer> server;
+        Link uplink;
+        bool isReachable = true;
+        // The longest time that a message handed to the uplink would have waited.
+        std::chrono::nanoseconds longestWait {};
+    };
+    struct EntryVm {
+        UpstreamRegistry registry;
+        std::unique_ptr<FleetPoller> poller;
+        Link downlink;
+        std::uint64_t version = 0;
+        std::string document;
+        // When each version, or a higher one, came into force.
+        std::map<std::uint64_t, base::TimePoint> appliedAt;
+    };
+
+    static constexpr std::uint32_t firstIp = 0x0a010001;
+
+    FleetNetwork(std::size_t controlCount, double controlMegabits, std::size_t entryCount, double entryMegabits)
+        : control(controlCount)
+        , entry(entryCount)
+    {
+        std::vector<std::uint32_t> ips;
+        for (std::size_t i = 0; i < controlCount; ++i)
+            ips.push_back(firstIp + static_cast<std::uint32_t>(i));
+        for (std::size_t i = 0; i < controlCount; ++i) {
+            control[i].server = std::make_unique<FleetPollServer>(control[i].registry, i + 1);
+            control[i].server->setReplicas(ips);
+            control[i].uplink.bytesPerSecond = bytesPerSecond(controlMegabits);
+        }
+        for (std::size_t i = 0; i < entryCount; ++i) {
+            entry[i].downlink.bytesPerSecond = bytesPerSecond(entryMegabits);
+            startEntry(i);
+        }
+    }
+
+    // Replaces the entry VM by one that knows nothing.
+    void startEntry(std::size_t i)
+    {
+        auto& vm = entry[i];
+        FleetPoller::Options options;
+        options.self = fmt::format("entry-{}", i);
+        options.isEntry = true;
+        vm.version = 0;
+        vm.document.clear();
+        auto send = [this, i](std::uint32_t ip, std::string poll, Milliseconds timeout, Done done) {
+            sendPoll(i, ip - firstIp, std::move(poll), timeout, std::move(done));
+            return true;
+        };
+        vm.poller = std::make_unique<FleetPoller>(clock, send, options, vm.registry, [](const auto& task) { task(); });
+        vm.poller->setEntryHooks([this, i](std::uint64_t version, const std::string& document, const auto&) { apply(i, version, document); }, [] { return std::vector<UpstreamInFlightLoad>(); });
+        std::vector<std::uint32_t> seeds;
+        for (std::size_t seed = 0; seed < std::min<std::size_t>(3, control.size()); ++seed)
+            seeds.push_back(firstIp + static_cast<std::uint32_t>(seed));
+        vm.poller->setSeeds(seeds);
+    }
+
+    // Commits a version: the leader, which is the first control VM, knows it now, the
+    // others after the next heartbeat.
+    void commit(std::uint64_t version, const std::string& document)
+    {
+        auto shared = std::make_shared<const std::string>(document);
+        committedAt[version] = clock.now();
+        for (std::size_t i = 0; i < control.size(); ++i)
+            schedule(i ? heartbeatInterval : Milliseconds(0), [this, i, version, shared] {
+                control[i].server->setRoutes(version, shared);
+                control[i].server->answerPendingPolls(clock.now());
+            });
+    }
+
+    void run(Milliseconds duration)
+    {
+        for (const auto end = clock.now() + duration; clock.now() < end;) {
+            clock.advance(Milliseconds(1));
+            while (!events_.empty() && events_.begin()->first <= clock.now()) {
+                auto event = std::move(events_.begin()->second);
+                events_.erase(events_.begin());
+                event();
+            }
+            tick();
+        }
+    }
+
+    // Returns the longest time from the commit of a version until it, or a higher one, was
+    // in force on an entry VM; the time so far if it is not yet.
+    Milliseconds slowestApplication() const
+    {
+        std::chrono::nanoseconds slowest {};
+        for (const auto& [version, committed] : committedAt) {
+            for (const auto& vm : entry) {
+                auto applied = vm.appliedAt.lower_bound(version);
+                slowest = std::max(slowest, (applied == vm.appliedAt.end() ? clock.now() : applied->second) - committed);
+            }
+        }
+        return std::chrono::duration_cast<Milliseconds>(slowest);
+    }
+
+    // Returns the longest time that a message waited for a control VM's link.
+    Milliseconds longestWait() const
+    {
+        std::chrono::nanoseconds longest {};
+        for (const auto& vm : control)
+            longest = std::max(longest, vm.longestWait);
+        return std::chrono::duration_cast<Milliseconds>(longest);
+    }
+
+    base::VirtualClock clock;
+    std::vector<ControlVm> control;
+    std::vector<EntryVm> entry;
+    std::map<std::uint64_t, base::TimePoint> committedAt;
+    std::uint64_t sentBytes = 0;
+
+private:
+    using Done = std::function<void(base::Result<std::string>)>;
+
+    static constexpr Milliseconds heartbeatInterval { 100 };
+    static constexpr Milliseconds controlTickInterval { 100 };
+    static constexpr Milliseconds entryTickInterval { 200 };
+    static constexpr Milliseconds networkDelay { 1 };
+
+    static double bytesPerSecond(double megabits) { return megabits * 1e6 / 8; }
+
+    void schedule(std::chrono::nanoseconds delay, std::function<void()> event) { events_.emplace(clock.now() + delay, std::move(event)); }
+
+    // Returns how long the bytes take from now on.
+    std::chrono::nanoseconds occupy(Link& link, std::size_t bytes, base::TimePoint from) const
+    {
+        auto start = std::max(from, link.busyUntil);
+        link.busyUntil = start + std::chrono::nanoseconds(static_cast<std::int64_t>(1e9 * static_cast<double>(bytes) / link.bytesPerSecond));
+        return link.busyUntil - clock.now();
+    }
+
+    void sendPoll(std::size_t from, std::size_t to, std::string poll, Milliseconds timeout, Done done)
+    {
+        auto pending = std::make_shared<Done>(std::move(done));
+        schedule(timeout, [pending] {
+            if (auto callback = std::exchange(*pending, nullptr))
+                callback(base::makeError(base::ErrorKind::RequestTimeout, "no answer before the deadline"));
+        });
+        auto reply = [this, from, to, pending](std::string answer) { sendAnswer(from, to, std::move(answer), pending); };
+        schedule(networkDelay, [this, to, reply, poll = std::move(poll)] {
+            if (control[to].isReachable)
+                control[to].server->poll(decode<FleetPoll>(poll).value(), reply, clock.now());
+        });
+    }
+
+    void sendAnswer(std::size_t to, std::size_t from, std::string answer, const std::shared_ptr<Done>& pending)
+    {
+        auto& vm = control[from];
+        sentBytes += answer.size();
+        auto sent = occupy(vm.uplink, answer.size(), clock.now());
+        vm.longestWait = std::max(vm.longestWait, sent);
+        auto received = occupy(entry[to].downlink, answer.size(), clock.now() + sent);
+        schedule(received + networkDelay, [pending, answer = std::move(answer)] {
+            if (auto callback = std::exchange(*pending, nullptr))
+                callback(answer);
+        });
+    }
+
+    void apply(std::size_t i, std::uint64_t version, const std::string& document)
+    {
+        entry[i].version = version;
+        entry[i].document = document;
+        entry[i].appliedAt.try_emplace(version, clock.now());
+        entry[i].poller->setRoutesVersion(version);
+    }
+
+    void tick()
+    {
+        auto elapsed = clock.now().time_since_epoch();
+        if (elapsed % controlTickInterval == std::chrono::nanoseconds(0)) {
+            for (auto& vm : control)
+                vm.server->answerPendingPolls(clock.now());
+        }
+        if (elapsed % entryTickInterval == std::chrono::nanoseconds(0)) {
+            for (auto& vm : entry)
+                vm.poller->tick();
+        }
+    }
+
+    std::multimap<base::TimePoint, std::function<void()>> events_;
+};
+
+// Returns a configuration document whose routes have random names.
+inline std::string makeDocument(std::uint64_t version, std::size_t routeCount)
+{
+    base::Random random(5);
+    auto name = [&random] {
+        std::string text;
+        for (int i = 0; i < 7; ++i)
+            text.push_back("abcdefghijklmnopqrstuvwxyz0123456789"[random.below(36)]);
+        return text;
+    };
+    std::string document = fmt::format(R"({{"version":{},"routes":[)", version);
+    for (std::size_t i = 0; i < routeCount; ++i) {
+        // Each version changes the timeout of one route.
+        auto timeout = i == version % routeCount ? 20000 + version : 20000;
+        document += fmt::format(R"({{"name":"r-{}","host":"{}.example","path_prefix":"/{}/","route_type":"streaming","timeout_ms":{},"target_latency_ms":500,"priority":1,"service":"{}","max_attempts":2,"public":false}},)", name(), name(), name(), timeout, i % 5 ? "alpha" : "beta");
+    }
+    document.back() = ']';
+    return document + "}";
+}
+
+} // namespace arbutus::fleet
