Send route configurations relative to the held version and at a limited rate

Cause: each new version went whole to every entry VM, 61 times 332 kB, which takes 0.95 s of a control VM's link, and all copies shared the link, so that each arrived late. After 250 ms an entry VM asked all other control VMs for it too, and it gave a poll up after 1.2 s and asked again: 4,069 documents were sent for 666 adoptions. Class of fault: whole state to many receivers on a link that carries heartbeats, with retries that multiply the load when it is slow.

Change: a configuration is compressed relative to the version that the entry VM holds (73 bytes instead of 332 kB for one changed route, 25 to 29 kB from 240 routes or from nothing); a control VM spends at most 0.3 of its link on configurations; an entry VM asks one other control VM at a time, not all. An entry VM that cannot decode one asks for it whole.

ConfigurationSpreadTest failed before: a message waited 952 to 954 ms for a control VM's link, 440 ms are allowed.

--- a/include/fleet/FleetMessages.h
+++ b/include/fleet/FleetMessages.h
@@ -27,10 +27,13 @@
     std::uint64_t routesVersion = 0;
     // Whether the answer should contain a newer route configuration.
     bool wantsRoutes = false;
+    // The version that a configuration in the answer may be relative to; 0 asks for a
+    // whole one.
+    std::uint64_t routesBase = 0;
     // How long the receiver may delay its answer while there are no changes.
     std::uint32_t maxWaitMilliseconds = 0;
     std::vector<UpstreamInFlightLoad> load;
-    MSGPACK_DEFINE(sender, isEntry, epoch, revision, routesVersion, wantsRoutes, maxWaitMilliseconds, load)
+    MSGPACK_DEFINE(sender, isEntry, epoch, revision, routesVersion, wantsRoutes, routesBase, maxWaitMilliseconds, load)
 };
 
 // The answer to a FleetPoll.
@@ -42,15 +45,18 @@
     // The version of the newest committed route configuration known to the answering VM, or
     // 0.
     std::uint64_t routesVersion = 0;
-    // Empty unless requested and newer than the poll's version.
-    std::string routesDocument;
+    // The compressed configuration of that version, relative to `routesBase`. Empty unless
+    // requested and newer than the poll's version; it may follow in a later answer.
+    std::string packedRoutes;
+    // 0 if the configuration is whole.
+    std::uint64_t routesBase = 0;
     // The IP addresses of the VMs that hold a replica of the state.
     std::vector<std::uint32_t> replicas;
     // The number of entry VMs that have polled recently.
     std::uint32_t entryVmCount = 0;
     // The load summed over all entry VMs except the one that polls.
     std::vector<UpstreamInFlightLoad> peerLoad;
-    MSGPACK_DEFINE(epoch, revision, upstreams, routesVersion, routesDocument, replicas, entryVmCount, peerLoad)
+    MSGPACK_DEFINE(epoch, revision, upstreams, routesVersion, packedRoutes, routesBase, replicas, entryVmCount, peerLoad)
 };
 
 // Asks the leader to add the sender as a replica.
--- a/include/fleet/FleetPollServer.h
+++ b/include/fleet/FleetPollServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "include/fleet/FleetMessages.h"
+#include "include/fleet/RoutesPublisher.h"
 #include "include/fleet/UpstreamRegistry.h"
 
 #include <functional>
@@ -27,14 +28,15 @@
     };
 
     // `epoch` must differ at every start of the process. `registry` must outlive this
-    // object.
-    FleetPollServer(const UpstreamRegistry& registry, std::uint64_t epoch)
+    // object. Route configurations take at most `routesBytesPerSecond`.
+    FleetPollServer(const UpstreamRegistry& registry, std::uint64_t epoch, double routesBytesPerSecond)
         : registry_(registry)
         , epoch_(epoch)
+        , routesPublisher_(routesBytesPerSecond)
     {
     }
 
-    void setRoutes(std::uint64_t version, std::shared_ptr<const std::string> document);
+    void setRoutes(std::uint64_t version, std::shared_ptr<const std::string> document) { routesPublisher_.setRoutes(version, std::move(document)); }
     void setReplicas(std::vector<std::uint32_t> ips) { replicas_ = std::move(ips); }
 
     // Calls the reply now, or keeps it until answerPendingPolls() calls it.
@@ -61,15 +63,15 @@
         std::vector<UpstreamInFlightLoad> load;
     };
 
-    bool hasUpdates(const FleetPoll&) const;
+    bool hasUpdates(const FleetPoll&, base::TimePoint now) const;
+    bool shouldSendRoutes(const FleetPoll&, base::TimePoint now) const;
     void sendAnswer(const FleetPoll&, const Reply&, base::TimePoint now);
-    FleetAnswer answer(const FleetPoll&, base::TimePoint now) const;
+    FleetAnswer answer(const FleetPoll&, base::TimePoint now);
     std::map<std::string, UpstreamInFlightLoad> loadExcluding(const std::string& sender, base::TimePoint now) const;
 
     const UpstreamRegistry& registry_;
     const std::uint64_t epoch_;
-    std::uint64_t routesVersion_ = 0;
-    std::shared_ptr<const std::string> routes_;
+    RoutesPublisher routesPublisher_;
     std::vector<std::uint32_t> replicas_;
     std::list<PendingPoll> pendingPolls_;
     std::map<std::string, EntryVm> entryVms_;
--- a/include/fleet/FleetPoller.h
+++ b/include/fleet/FleetPoller.h
@@ -32,13 +32,14 @@
     struct RoutesDelivery {
         // Since a control VM first announced a version above the one in force.
         std::chrono::milliseconds delay {};
-        // Documents received since the last version was adopted, repeated and older ones
-        // included.
+        // Compressed configurations received since the last version was adopted, repeated
+        // and older ones included.
         std::uint64_t documents = 0;
         std::uint64_t documentBytes = 0;
         std::uint64_t failedPolls = 0;
     };
-    using RoutesHandler = std::function<void(std::uint64_t version, const std::string& document, const RoutesDelivery&)>;
+    // Returns whether the configuration is now in force on this VM.
+    using RoutesHandler = std::function<bool(std::uint64_t version, const std::string& document, const RoutesDelivery&)>;
     using LoadProvider = std::function<std::vector<UpstreamInFlightLoad>()>;
 
     FleetPoller(const base::Clock&, SendPoll, Options, UpstreamRegistry&, Post);
@@ -49,8 +50,6 @@
     void setEntryHooks(RoutesHandler, LoadProvider);
     // Sets the initial control VMs. Control VMs listed in answers are polled as well.
     void setSeeds(const std::vector<std::uint32_t>& ips);
-    // Sets the route version in force on this VM. Only newer versions are fetched.
-    void setRoutesVersion(std::uint64_t version) { routesVersion_ = version; }
     // Starts the polls that are due. Must be called several times a second.
     void tick();
 
@@ -74,6 +73,8 @@
         std::uint64_t routesVersion = 0;
         // When this peer first announced a route version above the one in force.
         std::optional<base::TimePoint> newerRoutesSince;
+        // Whether the outstanding poll asks for a route configuration.
+        bool isFetchingRoutes = false;
         std::uint32_t entryVmCount = 0;
         // When an answer or the seeds last listed this peer.
         base::TimePoint lastListedAt;
@@ -87,6 +88,7 @@
     void handlePollResult(std::uint32_t ip, const base::Result<std::string>&);
     void merge(std::uint32_t ip, Peer&, FleetAnswer);
     void adoptRoutes(const FleetAnswer&);
+    bool isFetchingRoutesFromOther(std::uint32_t ip) const;
     void dropStalePeers();
 
     const base::Clock& clock_;
@@ -98,7 +100,11 @@
     LoadProvider loadProvider_;
     std::set<std::uint32_t> seeds_;
     std::map<std::uint32_t, Peer> peers_;
+    // The configuration in force on this VM. Newer versions are fetched relative to it.
     std::uint64_t routesVersion_ = 0;
+    std::string routesDocument_;
+    // A relative configuration could not be decoded.
+    bool needsWholeRoutes_ = false;
     RoutesDelivery delivery_;
     std::map<std::string, UpstreamInFlightLoad> peerLoad_;
     std::shared_ptr<bool> isAlive_ = std::make_shared<bool>(true);
--- a/src/fleet/FleetPollServer.cpp
+++ b/src/fleet/FleetPollServer.cpp
@@ -5,15 +5,15 @@
 // An entry VM polls at least twice within this time unless it is down or partitioned.
 static constexpr std::chrono::seconds entryVmTimeout(2);
 
-void FleetPollServer::setRoutes(std::uint64_t version, std::shared_ptr<const std::string> document)
+bool FleetPollServer::shouldSendRoutes(const FleetPoll& poll, base::TimePoint now) const
 {
-    routesVersion_ = version;
-    routes_ = std::move(document);
+    return poll.wantsRoutes && poll.routesVersion < routesPublisher_.version() && routesPublisher_.maySend(now);
 }
 
-bool FleetPollServer::hasUpdates(const FleetPoll& poll) const
+bool FleetPollServer::hasUpdates(const FleetPoll& poll, base::TimePoint now) const
 {
-    return poll.epoch != epoch_ || poll.revision < registry_.revision() || poll.routesVersion < routesVersion_;
+    bool hasNewRoutes = poll.wantsRoutes ? shouldSendRoutes(poll, now) : poll.routesVersion < routesPublisher_.version();
+    return poll.epoch != epoch_ || poll.revision < registry_.revision() || hasNewRoutes;
 }
 
 std::map<std::string, UpstreamInFlightLoad> FleetPollServer::loadExcluding(const std::string& sender, base::TimePoint now) const
@@ -40,15 +40,18 @@
     return count;
 }
 
-FleetAnswer FleetPollServer::answer(const FleetPoll& poll, base::TimePoint now) const
+FleetAnswer FleetPollServer::answer(const FleetPoll& poll, base::TimePoint now)
 {
     FleetAnswer result;
     result.epoch = epoch_;
     result.revision = registry_.revision();
     result.upstreams = registry_.changesSince(poll.epoch == epoch_ ? poll.revision : 0);
-    result.routesVersion = routesVersion_;
-    if (poll.wantsRoutes && poll.routesVersion < routesVersion_)
-        result.routesDocument = *routes_;
+    result.routesVersion = routesPublisher_.version();
+    if (shouldSendRoutes(poll, now)) {
+        auto packed = routesPublisher_.pack(poll.routesBase, now);
+        result.packedRoutes = *packed.bytes;
+        result.routesBase = packed.base;
+    }
     result.replicas = replicas_;
     result.entryVmCount = static_cast<std::uint32_t>(entryVmCount(now));
     if (poll.isEntry) {
@@ -64,8 +67,8 @@
     auto bytes = encode(content);
     ++sent_.answers;
     sent_.answerBytes += bytes.size();
-    sent_.routeDocuments += content.routesDocument.empty() ? 0 : 1;
-    sent_.routeDocumentBytes += content.routesDocument.size();
+    sent_.routeDocuments += content.packedRoutes.empty() ? 0 : 1;
+    sent_.routeDocumentBytes += content.packedRoutes.size();
     reply(std::move(bytes));
 }
 
@@ -73,7 +76,7 @@
 {
     if (poll.isEntry)
         entryVms_[poll.sender] = { now, poll.load };
-    if (hasUpdates(poll) || !poll.maxWaitMilliseconds) {
+    if (hasUpdates(poll, now) || !poll.maxWaitMilliseconds) {
         sendAnswer(poll, reply, now);
         return;
     }
@@ -84,7 +87,7 @@
 void FleetPollServer::answerPendingPolls(base::TimePoint now)
 {
     for (auto it = pendingPolls_.begin(); it != pendingPolls_.end();) {
-        if (now < it->deadline && !hasUpdates(it->poll)) {
+        if (now < it->deadline && !hasUpdates(it->poll, now)) {
             ++it;
             continue;
         }
--- a/src/fleet/FleetPoller.cpp
+++ b/src/fleet/FleetPoller.cpp
@@ -1,9 +1,14 @@
 #include "include/fleet/FleetPoller.h"
 
+#include "include/base/Compression.h"
+#include "include/base/Logger.h"
+
 #include <algorithm>
 
 namespace arbutus::fleet {
 
+static constexpr base::Logger logger("fleet");
+
 // Bounds the age of the reported load of other entry VMs. It is far below the time
 // within which a drain must take effect.
 static constexpr std::chrono::milliseconds maxPollWait(400);
@@ -12,9 +17,10 @@
 static constexpr std::chrono::milliseconds loadPollWait(120);
 static constexpr std::chrono::milliseconds answerTimeout(1200);
 static constexpr std::chrono::milliseconds retryDelay(200);
-// The preferred control VM sends new configurations. The others are asked only if none
-// has arrived after this delay.
+// The preferred control VM sends new configurations. Others are asked, one at a time,
+// only if none has arrived after this delay.
 static constexpr std::chrono::milliseconds routesFallbackDelay(250);
+static constexpr std::size_t maxRoutesDocumentBytes = std::size_t { 16 } << 20;
 // A control VM that no answer lists any more is removed after this time.
 static constexpr std::chrono::seconds listingLifetime(20);
 
@@ -68,7 +74,15 @@
 
 bool FleetPoller::shouldFetchRoutes(std::uint32_t ip, const Peer& peer) const
 {
-    return options_.isEntry && (isPreferred(ip) || (peer.newerRoutesSince && clock_.now() >= *peer.newerRoutesSince + routesFallbackDelay));
+    if (!options_.isEntry || isPreferred(ip))
+        return options_.isEntry;
+    bool isOverdue = peer.newerRoutesSince && clock_.now() >= *peer.newerRoutesSince + routesFallbackDelay;
+    return isOverdue && !isFetchingRoutesFromOther(ip);
+}
+
+bool FleetPoller::isFetchingRoutesFromOther(std::uint32_t ip) const
+{
+    return std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) { return entry.first != ip && entry.second.isFetchingRoutes && !isPreferred(entry.first); });
 }
 
 // The responsive control VM with the lowest address is preferred, or any if none has
@@ -95,6 +109,8 @@
     // Acknowledges an announced version that is not fetched from this peer. Otherwise
     // the peer would answer every poll at once.
     poll.routesVersion = poll.wantsRoutes ? routesVersion_ : std::max(routesVersion_, peer.routesVersion);
+    poll.routesBase = needsWholeRoutes_ ? 0 : routesVersion_;
+    peer.isFetchingRoutes = poll.wantsRoutes;
     auto maxWait = options_.isEntry && isPreferred(ip) ? loadPollWait : maxPollWait;
     poll.maxWaitMilliseconds = static_cast<std::uint32_t>((peer.newerRoutesSince ? std::min(maxWait, routesFallbackDelay) : maxWait).count());
     if (loadProvider_)
@@ -117,6 +133,7 @@
         return;
     auto& peer = found->second;
     peer.isPolling = false;
+    peer.isFetchingRoutes = false;
     auto decoded = answer ? decode<FleetAnswer>(answer.value()) : base::Result<FleetAnswer>(answer.error());
     if (!decoded) {
         ++delivery_.failedPolls;
@@ -142,7 +159,7 @@
         for (auto& load : answer.peerLoad)
             peerLoad_[load.upstream] = std::move(load);
     }
-    if (!answer.routesDocument.empty())
+    if (!answer.packedRoutes.empty())
         adoptRoutes(answer);
     if (answer.routesVersion > routesVersion_ && options_.isEntry) {
         if (!peer.newerRoutesSince)
@@ -157,14 +174,24 @@
 void FleetPoller::adoptRoutes(const FleetAnswer& answer)
 {
     ++delivery_.documents;
-    delivery_.documentBytes += answer.routesDocument.size();
-    if (answer.routesVersion <= routesVersion_ || !routesHandler_)
+    delivery_.documentBytes += answer.packedRoutes.size();
+    bool isRelativeToOther = answer.routesBase && answer.routesBase != routesVersion_;
+    if (answer.routesVersion <= routesVersion_ || isRelativeToOther || !routesHandler_)
+        return;
+    auto document = base::decompressDelta(answer.routesBase ? routesDocument_ : std::string(), answer.packedRoutes, maxRoutesDocumentBytes);
+    needsWholeRoutes_ = !document;
+    if (!document) {
+        logger.warning("Failed to decompress a configuration; a whole one is requested.", { { "version", answer.routesVersion }, { "base", answer.routesBase }, { "reason", document.error().detail } });
         return;
+    }
     auto announcedAt = clock_.now();
     for (const auto& [ip, peer] : peers_)
         announcedAt = std::min(announcedAt, peer.newerRoutesSince.value_or(announcedAt));
     delivery_.delay = std::chrono::duration_cast<std::chrono::milliseconds>(clock_.now() - announcedAt);
-    routesHandler_(answer.routesVersion, answer.routesDocument, std::exchange(delivery_, {}));
+    if (!routesHandler_(answer.routesVersion, document.value(), std::exchange(delivery_, {})))
+        return;
+    routesVersion_ = answer.routesVersion;
+    routesDocument_ = std::move(document).value();
 }
 
 bool FleetPoller::hasHeardFrom(std::uint32_t ip, base::TimePoint since) const
--- a/src/node/ControlNode.cpp
+++ b/src/node/ControlNode.cpp
@@ -37,6 +37,9 @@
 static constexpr std::chrono::milliseconds enginePollInterval(1000);
 static constexpr std::chrono::milliseconds enginePollTimeout(600);
 static constexpr std::size_t frameWorkerCount = 1;
+static constexpr double bytesPerMegabit = 125'000;
+// The rest of the link is left to the replicas' messages and to other answers.
+static constexpr double maxRoutesLinkShare = 0.3;
 static constexpr std::size_t timelineCapacity = 256;
 // Control VMs have little disk and memory, and route configurations are large.
 static constexpr std::uint64_t snapshotIntervalEntries = 256;
@@ -59,13 +62,18 @@
     return result;
 }
 
+static double routesBytesPerSecond(const ControlOptions& options)
+{
+    return options.linkMegabitsPerSecond * bytesPerMegabit * maxRoutesLinkShare;
+}
+
 ControlNode::ControlNode(boost::asio::io_context& context, const PlatformCodec& codec, ControlOptions options)
     : context_(context)
     , codec_(codec)
     , options_(std::move(options))
     , timeline_(clock_, options_.name, timelineCapacity)
     , links_(linkOptions(options_))
-    , fleetPollServer_(registry_, options_.seed | 1)
+    , fleetPollServer_(registry_, options_.seed | 1, routesBytesPerSecond(options_))
     , fleetPoller_(
           clock_, [this](auto&&... request) { return links_.sendPoll(std::forward<decltype(request)>(request)...); }, pollerOptions(options_), registry_, [this](std::function<void()> task) { boost::asio::post(context_, std::move(task)); })
     , timer_(context, tickInterval, [this] { tick(); })
--- a/src/node/ControlNode.h
+++ b/src/node/ControlNode.h
@@ -65,6 +65,7 @@
     std::size_t targetVoters = 3;
     // Interval at which each upstream sends heartbeats.
     std::chrono::milliseconds heartbeatInterval { 1200 };
+    double linkMegabitsPerSecond = 100;
     std::uint64_t seed = 1;
 };
 
--- a/src/node/EntryNode.cpp
+++ b/src/node/EntryNode.cpp
@@ -68,7 +68,7 @@
 
 base::Result<void> EntryNode::start()
 {
-    fleetPoller_.setEntryHooks([this](std::uint64_t version, const std::string& document, const auto& delivery) { applyRoutes(version, document, delivery); }, [this] { return proxy_.ownLoad(); });
+    fleetPoller_.setEntryHooks([this](std::uint64_t version, const std::string& document, const auto& delivery) { return applyRoutes(version, document, delivery); }, [this] { return proxy_.ownLoad(); });
     fleetPoller_.setSeeds(options_.seeds);
     BOOST_OUTCOME_TRY(callerServer, http1::Server::Make(context_, tcpEndpoint(options_.callerEndpoint), proxy_));
     callerServer_ = std::move(callerServer);
@@ -79,16 +79,16 @@
     return base::outcome::success();
 }
 
-void EntryNode::applyRoutes(std::uint64_t version, const std::string& document, const fleet::FleetPoller::RoutesDelivery& delivery)
+bool EntryNode::applyRoutes(std::uint64_t version, const std::string& document, const fleet::FleetPoller::RoutesDelivery& delivery)
 {
     auto decoded = decodeRoutes_(document);
     if (!decoded) {
         logger.error("Failed to decode a committed configuration.", { { "version", version }, { "reason", decoded.error().detail } });
-        return;
+        return false;
     }
-    fleetPoller_.setRoutesVersion(version);
     proxy_.setRoutes(routes::RouteTable::Make(std::move(decoded).value()));
     logger.info("Applied a configuration.", { { "version", version }, { "bytes", document.size() }, { "delay_ms", delivery.delay.count() }, { "documents", delivery.documents }, { "document_bytes", delivery.documentBytes }, { "failed_polls", delivery.failedPolls } });
+    return true;
 }
 
 bool EntryNode::isReady() const { return !stoppingSince_ && proxy_.routes(); }
--- a/src/node/EntryNode.h
+++ b/src/node/EntryNode.h
@@ -48,7 +48,7 @@
     class ReadinessHandler;
 
     void tick();
-    void applyRoutes(std::uint64_t version, const std::string& document, const fleet::FleetPoller::RoutesDelivery&);
+    bool applyRoutes(std::uint64_t version, const std::string& document, const fleet::FleetPoller::RoutesDelivery&);
     bool isReady() const;
     void tryFinishStopping(base::TimePoint now);
 
--- a/tests/BaseTest.cpp
+++ b/tests/BaseTest.cpp
@@ -1,3 +1,4 @@
+#include "include/base/Compression.h"
 #include "include/base/Digest.h"
 #include "include/base/Error.h"
 #include "include/base/Settings.h"
@@ -59,3 +60,21 @@
 {
     BOOST_TEST(toHex(hmacSha256("Jefe", "what do ya want for nothing?")) == "5bdcc146bf60754e6a042426089575c75a003f089d2739839dec58b964ec3843");
 }
+
+BOOST_AUTO_TEST_CASE(DamagedOrForeignDeltaIsRejected)
+{
+    std::string reference(10000, 'a');
+    for (std::size_t i = 0; i < reference.size(); ++i)
+        reference[i] = static_cast<char>('a' + i * i % 23);
+    std::string bytes = reference + "more";
+    std::string delta = compressDelta(reference, bytes);
+    BOOST_TEST(isCompressed(delta));
+    BOOST_TEST(delta.size() < 100U);
+    BOOST_TEST((decompressDelta(reference, delta, bytes.size()).value() == bytes));
+    BOOST_TEST(!decompressDelta(reference, delta, bytes.size() - 1));
+    BOOST_TEST(!decompressDelta("another", delta, bytes.size()));
+    BOOST_TEST(!decompressDelta(bytes, delta, bytes.size()));
+    BOOST_TEST(!decompressDelta(reference, delta.substr(0, delta.size() - 1), bytes.size()));
+    BOOST_TEST(!decompressDelta({}, "{\"version\":1}", 100));
+    BOOST_TEST(decompressDelta({}, compressDelta({}, {}), 0).value().empty());
+}
--- a/tests/ConfigurationSpreadTest.cpp
+++ b/tests/ConfigurationSpreadTest.cpp
@@ -1,12 +1,13 @@
 #include "include/consensus/ReplicaCore.h"
 #include "tests/FleetNetwork.h"
+#include "tests/RouteDocument.h"
 
 #include <boost/test/unit_test.hpp>
 
 using namespace arbutus;
 using fleet::FleetNetwork;
-using fleet::makeDocument;
 using fleet::Milliseconds;
+using routes::makeDocument;
 
 static constexpr std::size_t manyRoutes = 1640;
 // The shortest time within which a confirmed configuration must be in force.
@@ -86,3 +87,29 @@
     checkAllHave(*fleet, makeDocument(2, manyRoutes));
     BOOST_TEST(fleet->longestWait().count() < heartbeatWaitBound().count());
 }
+
+BOOST_AUTO_TEST_CASE(IncompressibleConfigurationDoesNotHoldUpHeartbeats)
+{
+    auto fleet = makeFleet();
+    base::Random random(9);
+    std::string document;
+    while (document.size() < (std::size_t { 1 } << 19))
+        document.push_back(static_cast<char>(random.below(256)));
+    fleet->commit(2, document);
+    fleet->run(Milliseconds(8000));
+    checkAllHave(*fleet, document);
+    BOOST_TEST(fleet->longestWait().count() < heartbeatWaitBound().count());
+}
+
+BOOST_AUTO_TEST_CASE(ConfigurationRelativeToOtherContentIsRequestedWhole)
+{
+    auto fleet = makeFleet();
+    auto other = std::make_shared<const std::string>(makeDocument(1, 300));
+    for (std::size_t i = 0; i < fleet->control.size(); ++i) {
+        fleet->startControl(i);
+        fleet->control[i].server->setRoutes(1, other);
+    }
+    fleet->commit(2, makeDocument(2, 300));
+    fleet->run(Milliseconds(4000));
+    checkAllHave(*fleet, makeDocument(2, 300));
+}
--- a/tests/FleetNetwork.h
+++ b/tests/FleetNetwork.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "include/base/Random.h"
 #include "include/fleet/FleetPollServer.h"
 #include "include/fleet/FleetPoller.h"
 
@@ -49,13 +48,9 @@
         : control(controlCount)
         , entry(entryCount)
     {
-        std::vector<std::uint32_t> ips;
-        for (std::size_t i = 0; i < controlCount; ++i)
-            ips.push_back(firstIp + static_cast<std::uint32_t>(i));
         for (std::size_t i = 0; i < controlCount; ++i) {
-            control[i].server = std::make_unique<FleetPollServer>(control[i].registry, i + 1);
-            control[i].server->setReplicas(ips);
             control[i].uplink.bytesPerSecond = bytesPerSecond(controlMegabits);
+            startControl(i);
         }
         for (std::size_t i = 0; i < entryCount; ++i) {
             entry[i].downlink.bytesPerSecond = bytesPerSecond(entryMegabits);
@@ -63,6 +58,17 @@
         }
     }
 
+    // Replaces the control VM's server by one that has no configuration.
+    void startControl(std::size_t i)
+    {
+        auto& vm = control[i];
+        std::vector<std::uint32_t> ips;
+        for (std::size_t peer = 0; peer < control.size(); ++peer)
+            ips.push_back(firstIp + static_cast<std::uint32_t>(peer));
+        vm.server = std::make_unique<FleetPollServer>(vm.registry, ++lastEpoch_, routesLinkShare * vm.uplink.bytesPerSecond);
+        vm.server->setReplicas(ips);
+    }
+
     // Replaces the entry VM by one that knows nothing.
     void startEntry(std::size_t i)
     {
@@ -77,7 +83,7 @@
             return true;
         };
         vm.poller = std::make_unique<FleetPoller>(clock, send, options, vm.registry, [](const auto& task) { task(); });
-        vm.poller->setEntryHooks([this, i](std::uint64_t version, const std::string& document, const auto&) { apply(i, version, document); }, [] { return std::vector<UpstreamInFlightLoad>(); });
+        vm.poller->setEntryHooks([this, i](std::uint64_t version, const std::string& document, const auto&) { return apply(i, version, document); }, [] { return std::vector<UpstreamInFlightLoad>(); });
         std::vector<std::uint32_t> seeds;
         for (std::size_t seed = 0; seed < std::min<std::size_t>(3, control.size()); ++seed)
             seeds.push_back(firstIp + static_cast<std::uint32_t>(seed));
@@ -142,6 +148,7 @@
 private:
     using Done = std::function<void(base::Result<std::string>)>;
 
+    static constexpr double routesLinkShare = 0.3;
     static constexpr Milliseconds heartbeatInterval { 100 };
     static constexpr Milliseconds controlTickInterval { 100 };
     static constexpr Milliseconds entryTickInterval { 200 };
@@ -186,12 +193,12 @@
         });
     }
 
-    void apply(std::size_t i, std::uint64_t version, const std::string& document)
+    bool apply(std::size_t i, std::uint64_t version, const std::string& document)
     {
         entry[i].version = version;
         entry[i].document = document;
         entry[i].appliedAt.try_emplace(version, clock.now());
-        entry[i].poller->setRoutesVersion(version);
+        return true;
     }
 
     void tick()
@@ -207,27 +214,8 @@
         }
     }
 
+    std::uint64_t lastEpoch_ = 0;
     std::multimap<base::TimePoint, std::function<void()>> events_;
 };
 
-// Returns a configuration document whose routes have random names.
-inline std::string makeDocument(std::uint64_t version, std::size_t routeCount)
-{
-    base::Random random(5);
-    auto name = [&random] {
-        std::string text;
-        for (int i = 0; i < 7; ++i)
-            text.push_back("abcdefghijklmnopqrstuvwxyz0123456789"[random.below(36)]);
-        return text;
-    };
-    std::string document = fmt::format(R"({{"version":{},"routes":[)", version);
-    for (std::size_t i = 0; i < routeCount; ++i) {
-        // Each version changes the timeout of one route.
-        auto timeout = i == version % routeCount ? 20000 + version : 20000;
-        document += fmt::format(R"({{"name":"r-{}","host":"{}.example","path_prefix":"/{}/","route_type":"streaming","timeout_ms":{},"target_latency_ms":500,"priority":1,"service":"{}","max_attempts":2,"public":false}},)", name(), name(), name(), timeout, i % 5 ? "alpha" : "beta");
-    }
-    document.back() = ']';
-    return document + "}";
-}
-
 } // namespace arbutus::fleet
--- a/tests/UpstreamRegistryTest.cpp
+++ b/tests/UpstreamRegistryTest.cpp
@@ -1,5 +1,6 @@
 #include "include/fleet/UpstreamRegistry.h"
 #include "include/base/Clock.h"
+#include "include/base/Compression.h"
 #include "include/fleet/FleetPollServer.h"
 #include "include/fleet/HeartbeatMonitor.h"
 
@@ -213,7 +214,7 @@
 {
     base::VirtualClock clock;
     UpstreamRegistry registry;
-    FleetPollServer pollServer(registry, 77);
+    FleetPollServer pollServer(registry, 77, 1e6);
     std::vector<FleetAnswer> answers;
     auto reply = [&answers](const std::string& bytes) { answers.push_back(decode<FleetAnswer>(bytes).value()); };
     FleetPoll poll;
@@ -238,7 +239,7 @@
     pollServer.setRoutes(4, std::make_shared<const std::string>("document"));
     pollServer.answerPendingPolls(clock.now());
     BOOST_REQUIRE(answers.size() == 3);
-    BOOST_TEST(answers[2].routesDocument == "document");
+    BOOST_TEST(base::decompressDelta({}, answers[2].packedRoutes, 100).value() == "document");
 
     // The peer load excludes the load of the sender.
     BOOST_TEST(answers[2].peerLoad.empty());
--- a/tools/install.sh
+++ b/tools/install.sh
@@ -5,7 +5,7 @@
 packages=(
     g++ cmake ninja-build ccache clang-format clang-tidy curl jq
     libboost-test-dev libcpprest-dev libcsv-dev libfmt-dev libjsonrpccpp-dev
-    libmsgpack-cxx-dev libpopt-dev libssl-dev libxxhash-dev prometheus-cpp-dev rapidjson-dev
+    libmsgpack-cxx-dev libpopt-dev libssl-dev libxxhash-dev libzstd-dev prometheus-cpp-dev rapidjson-dev
 )
 missing=()
 for package in "${packages[@]}"; do
