Do not abort a started stream because engines refuse to resume it

Cause: the limit of sends, four with two attempts, counted refusals that certainly had not run. A new request is refused as not run at that point; a started stream was aborted instead.

Change: for a started stream only attempts that may have run are limited.

Evidence: ForwardingTest/RepeatedRefusalsDoNotAbortResumedStream failed before (the stream ended after four sends).

--- a/src/forwarding/Exchange.cpp
+++ b/src/forwarding/Exchange.cpp
@@ -447,7 +447,9 @@
     bool isCertainlyNotRun = outcome == AttemptOutcome::NotSent || outcome == AttemptOutcome::NotRun;
     if (!caller_ || (!isCertainlyNotRun && !isRepeatable()))
         return false;
-    if (runCount_ >= route_->maxAttempts || sendCount_ >= route_->maxAttempts + maxExtraSends)
+    // A stream that has started cannot be refused any more, so refusals do not end it.
+    bool isSendLimited = !isCertainlyNotRun || relayMode_ == RelayMode::None;
+    if (runCount_ >= route_->maxAttempts || (isSendLimited && sendCount_ >= route_->maxAttempts + maxExtraSends))
         return false;
     return std::chrono::steady_clock::now() < deadline_;
 }
--- a/tests/ForwardingTest.cpp
+++ b/tests/ForwardingTest.cpp
@@ -309,6 +309,18 @@
     BOOST_TEST(fixture.requests.size() == 3U);
 }
 
+BOOST_AUTO_TEST_CASE(RepeatedRefusalsDoNotAbortResumedStream)
+{
+    Fixture fixture(routes::RequestKind::Streaming, false);
+    fixture.configuration.services.front().model = smallModel();
+    fixture.configure();
+    fixture.script = truncateThenRefuse(3);
+    auto received = fixture.sendRequest("r1", "0\r\n\r\n");
+    BOOST_TEST(contains(received, "id: 2"));
+    BOOST_TEST(contains(received, "0\r\n\r\n"));
+    BOOST_TEST(fixture.requests.size() == 5U);
+}
+
 // Guards against aborting a stream because the retry budget of the current window is
 // used up, although its caller waits longer than that.
 BOOST_AUTO_TEST_CASE(ResumedStreamWaitsForRetryBudget)
