Sum the load of the entry VMs once, and send it only where it is used

Cause: each answer to a poll summed the load of all 61 entry VMs by upstream, up to 500 times a second on the preferred control VM. The other control VMs did and sent the same, although an entry VM uses only the answer of the preferred one.

Change: PeerLoadTable keeps the sum up to date when a report arrives; a poll says whether it wants the load.

--- a/include/fleet/FleetMessages.h
+++ b/include/fleet/FleetMessages.h
@@ -30,10 +30,12 @@
     // The version that a configuration in the answer may be relative to; 0 asks for a
     // whole one.
     std::uint64_t routesBase = 0;
+    // Whether the answer should contain the load of the other entry VMs.
+    bool wantsPeerLoad = false;
     // How long the receiver may delay its answer while there are no changes.
     std::uint32_t maxWaitMilliseconds = 0;
     std::vector<UpstreamInFlightLoad> load;
-    MSGPACK_DEFINE(sender, isEntry, epoch, revision, routesVersion, wantsRoutes, routesBase, maxWaitMilliseconds, load)
+    MSGPACK_DEFINE(sender, isEntry, epoch, revision, routesVersion, wantsRoutes, routesBase, wantsPeerLoad, maxWaitMilliseconds, load)
 };
 
 // The answer to a FleetPoll.
@@ -54,7 +56,7 @@
     std::vector<std::uint32_t> replicas;
     // The number of entry VMs that have polled recently.
     std::uint32_t entryVmCount = 0;
-    // The load summed over all entry VMs except the one that polls.
+    // The load summed over all entry VMs except the one that polls, if requested.
     std::vector<UpstreamInFlightLoad> peerLoad;
     MSGPACK_DEFINE(epoch, revision, upstreams, routesVersion, packedRoutes, routesBase, replicas, entryVmCount, peerLoad)
 };
--- a/include/fleet/FleetPollServer.h
+++ b/include/fleet/FleetPollServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "include/fleet/FleetMessages.h"
+#include "include/fleet/PeerLoadTable.h"
 #include "include/fleet/RoutesPublisher.h"
 #include "include/fleet/UpstreamRegistry.h"
 
@@ -47,34 +48,23 @@
     // Returns what was sent since the last call.
     SentTotals takeSentTotals() { return std::exchange(sent_, {}); }
 
-    // Returns the number of entry VMs that have polled recently.
-    std::size_t entryVmCount(base::TimePoint now) const;
-    // Returns the in-flight load of all entry VMs by upstream.
-    std::map<std::string, UpstreamInFlightLoad> totalLoad(base::TimePoint now) const { return loadExcluding({}, now); }
-
 private:
     struct PendingPoll {
         FleetPoll poll;
         Reply reply;
         base::TimePoint deadline;
     };
-    struct EntryVm {
-        base::TimePoint lastHeardAt;
-        std::vector<UpstreamInFlightLoad> load;
-    };
-
     bool hasUpdates(const FleetPoll&, base::TimePoint now) const;
     bool shouldSendRoutes(const FleetPoll&, base::TimePoint now) const;
     void sendAnswer(const FleetPoll&, const Reply&, base::TimePoint now);
     FleetAnswer answer(const FleetPoll&, base::TimePoint now);
-    std::map<std::string, UpstreamInFlightLoad> loadExcluding(const std::string& sender, base::TimePoint now) const;
 
     const UpstreamRegistry& registry_;
     const std::uint64_t epoch_;
     RoutesPublisher routesPublisher_;
     std::vector<std::uint32_t> replicas_;
     std::list<PendingPoll> pendingPolls_;
-    std::map<std::string, EntryVm> entryVms_;
+    PeerLoadTable peerLoad_;
     SentTotals sent_;
 };
 
--- a/include/fleet/FleetPoller.h
+++ b/include/fleet/FleetPoller.h
@@ -75,6 +75,8 @@
         std::optional<base::TimePoint> newerRoutesSince;
         // Whether the outstanding poll asks for a route configuration.
         bool isFetchingRoutes = false;
+        // Whether the outstanding poll asks for the load of the other entry VMs.
+        bool isFetchingPeerLoad = false;
         std::uint32_t entryVmCount = 0;
         // When an answer or the seeds last listed this peer.
         base::TimePoint lastListedAt;
@@ -86,7 +88,7 @@
     bool isPreferred(std::uint32_t ip) const;
     bool shouldFetchRoutes(std::uint32_t ip, const Peer&) const;
     void handlePollResult(std::uint32_t ip, const base::Result<std::string>&);
-    void merge(std::uint32_t ip, Peer&, FleetAnswer);
+    void merge(Peer&, FleetAnswer);
     void adoptRoutes(const FleetAnswer&);
     bool isFetchingRoutesFromOther(std::uint32_t ip) const;
     void dropStalePeers();
--- a/src/fleet/FleetPollServer.cpp
+++ b/src/fleet/FleetPollServer.cpp
@@ -16,30 +16,6 @@
     return poll.epoch != epoch_ || poll.revision < registry_.revision() || hasNewRoutes;
 }
 
-std::map<std::string, UpstreamInFlightLoad> FleetPollServer::loadExcluding(const std::string& sender, base::TimePoint now) const
-{
-    std::map<std::string, UpstreamInFlightLoad> sums;
-    for (const auto& [name, entryVm] : entryVms_) {
-        if (name == sender || now > entryVm.lastHeardAt + entryVmTimeout)
-            continue;
-        for (const auto& load : entryVm.load) {
-            auto& sum = sums[load.upstream];
-            sum.upstream = load.upstream;
-            sum.running += load.running;
-            sum.cacheTokenLayers += load.cacheTokenLayers;
-        }
-    }
-    return sums;
-}
-
-std::size_t FleetPollServer::entryVmCount(base::TimePoint now) const
-{
-    std::size_t count = 0;
-    for (const auto& [name, entryVm] : entryVms_)
-        count += now <= entryVm.lastHeardAt + entryVmTimeout ? 1 : 0;
-    return count;
-}
-
 FleetAnswer FleetPollServer::answer(const FleetPoll& poll, base::TimePoint now)
 {
     FleetAnswer result;
@@ -53,11 +29,9 @@
         result.routesBase = packed.base;
     }
     result.replicas = replicas_;
-    result.entryVmCount = static_cast<std::uint32_t>(entryVmCount(now));
-    if (poll.isEntry) {
-        for (auto& [upstream, load] : loadExcluding(poll.sender, now))
-            result.peerLoad.push_back(load);
-    }
+    result.entryVmCount = static_cast<std::uint32_t>(peerLoad_.entryVmCount());
+    if (poll.wantsPeerLoad)
+        result.peerLoad = peerLoad_.loadExcluding(poll.sender);
     return result;
 }
 
@@ -75,7 +49,7 @@
 void FleetPollServer::poll(FleetPoll poll, Reply reply, base::TimePoint now)
 {
     if (poll.isEntry)
-        entryVms_[poll.sender] = { now, poll.load };
+        peerLoad_.record(poll.sender, poll.load, now);
     if (hasUpdates(poll, now) || !poll.maxWaitMilliseconds) {
         sendAnswer(poll, reply, now);
         return;
@@ -94,8 +68,7 @@
         sendAnswer(it->poll, it->reply, now);
         it = pendingPolls_.erase(it);
     }
-    for (auto it = entryVms_.begin(); it != entryVms_.end();)
-        it = now > it->second.lastHeardAt + 5 * entryVmTimeout ? entryVms_.erase(it) : std::next(it);
+    peerLoad_.expire(now - entryVmTimeout);
 }
 
 } // namespace arbutus::fleet
--- a/src/fleet/FleetPoller.cpp
+++ b/src/fleet/FleetPoller.cpp
@@ -111,7 +111,8 @@
     poll.routesVersion = poll.wantsRoutes ? routesVersion_ : std::max(routesVersion_, peer.routesVersion);
     poll.routesBase = needsWholeRoutes_ ? 0 : routesVersion_;
     peer.isFetchingRoutes = poll.wantsRoutes;
-    auto maxWait = options_.isEntry && isPreferred(ip) ? loadPollWait : maxPollWait;
+    poll.wantsPeerLoad = peer.isFetchingPeerLoad = options_.isEntry && isPreferred(ip);
+    auto maxWait = poll.wantsPeerLoad ? loadPollWait : maxPollWait;
     poll.maxWaitMilliseconds = static_cast<std::uint32_t>((peer.newerRoutesSince ? std::min(maxWait, routesFallbackDelay) : maxWait).count());
     if (loadProvider_)
         poll.load = loadProvider_();
@@ -141,12 +142,12 @@
         return;
     }
     peer.lastHeardAt = clock_.now();
-    merge(ip, peer, std::move(decoded).value());
+    merge(peer, std::move(decoded).value());
     if (auto current = peers_.find(ip); current != peers_.end() && !current->second.isPolling)
         poll(ip, current->second);
 }
 
-void FleetPoller::merge(std::uint32_t ip, Peer& peer, FleetAnswer answer)
+void FleetPoller::merge(Peer& peer, FleetAnswer answer)
 {
     peer.epoch = answer.epoch;
     peer.revision = answer.revision;
@@ -154,7 +155,7 @@
     peer.routesVersion = answer.routesVersion;
     for (const auto& record : answer.upstreams)
         registry_.apply(record, clock_.now());
-    if (options_.isEntry && isPreferred(ip)) {
+    if (peer.isFetchingPeerLoad) {
         peerLoad_.clear();
         for (auto& load : answer.peerLoad)
             peerLoad_[load.upstream] = std::move(load);
--- a/tests/UpstreamRegistryTest.cpp
+++ b/tests/UpstreamRegistryTest.cpp
@@ -1,6 +1,7 @@
 #include "include/fleet/UpstreamRegistry.h"
 #include "include/base/Clock.h"
 #include "include/base/Compression.h"
+#include "include/base/Random.h"
 #include "include/fleet/FleetPollServer.h"
 #include "include/fleet/HeartbeatMonitor.h"
 
@@ -220,6 +221,7 @@
     FleetPoll poll;
     poll.sender = "entry-1";
     poll.isEntry = true;
+    poll.wantsPeerLoad = true;
     poll.maxWaitMilliseconds = 400;
     poll.load = { { "a", 3, 100 } };
     pollServer.poll(poll, reply, clock.now());
@@ -246,8 +248,43 @@
     FleetPoll other;
     other.sender = "entry-2";
     other.isEntry = true;
+    other.wantsPeerLoad = true;
     pollServer.poll(other, reply, clock.now());
     BOOST_REQUIRE(answers.back().peerLoad.size() == 1);
     BOOST_TEST(answers.back().peerLoad[0].running == 3U);
     BOOST_TEST(answers.back().entryVmCount == 2U);
 }
+
+BOOST_AUTO_TEST_CASE(PeerLoadSumMatchesReportsOfLiveEntryVms)
+{
+    base::Random random(3);
+    PeerLoadTable table;
+    std::map<std::string, std::vector<UpstreamInFlightLoad>> reports;
+    for (int round = 0; round < 2000; ++round) {
+        auto now = base::TimePoint(std::chrono::milliseconds(round));
+        auto name = "entry-" + std::to_string(random.below(8));
+        std::vector<UpstreamInFlightLoad> load;
+        for (auto count = random.below(5); count > 0; --count)
+            load.push_back({ "engine-" + std::to_string(random.below(6)), static_cast<std::uint32_t>(random.below(3)), random.between(0, 1000) });
+        reports[name] = load;
+        table.record(name, load, now);
+        std::map<std::string, std::pair<std::uint32_t, double>> expected;
+        for (const auto& [other, loads] : reports) {
+            for (const auto& part : loads) {
+                if (other != "entry-0") {
+                    expected[part.upstream].first += part.running;
+                    expected[part.upstream].second += part.cacheTokenLayers;
+                }
+            }
+        }
+        auto sums = table.loadExcluding("entry-0");
+        BOOST_REQUIRE(sums.size() == expected.size());
+        for (const auto& sum : sums) {
+            BOOST_REQUIRE(sum.running == expected.at(sum.upstream).first);
+            BOOST_REQUIRE(std::abs(sum.cacheTokenLayers - expected.at(sum.upstream).second) < 0.001);
+        }
+    }
+    table.expire(base::TimePoint(std::chrono::seconds(10)));
+    BOOST_TEST(table.loadExcluding("entry-0").empty());
+    BOOST_TEST(table.entryVmCount() == 0U);
+}
