Cut off upstreams that send bytes without end

Cause: only the head of a response was limited. A chunk header, a trailer, an incomplete event and the body of a failure were buffered without a limit, and a late response to an earlier request was skipped without one. A control call dropped what exceeded its limit, but appended a smaller part that came later.

Change: 128 KiB of bytes that make no part of a message, 256 KiB of an incomplete event or of a failure's body and 1 MiB of late responses end the connection; the attempt counts as lost, or as not run if the upstream said so. A control call above 64 KiB fails.

Evidence: ForwardingTest/EndlessBytesOfUpstreamAreCutOff failed before in five of six cases: the proxy accepted all of the 67,108,864 bytes offered.

--- a/include/forwarding/EventSplitter.h
+++ b/include/forwarding/EventSplitter.h
@@ -17,6 +17,7 @@
 
     // Returns the id of the last returned event that has one, or nullopt if none had.
     const std::optional<std::string>& lastEventId() const { return lastEventId_; }
+    std::size_t partialBytes() const { return partial_.size(); }
     // Discards the buffered incomplete event.
     void discardPartial() { partial_.clear(); }
     // Returns the buffered incomplete event.
--- a/include/forwarding/UpstreamConnection.h
+++ b/include/forwarding/UpstreamConnection.h
@@ -101,6 +101,8 @@
     std::unique_ptr<http1::ResponseReader> reader_;
     bool hasNoResponseBody_ = false;
     bool isSkippingStaleResponse_ = false;
+    // Of all late responses before the current one.
+    std::size_t staleResponseBytes_ = 0;
     bool isStarted_ = false;
     bool isConnected_ = false;
     base::TimePoint connectDeadline_;
--- a/src/forwarding/ControlCall.cpp
+++ b/src/forwarding/ControlCall.cpp
@@ -2,7 +2,7 @@
 
 namespace arbutus::forwarding {
 
-// Control responses are small; bytes beyond this limit are dropped.
+// Control responses are small. A longer one fails the call.
 static constexpr std::size_t maxResponseBodyBytes = std::size_t { 64 } << 10;
 static constexpr double keepAliveFraction = 0.7;
 
@@ -20,8 +20,12 @@
 
 void ControlCall::onBody(std::string_view bytes)
 {
-    if (response_.body.size() + bytes.size() <= maxResponseBodyBytes)
+    if (response_.body.size() + bytes.size() <= maxResponseBodyBytes) {
         response_.body.append(bytes);
+        return;
+    }
+    connection_->abandon();
+    finish(std::nullopt);
 }
 
 void ControlCall::send(std::string request, base::TimePoint deadline)
--- a/src/forwarding/Exchange.cpp
+++ b/src/forwarding/Exchange.cpp
@@ -38,6 +38,8 @@
 // Responses up to this size are buffered until they are complete, so that the request
 // can still be retried if the response is truncated.
 static constexpr std::size_t maxBufferedBodyBytes = std::size_t { 256 } << 10;
+// A longer event belongs to no response.
+static constexpr std::size_t maxPartialEventBytes = std::size_t { 256 } << 10;
 // Backpressure: reading from the upstream pauses while more is pending to the caller.
 static constexpr std::size_t maxPendingCallerBytes = std::size_t { 256 } << 10;
 // Largest idle time of a reused connection, as a fraction of the upstream's keep-alive
@@ -275,8 +277,7 @@
     responseHead_ = head;
     bool isSuccess = head.status >= 200 && head.status < 300;
     if (isSuccess && (!responseMetadata_.isSigned || responseMetadata_.isEncoded)) {
-        connection_->abandon();
-        endAttempt(AttemptOutcome::Lost);
+        rejectResponse(AttemptOutcome::Lost);
         return;
     }
     isStream_ = isSuccess && route_->kind == RequestKind::Streaming;
@@ -295,9 +296,14 @@
 
 void Exchange::relayEvents(std::string_view bytes)
 {
-    std::string events = eventSplitter_.feed(bytes);
-    if (events.empty())
-        return;
+    if (std::string events = eventSplitter_.feed(bytes); !events.empty())
+        sendEvents(events);
+    if (eventSplitter_.partialBytes() > maxPartialEventBytes)
+        rejectResponse(AttemptOutcome::Lost);
+}
+
+void Exchange::sendEvents(std::string_view events)
+{
     progressAt_ = std::chrono::steady_clock::now();
     for (const auto& stage : path_)
         *stage.progressAt = progressAt_;
@@ -311,20 +317,31 @@
 void Exchange::relayPlainBody(std::string_view bytes)
 {
     progressAt_ = std::chrono::steady_clock::now();
+    if (!caller_)
+        return;
     if (relayMode_ == RelayMode::Plain) {
-        if (caller_)
-            caller_->sendBody(bytes);
+        caller_->sendBody(bytes);
         return;
     }
     bufferedBody_.append(bytes);
+    if (bufferedBody_.size() <= maxBufferedBodyBytes)
+        return;
     bool isUsable = responseHead_->status >= 200 && responseHead_->status < 300;
-    if (bufferedBody_.size() <= maxBufferedBodyBytes || !isUsable || !caller_)
+    if (!isUsable) {
+        rejectResponse(responseMetadata_.isNotRun ? AttemptOutcome::NotRun : AttemptOutcome::Lost);
         return;
+    }
     beginRelay(RelayMode::Plain, responseHead_->contentLength);
     caller_->sendBody(bufferedBody_);
     bufferedBody_.clear();
 }
 
+void Exchange::rejectResponse(AttemptOutcome outcome)
+{
+    connection_->abandon();
+    endAttempt(outcome);
+}
+
 http1::Response Exchange::responseFrom(const http1::ResponseHead& head) const
 {
     http1::Response response;
--- a/src/forwarding/Exchange.h
+++ b/src/forwarding/Exchange.h
@@ -78,6 +78,8 @@
     bool trySendToUpstream();
     void sendTo(const net::Endpoint&);
     std::string requestHead() const;
+    // Closes the upstream's connection in the middle of a response and ends the attempt.
+    void rejectResponse(AttemptOutcome);
     void endAttempt(AttemptOutcome);
     // Drops the connection and releases the load that was reserved for the attempt.
     void releaseReservation(routing::CallResult);
@@ -93,6 +95,7 @@
     void failRequest(AttemptOutcome);
 
     void relayEvents(std::string_view);
+    void sendEvents(std::string_view);
     void relayPlainBody(std::string_view);
     void beginRelay(RelayMode, std::optional<std::uint64_t> length);
     void finishPlainResponse();
--- a/src/forwarding/UpstreamConnection.cpp
+++ b/src/forwarding/UpstreamConnection.cpp
@@ -6,6 +6,11 @@
 
 // Used if the upstream does not announce its keep-alive time.
 static constexpr std::chrono::seconds defaultKeepAlive(4);
+// A head, chunk header or trailer that is longer belongs to no response. Above the limit
+// of a head, which the reader checks itself.
+static constexpr std::size_t maxUnparsedBytes = std::size_t { 128 } << 10;
+// A faulty upstream may send a late response without end.
+static constexpr std::size_t maxStaleResponseBytes = std::size_t { 1 } << 20;
 
 UpstreamConnection::UpstreamConnection(boost::asio::io_context& context, const net::Endpoint& endpoint, ReusableCallback reusableCallback)
     : socket_(std::make_shared<net::StreamSocket>(context))
@@ -21,6 +26,7 @@
     listener_ = &listener;
     hasNoResponseBody_ = hasNoResponseBody;
     isSkippingStaleResponse_ = false;
+    staleResponseBytes_ = 0;
     resetReader();
     if (isConnected_) {
         socket_->write(head, body);
@@ -37,7 +43,9 @@
 void UpstreamConnection::resetReader()
 {
     reader_ = std::make_unique<http1::ResponseReader>(hasNoResponseBody_, [this](std::string_view bytes) {
-        if (listener_ && !isSkippingStaleResponse_)
+        if (isSkippingStaleResponse_)
+            staleResponseBytes_ += bytes.size();
+        else if (listener_)
             listener_->body(bytes);
     });
 }
@@ -71,6 +79,8 @@
     }
     input_.append(bytes);
     while (listener_ && socket_->isOpen() && !input_.empty() && readResponse()) { }
+    if (listener_ && (input_.size() > maxUnparsedBytes || staleResponseBytes_ > maxStaleResponseBytes))
+        fail(ConnectionFailure::Lost);
 }
 
 bool UpstreamConnection::readResponse()
--- a/tests/ForwardingTest.cpp
+++ b/tests/ForwardingTest.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 
 #include <functional>
 
@@ -416,3 +417,54 @@
     BOOST_TEST(contains(received, "Retry-After: "));
     BOOST_TEST(contains(received, "\"notRun\":true"));
 }
+
+// Writes the piece again and again until the proxy closes the connection.
+static void writeWithoutEnd(Fixture& fixture, const std::shared_ptr<Peer>& upstream, const std::string& piece, std::size_t& written)
+{
+    // Memory that an entry VM may lose to one faulty upstream.
+    constexpr std::size_t maxWrittenBytes = std::size_t { 64 } << 20;
+    if (upstream->hasEnded || written >= maxWrittenBytes)
+        return;
+    if (upstream->socket->pendingBytes() < piece.size()) {
+        upstream->socket->write(piece);
+        written += piece.size();
+    }
+    boost::asio::post(fixture.context, [&fixture, upstream, piece, &written] { writeWithoutEnd(fixture, upstream, piece, written); });
+}
+
+struct EndlessResponse {
+    const char* name;
+    std::string start;
+    std::string piece;
+};
+
+BOOST_AUTO_TEST_CASE(EndlessBytesOfUpstreamAreCutOff)
+{
+    const std::string filler(std::size_t { 16 } << 10, 'x');
+    const std::string failureHead = "HTTP/1.1 500 Error\r\nSigned: s\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::vector<EndlessResponse> responses {
+        { "head", "HTTP/1.1 200 OK\r\nSigned: ", filler },
+        { "chunk extension", streamHead + "1;a=", filler },
+        { "trailer", streamHead + "0\r\nA: ", filler },
+        { "event", streamHead, chunk(filler) },
+        { "failure", failureHead, chunk(filler) },
+        { "late response", "HTTP/1.1 200 OK\r\nSigned: s\r\nId: earlier\r\nTransfer-Encoding: chunked\r\n\r\n", chunk(filler) },
+    };
+    // Kernel buffers of a loopback connection take several megabytes by themselves.
+    constexpr std::size_t maxAcceptedBytes = std::size_t { 16 } << 20;
+    for (const auto& response : responses) {
+        std::size_t written = 0;
+        Fixture fixture(routes::RequestKind::Streaming);
+        fixture.script = [&](Peer& connection, const std::string&, int number) {
+            if (number > 1) {
+                connection.socket->write(streamHead + chunk(event(1)) + "0\r\n\r\n");
+                return;
+            }
+            connection.socket->write(response.start);
+            writeWithoutEnd(fixture, connection.shared_from_this(), response.piece, written);
+        };
+        auto received = fixture.sendRequest("r1", "0\r\n\r\n");
+        BOOST_TEST(contains(received, "id: 1"), response.name);
+        BOOST_TEST(written < maxAcceptedBytes, response.name << ": " << written);
+    }
+}
