Split Exchange by its jobs and remove functions without callers

Responses of upstreams are now in ExchangeResponse.cpp, sending, retrying and stalls in ExchangeAttempts.cpp, each with its constants; no line of a function changed. hasNoBytes, unfinishedTaskCount, clearSuspect and two lock ranks had no caller.

--- a/include/base/LockRanks.h
+++ b/include/base/LockRanks.h
@@ -8,12 +8,10 @@
 constexpr int entryStreams = 10;
 constexpr int channel = 20;
 constexpr int orders = 30;
-constexpr int admission = 40;
 constexpr int routing = 50;
 constexpr int configuration = 60;
 constexpr int membership = 70;
 constexpr int replica = 80;
-constexpr int storage = 85;
 constexpr int transport = 90;
 constexpr int timeline = 100;
 } // namespace lock_rank
--- a/include/http1/MessageReader.h
+++ b/include/http1/MessageReader.h
@@ -62,8 +62,6 @@
     ReadStatus readEof();
     const ResponseHead& head() const;
     bool isHeadDone() const;
-    // Whether no byte of this response has been read.
-    bool hasNoBytes() const;
 
 private:
     struct Parser;
--- a/include/routing/LayerPathSelector.h
+++ b/include/routing/LayerPathSelector.h
@@ -85,7 +85,6 @@
 
     // Excludes an engine from selection until `until`. Call after a failure on it.
     void markSuspect(const std::string& upstream, base::TimePoint until);
-    void clearSuspect(const std::string& upstream) { suspectUntil_.erase(upstream); }
 
     // Returns the cheapest path without suspect engines and those in `avoided`, or
     // nullopt if no complete path has enough capacity.
--- a/src/base/WorkerPool.cpp
+++ b/src/base/WorkerPool.cpp
@@ -32,12 +32,6 @@
     return true;
 }
 
-std::size_t WorkerPool::unfinishedTaskCount() const
-{
-    std::lock_guard lock(mutex_);
-    return tasks_.size() + runningTaskCount_;
-}
-
 void WorkerPool::run()
 {
     std::unique_lock lock(mutex_);
@@ -47,13 +41,11 @@
             return;
         auto task = std::move(tasks_.front());
         tasks_.pop_front();
-        ++runningTaskCount_;
         lock.unlock();
         task();
-        // Destroys the task's captures, outside the lock, before it stops counting as unfinished.
+        // Destroys the task's captures outside the lock.
         task = nullptr;
         lock.lock();
-        --runningTaskCount_;
     }
 }
 
--- /dev/null
+++ b/src/forwarding/ExchangeAttempts.cpp
@@ -0,0 +1,240 @@
+#include "src/forwarding/Exchange.h"
+
+#include "include/base/Logger.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+
+namespace arbutus::forwarding {
+
+using base::TimePoint;
+using routing::CallResult;
+
+static constexpr base::Logger logger("gate");
+
+// Connecting to a powered-off VM gets no reply and would not fail by itself.
+static constexpr std::chrono::milliseconds connectTimeout(400);
+// After this silence, a stream counts as stalled if one of its engines makes no progress
+// with other streams either. Callers disconnect after 2 s.
+static constexpr std::chrono::milliseconds firstEventStallTimeout(900);
+static constexpr std::chrono::milliseconds nextEventStallTimeout(550);
+// Applies instead while all engines of the stream make progress with other streams.
+static constexpr std::chrono::milliseconds isolatedStallTimeout(1500);
+// A repeatable call is retried at another upstream after this fraction of its timeout.
+static constexpr double repeatableStallFraction = 0.4;
+// An engine that made progress with any stream within this time counts as working.
+static constexpr std::chrono::milliseconds recentProgressWindow(150);
+// How long all requests avoid an upstream after silence, a lost response or a refusal.
+static constexpr std::chrono::milliseconds silenceSuspectDuration(2000);
+static constexpr std::chrono::milliseconds lossSuspectDuration(500);
+static constexpr std::chrono::milliseconds refusalSuspectDuration(300);
+// Attempts allowed beyond the route's limit if earlier ones certainly did not run.
+static constexpr int maxExtraSends = 2;
+// Largest idle time of a reused connection, as a fraction of the upstream's keep-alive
+// time. The upstream may close an idle connection just as a request is sent on it, so
+// requests that cannot be repeated use a smaller fraction.
+static constexpr double repeatableKeepAliveFraction = 0.8;
+static constexpr double unrepeatableKeepAliveFraction = 0.4;
+
+bool Exchange::trySend()
+{
+    return service_->pathSelector ? trySendAlongPath() : trySendToUpstream();
+}
+
+bool Exchange::trySendAlongPath()
+{
+    auto path = service_->pathSelector->choose(streamSize_, avoidedUpstreams_, std::chrono::steady_clock::now());
+    if (!path)
+        return false;
+    path_ = std::move(*path);
+    upstreamId_ = path_.front().upstream;
+    service_->pathSelector->reserve(path_, streamSize_);
+    sendTo(path_.front().endpoint);
+    return true;
+}
+
+bool Exchange::trySendToUpstream()
+{
+    auto upstream = service_->balancer->choose(avoidedUpstreams_, std::chrono::steady_clock::now());
+    if (!upstream)
+        return false;
+    path_.clear();
+    upstreamId_ = upstream->id;
+    service_->balancer->callStarted(upstreamId_);
+    sendTo(upstream->endpoint());
+    return true;
+}
+
+void Exchange::sendTo(const net::Endpoint& endpoint)
+{
+    sentAt_ = progressAt_ = std::chrono::steady_clock::now();
+    ++sendCount_;
+    ++runCount_;
+    responseHead_.reset();
+    bufferedBody_.clear();
+    isStream_ = false;
+    eventSplitter_.discardPartial();
+    connection_ = proxy_.pool_.acquire(endpoint, isRepeatable() ? repeatableKeepAliveFraction : unrepeatableKeepAliveFraction, sentAt_);
+    connection_->send(requestHead(), request_.body, request_.head.method == "HEAD", *this, std::min(deadline_, sentAt_ + connectTimeout));
+}
+
+std::string Exchange::requestHead() const
+{
+    const auto& head = request_.head;
+    std::string text = fmt::format("{} {} HTTP/1.1\r\n", head.method, head.target);
+    const auto* connection = head.fields.find("Connection");
+    for (const auto& [name, value] : head.fields) {
+        if (!http1::isHopByHopField(name, connection) && !http1::equalIgnoringCase(name, "Expect") && !proxy_.headerCodec_.isManagedField(name))
+            http1::appendField(text, name, value);
+    }
+    UpstreamCall call;
+    call.remainingTime = std::max(std::chrono::milliseconds(1), std::chrono::duration_cast<std::chrono::milliseconds>(deadline_ - sentAt_));
+    call.expectedUpstream = upstreamId_;
+    if (team_)
+        call.team = team_->name;
+    call.path = path_;
+    call.lastEventId = eventSplitter_.lastEventId() ? eventSplitter_.lastEventId() : requestMetadata_.lastEventId;
+    proxy_.headerCodec_.appendCallFields(text, call);
+    if (!request_.body.empty() || head.fields.has("Content-Length") || head.fields.has("Transfer-Encoding"))
+        http1::appendField(text, "Content-Length", fmt::format("{}", request_.body.size()));
+    text.append("\r\n");
+    return text;
+}
+
+void Exchange::releaseReservation(CallResult result)
+{
+    connection_.reset();
+    if (!path_.empty()) {
+        service_->pathSelector->release(path_, streamSize_);
+        service_->waitQueue.recordCompletion(std::chrono::steady_clock::now());
+    } else if (service_->balancer && !upstreamId_.empty())
+        service_->balancer->callFinished(upstreamId_, result, std::chrono::steady_clock::now() - sentAt_);
+}
+
+void Exchange::markSuspects(AttemptOutcome outcome)
+{
+    auto now = std::chrono::steady_clock::now();
+    if (path_.empty()) {
+        if (outcome == AttemptOutcome::NotSent || outcome == AttemptOutcome::Stalled)
+            service_->balancer->markSuspect(upstreamId_, now + silenceSuspectDuration);
+        return;
+    }
+    if (responseMetadata_.faultyEngineAddress && outcome == AttemptOutcome::NotRun) {
+        for (const auto& stage : path_) {
+            if (stage.endpoint.text() == *responseMetadata_.faultyEngineAddress)
+                service_->pathSelector->markSuspect(stage.upstream, now + refusalSuspectDuration);
+        }
+        return;
+    }
+    if (outcome == AttemptOutcome::NotRun || outcome == AttemptOutcome::Failed) {
+        service_->pathSelector->markSuspect(upstreamId_, now + refusalSuspectDuration);
+        return;
+    }
+    if (outcome == AttemptOutcome::NotSent) {
+        service_->pathSelector->markSuspect(upstreamId_, now + silenceSuspectDuration);
+        return;
+    }
+    auto duration = outcome == AttemptOutcome::Stalled ? silenceSuspectDuration : lossSuspectDuration;
+    for (const auto& stage : path_) {
+        if (*stage.progressAt + recentProgressWindow < now)
+            service_->pathSelector->markSuspect(stage.upstream, now + duration);
+    }
+}
+
+bool Exchange::mayRetry(AttemptOutcome outcome) const
+{
+    bool isCertainlyNotRun = outcome == AttemptOutcome::NotSent || outcome == AttemptOutcome::NotRun;
+    if (!caller_ || (!isCertainlyNotRun && !isRepeatable()))
+        return false;
+    // A stream that has started cannot be refused any more, so refusals do not end it.
+    bool isSendLimited = !isCertainlyNotRun || relayMode_ == RelayMode::None;
+    if (runCount_ >= route_->maxAttempts || (isSendLimited && sendCount_ >= route_->maxAttempts + maxExtraSends))
+        return false;
+    return std::chrono::steady_clock::now() < deadline_;
+}
+
+bool Exchange::tryRetry(AttemptOutcome outcome)
+{
+    if (!mayRetry(outcome))
+        return false;
+    // An attempt that reached no upstream does not count as a retry. checkStall() has
+    // already charged the retry budget for a stall.
+    bool isCounted = outcome != AttemptOutcome::NotSent && outcome != AttemptOutcome::Stalled;
+    if (!isCounted || service_->retryBudget.tryAcquire(std::chrono::steady_clock::now()))
+        return trySend() || waitForCapacity(true);
+    // A started stream waits for the retry budget outside the wait queue, where it would
+    // block requests that need no retry.
+    isAwaitingRetryBudget_ = relayMode_ != RelayMode::None;
+    return isAwaitingRetryBudget_;
+}
+
+void Exchange::pollRetryBudget(TimePoint now)
+{
+    bool isOver = now >= deadline_;
+    if (!isOver && !service_->retryBudget.tryAcquire(now))
+        return;
+    isAwaitingRetryBudget_ = false;
+    if (isOver || (!trySend() && !waitForCapacity(true)))
+        failRequest(AttemptOutcome::NotRun);
+}
+
+void Exchange::endAttempt(AttemptOutcome outcome)
+{
+    static constexpr std::array<CallResult, 5> results { CallResult::Lost, CallResult::NotRun, CallResult::Lost, CallResult::Failed, CallResult::Lost };
+    static constexpr std::array<const char*, 5> names { "not sent", "not run", "lost", "failed", "stalled" };
+    if (outcome == AttemptOutcome::NotSent || outcome == AttemptOutcome::NotRun)
+        --runCount_;
+    markSuspects(outcome);
+    logger.debug("An attempt ended without a usable response.", { { "request", requestMetadata_.requestId }, { "upstream", upstreamId_ }, { "end", names[static_cast<std::size_t>(outcome)] }, { "sends", sendCount_ } });
+    releaseReservation(results[static_cast<std::size_t>(outcome)]);
+    // An engine without capacity may have some soon, so it is suspected for a short time
+    // but not avoided for the rest of the request.
+    if (path_.empty() || outcome != AttemptOutcome::NotRun)
+        avoidedUpstreams_.insert(upstreamId_);
+    bool wasRelaying = relayMode_ != RelayMode::None;
+    if (tryRetry(outcome)) {
+        ++proxy_.counters_.retries;
+        proxy_.counters_.resumes += wasRelaying ? 1 : 0;
+        return;
+    }
+    failRequest(outcome);
+}
+
+void Exchange::checkStall(TimePoint now)
+{
+    if (!isRepeatable() || runCount_ >= route_->maxAttempts)
+        return;
+    auto silence = now - progressAt_;
+    bool isStalled = path_.empty() ? isCallStalled(silence) : isStreamStalled(silence, now);
+    if (!isStalled)
+        return;
+    if (!service_->retryBudget.tryAcquire(now))
+        return;
+    connection_->abandon();
+    for (const auto& stage : path_)
+        avoidedUpstreams_.insert(stage.upstream);
+    endAttempt(AttemptOutcome::Stalled);
+}
+
+bool Exchange::isCallStalled(std::chrono::nanoseconds silence) const
+{
+    return relayMode_ == RelayMode::None && silence >= repeatableStallFraction * route_->timeout;
+}
+
+bool Exchange::isStreamStalled(std::chrono::nanoseconds silence, TimePoint now) const
+{
+    if (silence < (eventSplitter_.hasDelivered() ? nextEventStallTimeout : firstEventStallTimeout))
+        return false;
+    bool isAnySilent = std::any_of(path_.begin(), path_.end(), [this](const routing::PathStage& stage) { return *stage.progressAt <= progressAt_; });
+    if (!isAnySilent && silence < isolatedStallTimeout)
+        return false;
+    // The engines may still recover, so the attempt ends only if another path has capacity.
+    auto avoided = avoidedUpstreams_;
+    for (const auto& stage : path_)
+        avoided.insert(stage.upstream);
+    return service_->pathSelector->choose(streamSize_, avoided, now).has_value();
+}
+
+} // namespace arbutus::forwarding
--- /dev/null
+++ b/src/forwarding/ExchangeResponse.cpp
@@ -0,0 +1,174 @@
+#include "src/forwarding/Exchange.h"
+
+namespace arbutus::forwarding {
+
+using routes::RequestKind;
+using routing::CallResult;
+
+// Responses up to this size are buffered until they are complete, so that the request
+// can still be retried if the response is truncated.
+static constexpr std::size_t maxBufferedBodyBytes = std::size_t { 256 } << 10;
+// A longer event belongs to no response.
+static constexpr std::size_t maxPartialEventBytes = std::size_t { 256 } << 10;
+// Backpressure: reading from the upstream pauses while more is pending to the caller.
+static constexpr std::size_t maxPendingCallerBytes = std::size_t { 256 } << 10;
+
+ResponseMatch Exchange::onMatchResponse(const http1::ResponseHead& head) const
+{
+    auto metadata = proxy_.headerCodec_.readResponse(head);
+    if (!metadata.requestId)
+        return ResponseMatch::Unknown;
+    return *metadata.requestId == requestMetadata_.requestId ? ResponseMatch::Current : ResponseMatch::Stale;
+}
+
+void Exchange::onHead(const http1::ResponseHead& head)
+{
+    auto self = shared_from_this();
+    responseMetadata_ = proxy_.headerCodec_.readResponse(head);
+    connection_->setKeepAlive(responseMetadata_.keepAlive);
+    responseHead_ = head;
+    bool isSuccess = head.status >= 200 && head.status < 300;
+    if (isSuccess && (!responseMetadata_.isSigned || responseMetadata_.isEncoded)) {
+        rejectResponse(AttemptOutcome::Lost);
+        return;
+    }
+    isStream_ = isSuccess && route_->kind == RequestKind::Streaming;
+}
+
+void Exchange::onBody(std::string_view bytes)
+{
+    auto self = shared_from_this();
+    if (isStream_)
+        relayEvents(bytes);
+    else
+        relayPlainBody(bytes);
+    if (caller_ && connection_ && caller_->pendingBytes() > maxPendingCallerBytes)
+        connection_->setReading(false);
+}
+
+void Exchange::relayEvents(std::string_view bytes)
+{
+    if (std::string events = eventSplitter_.feed(bytes); !events.empty())
+        sendEvents(events);
+    if (eventSplitter_.partialBytes() > maxPartialEventBytes)
+        rejectResponse(AttemptOutcome::Lost);
+}
+
+void Exchange::sendEvents(std::string_view events)
+{
+    progressAt_ = std::chrono::steady_clock::now();
+    for (const auto& stage : path_)
+        *stage.progressAt = progressAt_;
+    if (!caller_)
+        return;
+    if (relayMode_ == RelayMode::None)
+        beginRelay(RelayMode::Events, std::nullopt);
+    caller_->sendBody(events);
+}
+
+void Exchange::relayPlainBody(std::string_view bytes)
+{
+    progressAt_ = std::chrono::steady_clock::now();
+    if (!caller_)
+        return;
+    if (relayMode_ == RelayMode::Plain) {
+        caller_->sendBody(bytes);
+        return;
+    }
+    bufferedBody_.append(bytes);
+    if (bufferedBody_.size() <= maxBufferedBodyBytes)
+        return;
+    bool isUsable = responseHead_->status >= 200 && responseHead_->status < 300;
+    if (!isUsable) {
+        rejectResponse(responseMetadata_.isNotRun ? AttemptOutcome::NotRun : AttemptOutcome::Lost);
+        return;
+    }
+    beginRelay(RelayMode::Plain, responseHead_->contentLength);
+    caller_->sendBody(bufferedBody_);
+    bufferedBody_.clear();
+}
+
+void Exchange::rejectResponse(AttemptOutcome outcome)
+{
+    connection_->abandon();
+    endAttempt(outcome);
+}
+
+http1::Response Exchange::responseFrom(const http1::ResponseHead& head) const
+{
+    http1::Response response;
+    response.status = head.status;
+    response.reason = head.reason;
+    const auto* connection = head.fields.find("Connection");
+    for (const auto& [name, value] : head.fields) {
+        if (!http1::isHopByHopField(name, connection))
+            response.fields.add(name, value);
+    }
+    return response;
+}
+
+void Exchange::beginRelay(RelayMode mode, std::optional<std::uint64_t> length)
+{
+    relayMode_ = mode;
+    caller_->beginResponse(responseFrom(*responseHead_), length);
+}
+
+void Exchange::onDone()
+{
+    auto self = shared_from_this();
+    if (!isStream_) {
+        finishPlainResponse();
+        return;
+    }
+    releaseReservation(CallResult::Answered);
+    if (caller_) {
+        if (relayMode_ == RelayMode::None)
+            beginRelay(RelayMode::Events, std::nullopt);
+        caller_->sendBody(eventSplitter_.takePartial());
+        caller_->finishResponse();
+    }
+    ++proxy_.counters_.completed;
+    finish();
+}
+
+void Exchange::finishPlainResponse()
+{
+    if (relayMode_ == RelayMode::Plain) {
+        releaseReservation(CallResult::Answered);
+        if (caller_)
+            caller_->finishResponse();
+        ++proxy_.counters_.completed;
+        finish();
+        return;
+    }
+    if (responseMetadata_.isNotRun) {
+        endAttempt(AttemptOutcome::NotRun);
+        return;
+    }
+    // A started stream can only continue with events or be aborted. It cannot be replaced
+    // by another response.
+    if (relayMode_ == RelayMode::Events) {
+        endAttempt(AttemptOutcome::Failed);
+        return;
+    }
+    auto response = responseFrom(*responseHead_);
+    response.body = std::move(bufferedBody_);
+    if (responseHead_->status >= 500) {
+        failedResponse_ = std::move(response);
+        endAttempt(AttemptOutcome::Failed);
+        return;
+    }
+    releaseReservation(CallResult::Answered);
+    if (caller_)
+        caller_->send(response);
+    ++proxy_.counters_.completed;
+    finish();
+}
+
+void Exchange::onConnectionFailure(ConnectionFailure reason)
+{
+    auto self = shared_from_this();
+    endAttempt(reason == ConnectionFailure::NotSent ? AttemptOutcome::NotSent : AttemptOutcome::Lost);
+}
+
+} // namespace arbutus::forwarding
--- a/src/http1/MessageReader.cpp
+++ b/src/http1/MessageReader.cpp
@@ -29,7 +29,6 @@
 class MessageParser : public http::basic_parser<isRequest> {
 public:
     Fields* fields = nullptr;
-    bool hasBytes = false;
 
     virtual void onBodyBytes(std::string_view) = 0;
 
@@ -41,7 +40,6 @@
         std::size_t offset = 0;
         this->eager(!stopsAtHead);
         while (offset < bytes.size() && !this->is_done()) {
-            hasBytes = true;
             std::size_t used = this->put(boost::asio::buffer(bytes.data() + offset, bytes.size() - offset), error);
             offset += used;
             if (error == http::error::need_more)
@@ -171,6 +169,5 @@
 
 const ResponseHead& ResponseReader::head() const { return parser_->head; }
 bool ResponseReader::isHeadDone() const { return parser_->isHeadReported; }
-bool ResponseReader::hasNoBytes() const { return !parser_->hasBytes; }
 
 } // namespace arbutus::http1
