Forget when members responded to an earlier leadership

What callers saw: nothing traced to it.

Cause: ReplicaPlanner kept the times of the last responses over a pause in which another replica led. With one voter above the target, the first plan of a leader that leads again removed a voter that had not yet responded to it.

Evidence: ReplicaPlannerTest/SecondLeadershipGrantsMembersFullDelay failed before.

--- a/include/consensus/ReplicaPlanner.h
+++ b/include/consensus/ReplicaPlanner.h
@@ -29,6 +29,10 @@
     {
     }
 
+    // Forgets when members responded to an earlier leadership of this replica. Call
+    // whenever it has become the leader.
+    void beginLeadership() { lastActiveAt_.clear(); }
+
     // Records that a replica outside the configuration requests to join. The request
     // expires unless it is repeated.
     void recordJoinRequest(const ReplicaKey&, base::TimePoint now);
--- a/src/node/ControlNode.cpp
+++ b/src/node/ControlNode.cpp
@@ -237,8 +237,10 @@
     auto routes = view.routesVersion == replicaView_.routesVersion ? replicaView_.routes : unpackRoutes(view.routes);
     replicaView_ = view;
     replicaView_.routes = std::move(routes);
-    if (hasBecomeLeader)
+    if (hasBecomeLeader) {
         layerController_.reset();
+        replicaPlanner_.beginLeadership();
+    }
     if (replicaView_.planRevision > decodedPlanRevision_) {
         auto plans = placement::decodePlans(*replicaView_.plan);
         if (plans)
--- a/tests/ReplicaPlannerTest.cpp
+++ b/tests/ReplicaPlannerTest.cpp
@@ -84,3 +84,15 @@
     fixture.run({ b, c, d, e }, std::chrono::seconds(2), e);
     BOOST_TEST(fixture.configuration.voters.size() == 4U);
 }
+
+BOOST_AUTO_TEST_CASE(SecondLeadershipGrantsMembersFullDelay)
+{
+    PlannerFixture fixture;
+    fixture.configuration = { { a, b, c, d }, {} };
+    BOOST_TEST(fixture.run({ b, c, d }, std::chrono::seconds(1)).empty());
+    fixture.clock.advance(std::chrono::minutes(1));
+    fixture.planner.beginLeadership();
+    // The fourth voter's first response takes a second.
+    BOOST_TEST(fixture.run({ b, c }, std::chrono::seconds(1)).empty());
+    BOOST_TEST(fixture.run({ b, c, d }, std::chrono::seconds(3)).empty());
+}
