Log why a response was aborted before its end

It now says how the last attempt ended, how often the request was sent and had run, and the time that was left. A stream that was aborted at its deadline had no line at all.

--- a/src/forwarding/Exchange.cpp
+++ b/src/forwarding/Exchange.cpp
@@ -170,10 +170,7 @@
         return;
     }
     if (relayMode_ != RelayMode::None) {
-        logger.info("A stream was aborted before its end.", { { "request", requestMetadata_.requestId }, { "last", eventSplitter_.lastEventId().value_or("") } });
-        ++proxy_.counters_.failed;
-        caller_->abortResponse();
-        finish();
+        abortResponse(outcome);
         return;
     }
     if (failedResponse_) {
@@ -188,6 +185,15 @@
         refuse(makeError(outcome == AttemptOutcome::Stalled ? ErrorKind::RequestTimeout : ErrorKind::UpstreamFailed, "the response of the upstream was lost"));
 }
 
+void Exchange::abortResponse(AttemptOutcome outcome)
+{
+    auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(deadline_ - std::chrono::steady_clock::now());
+    logger.info("A response was aborted before its end.", { { "request", requestMetadata_.requestId }, { "last", eventSplitter_.lastEventId().value_or("") }, { "end", nameOf(outcome) }, { "sends", sendCount_ }, { "runs", runCount_ }, { "remaining_ms", remaining.count() } });
+    ++proxy_.counters_.failed;
+    caller_->abortResponse();
+    finish();
+}
+
 std::chrono::milliseconds Exchange::retryAfterDelay() const
 {
     auto expected = routeTable_ ? defaultRetryAfter : unconfiguredRetryAfter;
@@ -278,9 +284,7 @@
     connection_->abandon();
     releaseReservation(CallResult::Lost);
     if (relayMode_ != RelayMode::None && caller_) {
-        ++proxy_.counters_.failed;
-        caller_->abortResponse();
-        finish();
+        abortResponse(AttemptOutcome::Stalled);
         return;
     }
     refuse(makeError(ErrorKind::RequestTimeout, "the upstream did not complete its response before the deadline"));
--- a/src/forwarding/Exchange.h
+++ b/src/forwarding/Exchange.h
@@ -93,6 +93,9 @@
     // Ends the request after its last attempt: aborts a started stream, or responds with
     // the upstream's error response or a refusal.
     void failRequest(AttemptOutcome);
+    // Closes the caller's connection so that the started response looks truncated.
+    void abortResponse(AttemptOutcome);
+    static const char* nameOf(AttemptOutcome);
 
     void relayEvents(std::string_view);
     void sendEvents(std::string_view);
--- a/src/forwarding/ExchangeAttempts.cpp
+++ b/src/forwarding/ExchangeAttempts.cpp
@@ -180,14 +180,19 @@
         failRequest(AttemptOutcome::NotRun);
 }
 
+const char* Exchange::nameOf(AttemptOutcome outcome)
+{
+    static constexpr std::array<const char*, 5> names { "not sent", "not run", "lost", "failed", "stalled" };
+    return names[static_cast<std::size_t>(outcome)];
+}
+
 void Exchange::endAttempt(AttemptOutcome outcome)
 {
     static constexpr std::array<CallResult, 5> results { CallResult::Lost, CallResult::NotRun, CallResult::Lost, CallResult::Failed, CallResult::Lost };
-    static constexpr std::array<const char*, 5> names { "not sent", "not run", "lost", "failed", "stalled" };
     if (outcome == AttemptOutcome::NotSent || outcome == AttemptOutcome::NotRun)
         --runCount_;
     markSuspects(outcome);
-    logger.debug("An attempt ended without a usable response.", { { "request", requestMetadata_.requestId }, { "upstream", upstreamId_ }, { "end", names[static_cast<std::size_t>(outcome)] }, { "sends", sendCount_ } });
+    logger.debug("An attempt ended without a usable response.", { { "request", requestMetadata_.requestId }, { "upstream", upstreamId_ }, { "end", nameOf(outcome) }, { "sends", sendCount_ } });
     releaseReservation(results[static_cast<std::size_t>(outcome)]);
     // An engine without capacity may have some soon, so it is suspected for a short time
     // but not avoided for the rest of the request.
