Name the packed and the unpacked configuration of a control VM apart

ReplicaView::routes held the packed document in a view that the replica publishes and the text in the view that the event loop keeps. The text has its own member now, and a document that cannot be unpacked is not passed on under its version. The share of the link stands once, in RoutesPublisher.

--- a/include/fleet/RoutesPublisher.h
+++ b/include/fleet/RoutesPublisher.h
@@ -20,6 +20,10 @@
 // the bytes sent a second, so that other messages do not wait long for the VM's link.
 class RoutesPublisher {
 public:
+    // The share of a VM's link that configurations may take. The rest is left to the
+    // replicas' messages and to other answers.
+    static constexpr double maxLinkShare = 0.3;
+
     explicit RoutesPublisher(double bytesPerSecond)
         : bytesPerSecond_(bytesPerSecond)
     {
--- a/src/node/ControlNode.cpp
+++ b/src/node/ControlNode.cpp
@@ -39,8 +39,6 @@
 static constexpr std::chrono::milliseconds enginePollTimeout(600);
 static constexpr std::size_t frameWorkerCount = 1;
 static constexpr double bytesPerMegabit = 125'000;
-// The rest of the link is left to the replicas' messages and to other answers.
-static constexpr double maxRoutesLinkShare = 0.3;
 static constexpr std::size_t timelineCapacity = 256;
 // Control VMs have little disk and memory, and route configurations are large.
 static constexpr std::uint64_t snapshotIntervalEntries = 256;
@@ -65,7 +63,7 @@
 
 static double routesBytesPerSecond(const ControlOptions& options)
 {
-    return options.linkMegabitsPerSecond * bytesPerMegabit * maxRoutesLinkShare;
+    return options.linkMegabitsPerSecond * bytesPerMegabit * fleet::RoutesPublisher::maxLinkShare;
 }
 
 ControlNode::ControlNode(boost::asio::io_context& context, const PlatformCodec& codec, ControlOptions options)
@@ -220,23 +218,25 @@
     boost::asio::post(context_, [this, view = std::move(view)] { applyReplicaView(view); });
 }
 
-// A committed document was packed by a control VM, so it can be damaged only by a fault
-// of the program.
-static std::shared_ptr<const std::string> unpackRoutes(const std::shared_ptr<const std::string>& stored)
+// A control VM has packed the document, so only a fault of the program can damage it.
+void ControlNode::publishRoutes()
 {
-    auto text = state::unpackDocument(stored);
-    if (text)
-        return text.value();
-    logger.error("Failed to unpack the committed configuration.", { { "reason", text.error().detail } });
-    return std::make_shared<const std::string>();
+    auto document = state::unpackDocument(replicaView_.packedRoutes);
+    if (!document) {
+        logger.error("Failed to unpack the committed configuration.", { { "version", replicaView_.routesVersion }, { "reason", document.error().detail } });
+        return;
+    }
+    routesDocument_ = std::move(document).value();
+    fleetPollServer_.setRoutes(replicaView_.routesVersion, routesDocument_);
 }
 
 void ControlNode::applyReplicaView(const ReplicaView& view)
 {
     bool hasBecomeLeader = !isLeader() && view.status.role == consensus::Role::Leader;
-    auto routes = view.routesVersion == replicaView_.routesVersion ? replicaView_.routes : unpackRoutes(view.routes);
+    bool hasNewRoutes = view.routesVersion != replicaView_.routesVersion;
     replicaView_ = view;
-    replicaView_.routes = std::move(routes);
+    if (hasNewRoutes)
+        publishRoutes();
     if (hasBecomeLeader) {
         layerController_.reset();
         replicaPlanner_.beginLeadership();
@@ -255,7 +255,6 @@
             replicas.push_back(static_cast<std::uint32_t>(member.replica));
     }
     fleetPollServer_.setReplicas(std::move(replicas));
-    fleetPollServer_.setRoutes(replicaView_.routesVersion, replicaView_.routes);
     fleetPollServer_.answerPendingPolls(clock_.now());
 }
 
@@ -390,7 +389,7 @@
     if (replicaView_.routesVersion > decodedRoutesVersion_ && now >= nextRoutesDecodeAt_) {
         nextRoutesDecodeAt_ = now + routesDecodeInterval;
         decodedRoutesVersion_ = replicaView_.routesVersion;
-        if (auto decoded = codec_.decodeRoutes(*replicaView_.routes))
+        if (auto decoded = codec_.decodeRoutes(*routesDocument_))
             services_ = std::move(decoded.value().services);
     }
     auto upstreams = registry_.all();
--- a/src/node/ControlNode.h
+++ b/src/node/ControlNode.h
@@ -117,7 +117,7 @@
     struct ReplicaView {
         replica::ReplicaStatus status;
         std::uint64_t routesVersion = 0;
-        std::shared_ptr<const std::string> routes;
+        std::shared_ptr<const std::string> packedRoutes;
         std::uint64_t planRevision = 0;
         std::shared_ptr<const std::string> plan;
     };
@@ -127,6 +127,8 @@
     std::optional<std::string> handleFrame(const transport::Frame&, const transport::FrameServer::Reply&);
     void publishReplicaView(const replica::ReplicaStatus&, const state::StateMachine&);
     void applyReplicaView(const ReplicaView&);
+    // Passes the committed configuration on to the entry VMs.
+    void publishRoutes();
     void sendMessage(const consensus::Message&);
 
     void tick();
@@ -162,8 +164,9 @@
     base::TimePoint tickDueAt_;
     base::TimePoint nextReportAt_;
 
-    // The last published view; accessed on the event loop only.
+    // The last published view and its route document; accessed on the event loop only.
     ReplicaView replicaView_;
+    std::shared_ptr<const std::string> routesDocument_ = std::make_shared<const std::string>();
     // The view published last, to skip unchanged ones; accessed on the replica's thread
     // only.
     std::optional<ReplicaView> publishedView_;
--- a/tests/FleetNetwork.h
+++ b/tests/FleetNetwork.h
@@ -65,7 +65,7 @@
         std::vector<std::uint32_t> ips;
         for (std::size_t peer = 0; peer < control.size(); ++peer)
             ips.push_back(firstIp + static_cast<std::uint32_t>(peer));
-        vm.server = std::make_unique<FleetPollServer>(vm.registry, ++lastEpoch_, routesLinkShare * vm.uplink.bytesPerSecond);
+        vm.server = std::make_unique<FleetPollServer>(vm.registry, ++lastEpoch_, RoutesPublisher::maxLinkShare * vm.uplink.bytesPerSecond);
         vm.server->setReplicas(ips);
     }
 
@@ -148,7 +148,6 @@
 private:
     using Done = std::function<void(base::Result<std::string>)>;
 
-    static constexpr double routesLinkShare = 0.3;
     static constexpr Milliseconds heartbeatInterval { 100 };
     static constexpr Milliseconds controlTickInterval { 100 };
     static constexpr Milliseconds entryTickInterval { 200 };
