No limit of sends for a stream that has begun

A stream that was refused three times, ran and then stalled was aborted with 17 s left.

Cause: refusals before a stream begins counted against its limit of sends, which exists to refuse a request early. A stream that has begun cannot be refused any more. checkStall() also ended attempts that no other attempt could follow.

Change: the limit of sends holds only until the answer has begun, and checkStall() asks mayRetry() before it gives an attempt up. The limit of upstreams that may have run the request stays.

Evidence: both cases of ResumedStreamTest fail on the code before (the stream misses event 2; the slow call gets 504 instead of its answer) and pass now.

--- a/src/forwarding/ExchangeAttempts.cpp
+++ b/src/forwarding/ExchangeAttempts.cpp
@@ -149,7 +149,7 @@
     if (!caller_ || (!isCertainlyNotRun && !isRepeatable()))
         return false;
     // A stream that has started cannot be refused any more, so refusals do not end it.
-    bool isSendLimited = !isCertainlyNotRun || relayMode_ == RelayMode::None;
+    bool isSendLimited = relayMode_ == RelayMode::None;
     if (runCount_ >= route_->maxAttempts || (isSendLimited && sendCount_ >= route_->maxAttempts + maxExtraSends))
         return false;
     return std::chrono::steady_clock::now() < deadline_;
@@ -209,7 +209,7 @@
 
 void Exchange::checkStall(TimePoint now)
 {
-    if (!isRepeatable() || runCount_ >= route_->maxAttempts)
+    if (!mayRetry(AttemptOutcome::Stalled))
         return;
     auto silence = now - progressAt_;
     bool isStalled = path_.empty() ? isCallStalled(silence) : isStreamStalled(silence, now);
