--- a/include/forwarding/HeaderCodec.h
+++ b/include/forwarding/HeaderCodec.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace arbutus::forwarding {
 
@@ -18,6 +19,8 @@
     std::optional<std::chrono::milliseconds> callerTimeout;
     std::optional<routing::StreamSize> size;
     std::optional<std::string> lastEventId;
+    // The parts of a model's prompt that other requests may contain as well, in order.
+    std::vector<std::string> sharedPromptParts;
 };
 
 // Response metadata that the proxy reads from an upstream's header fields.
--- a/src/forwarding/Exchange.h
+++ b/src/forwarding/Exchange.h
@@ -81,6 +81,8 @@
     // Closes the upstream's connection in the middle of a response and ends the attempt.
     void rejectResponse(AttemptOutcome);
     void endAttempt(AttemptOutcome);
+    // Logs how far the response was and which shared parts its request has.
+    void logLoss() const;
     // Drops the connection and releases the load that was reserved for the attempt.
     void releaseReservation(routing::CallResult);
     // Makes all requests of this VM avoid the upstreams at fault for a while.
--- a/src/forwarding/ExchangeAttempts.cpp
+++ b/src/forwarding/ExchangeAttempts.cpp
@@ -3,6 +3,7 @@
 #include "include/base/Logger.h"
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include <algorithm>
 #include <array>
@@ -186,12 +187,20 @@
     return names[static_cast<std::size_t>(outcome)];
 }
 
+void Exchange::logLoss() const
+{
+    auto sinceSent = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - sentAt_);
+    logger.info("The response of an upstream was lost.", { { "request", requestMetadata_.requestId }, { "upstream", upstreamId_ }, { "engines", path_.size() }, { "since_sent_ms", sinceSent.count() }, { "had_head", responseHead_.has_value() }, { "had_bytes", eventSplitter_.partialBytes() }, { "last", eventSplitter_.lastEventId().value_or("") }, { "parts", fmt::format("{}", fmt::join(requestMetadata_.sharedPromptParts, ",")) } });
+}
+
 void Exchange::endAttempt(AttemptOutcome outcome)
 {
     static constexpr std::array<CallResult, 5> results { CallResult::Lost, CallResult::NotRun, CallResult::Lost, CallResult::Failed, CallResult::Lost };
     if (outcome == AttemptOutcome::NotSent || outcome == AttemptOutcome::NotRun)
         --runCount_;
     markSuspects(outcome);
+    if (outcome == AttemptOutcome::Lost)
+        logLoss();
     logger.debug("An attempt ended without a usable response.", { { "request", requestMetadata_.requestId }, { "upstream", upstreamId_ }, { "end", nameOf(outcome) }, { "sends", sendCount_ } });
     releaseReservation(results[static_cast<std::size_t>(outcome)]);
     // An engine without capacity may have some soon, so it is suspected for a short time
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -100,7 +100,9 @@
     request.fields.add("X-Token-Count", "1460,591");
     request.fields.add("X-Length-Hint", "80");
     request.fields.add("X-Deadline-Ms", "20000");
+    request.fields.add("X-Prompt-Prefix", "5c1e07a2:800, 91bd3f06:410,e4402b7d:250");
     auto metadata = headerCodec.readRequest(request);
+    BOOST_TEST(metadata.sharedPromptParts == (std::vector<std::string> { "5c1e07a2", "91bd3f06" }), boost::test_tools::per_element());
     BOOST_TEST(metadata.apiKey.value() == "k1");
     BOOST_TEST(metadata.size->prompt == 1460);
     BOOST_TEST(metadata.size->answer == 80);
