A stream without framing that ends inside an event is broken off

What callers saw: an upstream may answer with neither a length nor chunks and end the answer with its connection. When such a stream broke off inside an event, the caller got the rest of an event and a proper end of the response, so it looked complete.

Cause: the end of the connection completes such a body for the HTTP reader, and nobody asked whether the events in it were whole. Of an upstream that crashes as it begins to answer, not even one event arrives, and an empty stream was relayed as an answer.

Change: the response head says whether only the end of the connection ends the body. A stream of that kind which ends inside an event, or brought no event in the attempt, is lost: it is resumed after its last whole event, or aborted if it may not be. A call without framing stays complete at an orderly end, and is lost when reset.

Evidence: UnframedStreamTest.

--- a/include/http1/Message.h
+++ b/include/http1/Message.h
@@ -45,6 +45,9 @@
     Fields fields;
     bool isKeepAlive = true;
     std::optional<std::uint64_t> contentLength;
+    // Whether the body has neither a length nor chunks, so that only the end of the
+    // connection ends it.
+    bool endsWithConnection = false;
 };
 
 // Whether a field is hop-by-hop and must not be forwarded as it is. `connection` is the
--- a/src/forwarding/Exchange.h
+++ b/src/forwarding/Exchange.h
@@ -103,6 +103,8 @@
     void sendEvents(std::string_view);
     void relayPlainBody(std::string_view);
     void beginRelay(RelayMode, std::optional<std::uint64_t> length);
+    // Whether a stream whose connection has ended lacks its end.
+    bool isBrokenOff() const;
     void finishPlainResponse();
     http1::Response responseFrom(const http1::ResponseHead&) const;
 
@@ -138,6 +140,8 @@
     ResponseMetadata responseMetadata_;
     std::string bufferedBody_;
     bool isStream_ = false;
+    // Whether the attempt has brought any event.
+    bool hasEvents_ = false;
 
     // Set once the request has entered the startup queue.
     std::optional<base::TimePoint> startupDeadline_;
--- a/src/forwarding/ExchangeAttempts.cpp
+++ b/src/forwarding/ExchangeAttempts.cpp
@@ -76,6 +76,7 @@
     responseHead_.reset();
     bufferedBody_.clear();
     isStream_ = false;
+    hasEvents_ = false;
     eventSplitter_.discardPartial();
     connection_ = proxy_.pool_.acquire(endpoint, isRepeatable() ? repeatableKeepAliveFraction : unrepeatableKeepAliveFraction, sentAt_);
     connection_->send(requestHead(), request_.body, request_.head.method == "HEAD", *this, std::min(deadline_, sentAt_ + connectTimeout));
--- a/src/forwarding/ExchangeResponse.cpp
+++ b/src/forwarding/ExchangeResponse.cpp
@@ -56,6 +56,7 @@
 
 void Exchange::sendEvents(std::string_view events)
 {
+    hasEvents_ = true;
     progressAt_ = std::chrono::steady_clock::now();
     for (const auto& stage : path_)
         *stage.progressAt = progressAt_;
@@ -113,6 +114,9 @@
     caller_->beginResponse(responseFrom(*responseHead_), length);
 }
 
+// An upstream that crashes may close its connections as if it had finished.
+bool Exchange::isBrokenOff() const { return responseHead_->endsWithConnection && (eventSplitter_.partialBytes() || !hasEvents_); }
+
 void Exchange::onDone()
 {
     auto self = shared_from_this();
@@ -120,6 +124,10 @@
         finishPlainResponse();
         return;
     }
+    if (isBrokenOff()) {
+        endAttempt(AttemptOutcome::Lost);
+        return;
+    }
     releaseReservation(CallResult::Answered);
     if (caller_) {
         if (relayMode_ == RelayMode::None)
--- a/src/http1/MessageReader.cpp
+++ b/src/http1/MessageReader.cpp
@@ -151,6 +151,7 @@
     if (parser_->is_header_done() && !parser_->isHeadReported) {
         parser_->isHeadReported = true;
         parser_->head.isKeepAlive = parser_->keep_alive();
+        parser_->head.endsWithConnection = parser_->need_eof();
         if (auto length = parser_->content_length())
             parser_->head.contentLength = *length;
         return ReadStatus::HeadDone;
