--- a/include/base/Error.h
+++ b/include/base/Error.h
@@ -45,6 +45,8 @@
     MalformedFrame,
     InvalidSetting,
     Internal,
+    // Stored by number, so new kinds are added at the end.
+    HeldBack,
 };
 
 // What an error response states about whether the request was executed.
--- /dev/null
+++ b/include/fleet/CrashReportRegistry.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "include/base/Time.h"
+#include "include/fleet/CrashReport.h"
+
+#include <chrono>
+#include <cstddef>
+#include <map>
+#include <vector>
+
+namespace arbutus::fleet {
+
+// The crash reports of all entry VMs, by part. Merging is idempotent and independent of
+// the order of arrival, so each VM may pass on what it knows to each other. Every change
+// gets a new revision, so that others can request only later changes.
+class CrashReportRegistry {
+public:
+    // After this time a part counts as new again.
+    static constexpr std::chrono::minutes reportLifetime { 15 };
+
+    // The reports of one part that are not refuted.
+    struct Suspicion {
+        std::size_t crashes = 0;
+        // Since the last of them; 0 without any.
+        std::chrono::milliseconds age {};
+    };
+
+    // Merges a report, which may be known already. Returns whether it is a change.
+    bool apply(const CrashReport&, base::TimePoint now);
+    // Refutes all reports of a part.
+    void refute(std::uint64_t part, base::TimePoint now);
+    // Forgets reports after their lifetime.
+    void expire(base::TimePoint now);
+
+    std::uint64_t revision() const { return revision_; }
+    // Returns the reports whose last change has a revision above `revision`.
+    std::vector<CrashReport> changesSince(std::uint64_t revision, base::TimePoint now) const;
+    Suspicion suspicion(std::uint64_t part, base::TimePoint now) const;
+    std::size_t size() const { return reports_.size(); }
+
+private:
+    struct Key {
+        std::uint64_t part = 0;
+        std::uint64_t crash = 0;
+        friend bool operator<(const Key& left, const Key& right) { return left.part != right.part ? left.part < right.part : left.crash < right.crash; }
+    };
+    struct Stored {
+        base::TimePoint crashedAt;
+        bool isRefuted = false;
+        std::uint64_t revision = 0;
+    };
+    using Reports = std::map<Key, Stored>;
+
+    void evictOne();
+
+    Reports reports_;
+    std::uint64_t revision_ = 0;
+};
+
+} // namespace arbutus::fleet
--- a/include/fleet/FleetMessages.h
+++ b/include/fleet/FleetMessages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "include/fleet/CrashReport.h"
 #include "include/fleet/UpstreamRecord.h"
 
 #include <string_view>
@@ -35,7 +36,11 @@
     // How long the receiver may delay its answer while there are no changes.
     std::uint32_t maxWaitMilliseconds = 0;
     std::vector<UpstreamInFlightLoad> load;
-    MSGPACK_DEFINE(sender, isEntry, epoch, revision, routesVersion, wantsRoutes, routesBase, wantsPeerLoad, maxWaitMilliseconds, load)
+    // The receiver's revision of crash reports that the sender knows.
+    std::uint64_t crashRevision = 0;
+    // What the receiver may not know yet.
+    std::vector<CrashReport> crashReports;
+    MSGPACK_DEFINE(sender, isEntry, epoch, revision, routesVersion, wantsRoutes, routesBase, wantsPeerLoad, maxWaitMilliseconds, load, crashRevision, crashReports)
 };
 
 // The answer to a FleetPoll.
@@ -58,7 +63,10 @@
     std::uint32_t entryVmCount = 0;
     // The load summed over all entry VMs except the one that polls, if requested.
     std::vector<UpstreamInFlightLoad> peerLoad;
-    MSGPACK_DEFINE(epoch, revision, upstreams, routesVersion, packedRoutes, routesBase, replicas, entryVmCount, peerLoad)
+    std::uint64_t crashRevision = 0;
+    // The reports that changed after the poll's revision, or all if the epochs differ.
+    std::vector<CrashReport> crashReports;
+    MSGPACK_DEFINE(epoch, revision, upstreams, routesVersion, packedRoutes, routesBase, replicas, entryVmCount, peerLoad, crashRevision, crashReports)
 };
 
 // Asks the leader to add the sender as a replica.
--- a/include/fleet/FleetPollServer.h
+++ b/include/fleet/FleetPollServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "include/fleet/CrashReportRegistry.h"
 #include "include/fleet/FleetMessages.h"
 #include "include/fleet/PeerLoadTable.h"
 #include "include/fleet/RoutesPublisher.h"
@@ -28,10 +29,11 @@
         std::uint64_t routeDocumentBytes = 0;
     };
 
-    // `epoch` must differ at every start of the process. `registry` must outlive this
+    // `epoch` must differ at every start of the process. The registries must outlive this
     // object. Route configurations take at most `routesBytesPerSecond`.
-    FleetPollServer(const UpstreamRegistry& registry, std::uint64_t epoch, double routesBytesPerSecond)
+    FleetPollServer(const UpstreamRegistry& registry, CrashReportRegistry& crashReports, std::uint64_t epoch, double routesBytesPerSecond)
         : registry_(registry)
+        , crashReports_(crashReports)
         , epoch_(epoch)
         , routesPublisher_(routesBytesPerSecond)
     {
@@ -40,7 +42,8 @@
     void setRoutes(std::uint64_t version, std::shared_ptr<const std::string> document) { routesPublisher_.setRoutes(version, std::move(document)); }
     void setReplicas(std::vector<std::uint32_t> ips) { replicas_ = std::move(ips); }
 
-    // Calls the reply now, or keeps it until answerPendingPolls() calls it.
+    // Calls the reply now, or keeps it until answerPendingPolls() calls it. A poll that
+    // brings crash reports also has the pending ones answered.
     void poll(FleetPoll, Reply, base::TimePoint now);
     // Answers every pending poll that has changes to receive or whose deadline has passed.
     void answerPendingPolls(base::TimePoint now);
@@ -59,7 +62,11 @@
     void sendAnswer(const FleetPoll&, const Reply&, base::TimePoint now);
     FleetAnswer answer(const FleetPoll&, base::TimePoint now);
 
+    // Returns whether the poll brings anything new.
+    bool applyCrashReports(const FleetPoll&, base::TimePoint now);
+
     const UpstreamRegistry& registry_;
+    CrashReportRegistry& crashReports_;
     const std::uint64_t epoch_;
     RoutesPublisher routesPublisher_;
     std::vector<std::uint32_t> replicas_;
--- a/include/fleet/FleetPoller.h
+++ b/include/fleet/FleetPoller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "include/base/Clock.h"
+#include "include/fleet/CrashReportRegistry.h"
 #include "include/fleet/FleetMessages.h"
 #include "include/fleet/UpstreamRegistry.h"
 
@@ -42,7 +43,7 @@
     using RoutesHandler = std::function<bool(std::uint64_t version, const std::string& document, const RoutesDelivery&)>;
     using LoadProvider = std::function<std::vector<UpstreamInFlightLoad>()>;
 
-    FleetPoller(const base::Clock&, SendPoll, Options, UpstreamRegistry&, Post);
+    FleetPoller(const base::Clock&, SendPoll, Options, UpstreamRegistry&, CrashReportRegistry&, Post);
     ~FleetPoller();
 
     // Sets the callbacks of an entry VM. The handler receives new route configurations;
@@ -78,6 +79,12 @@
         // Whether the outstanding poll asks for the load of the other entry VMs.
         bool isFetchingPeerLoad = false;
         std::uint32_t entryVmCount = 0;
+        // The peer's revision of crash reports that this VM knows.
+        std::uint64_t crashRevision = 0;
+        // The own revision that the outstanding poll brings the peer to, and the one that it
+        // has confirmed.
+        std::uint64_t sentCrashRevision = 0;
+        std::uint64_t confirmedCrashRevision = 0;
         // When an answer or the seeds last listed this peer.
         base::TimePoint lastListedAt;
     };
@@ -89,6 +96,7 @@
     bool shouldFetchRoutes(std::uint32_t ip, const Peer&) const;
     void handlePollResult(std::uint32_t ip, const base::Result<std::string>&);
     void merge(Peer&, FleetAnswer);
+    void mergeCrashReports(Peer&, const FleetAnswer&);
     void adoptRoutes(const FleetAnswer&);
     bool isFetchingRoutesFromOther(std::uint32_t ip) const;
     void dropStalePeers();
@@ -97,6 +105,7 @@
     const SendPoll sendPoll_;
     const Options options_;
     UpstreamRegistry& registry_;
+    CrashReportRegistry& crashReports_;
     const Post post_;
     RoutesHandler routesHandler_;
     LoadProvider loadProvider_;
--- a/include/forwarding/ReverseProxy.h
+++ b/include/forwarding/ReverseProxy.h
@@ -7,6 +7,7 @@
 #include "include/http1/ServerConnection.h"
 #include "include/routes/RouteTable.h"
 #include "include/routing/CapacityQueue.h"
+#include "include/routing/CrashGuard.h"
 #include "include/routing/LayerPathSelector.h"
 #include "include/routing/ServiceBalancer.h"
 #include "include/routing/StartupQueue.h"
@@ -83,6 +84,10 @@
     // Returns the load that this VM has placed on each upstream.
     std::vector<fleet::UpstreamInFlightLoad> ownLoad() const;
 
+    // Holds back requests with parts that crash upstreams. The caller exchanges its
+    // observations with the other entry VMs.
+    routing::CrashGuard& crashGuard() { return crashGuard_; }
+
     // Closes each caller connection after its current request.
     void stop() { isStopping_ = true; }
     // Refuses new requests, as not run, if they may not finish before `deadline`: all
@@ -114,6 +119,7 @@
     base::Random random_;
     UpstreamConnectionPool pool_;
     routing::StartupQueue startupQueue_;
+    routing::CrashGuard crashGuard_;
     std::shared_ptr<const routes::RouteTable> routes_;
     std::map<std::string, ServiceState> services_;
     // The last state of each upstream that is not gone, by upstream id.
--- /dev/null
+++ b/include/routing/CrashGuard.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "include/base/Random.h"
+#include "include/base/Time.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace arbutus::routing {
+
+// Holds back requests whose prompt has a part that may crash the upstreams. A part is
+// suspected when an upstream ends just as it begins to answer a request with it, and
+// cleared when a request with it is answered. After some time, each VM tries a single
+// request; the more crashes, the later. What other entry VMs observe counts like own
+// observations, and is exchanged by the caller. Not thread-safe.
+class CrashGuard {
+public:
+    using Part = std::uint64_t;
+    using Parts = std::vector<Part>;
+
+    // An observation that the other entry VMs must learn.
+    struct Observation {
+        Part part = 0;
+        // Identifies the crash; nullopt if the part is cleared.
+        std::optional<std::uint64_t> crash;
+    };
+
+    explicit CrashGuard(std::uint64_t seed)
+        : random_(seed)
+    {
+    }
+
+    // Identifies the parts of a prompt. Each is counted by itself and together with its
+    // position, so that a part which is harmless elsewhere is suspected in one position.
+    static Parts identify(const std::vector<std::string>& sharedParts);
+    // Identifies one incarnation of an upstream that has ended.
+    static std::uint64_t identifyCrash(const std::string& upstream, std::int64_t startedAtMilliseconds);
+
+    // Returns how long a request with these parts is held back; nullopt if it may run.
+    std::optional<std::chrono::milliseconds> holdTime(const Parts&, base::TimePoint now) const;
+
+    // Call when a request is sent. Returns whether the attempt is the trial of a suspected
+    // part; if it is, call attemptEnded() when it has ended for any reason.
+    bool attemptStarted(const Parts&, base::TimePoint now);
+    void attemptEnded(const Parts&);
+
+    // Call when the first part of an answer has arrived.
+    void answerBegan(const Parts&, base::TimePoint now);
+    // Call when an upstream has begun to answer and ended before any of the answer arrived.
+    void upstreamCrashed(const Parts&, std::uint64_t crash, base::TimePoint now);
+
+    // Sets what the entry VMs together hold against a part: crashes that nobody refutes,
+    // and the time since the last one.
+    void setSuspicion(Part, std::size_t crashes, std::chrono::milliseconds age, base::TimePoint now);
+    // Returns the observations since the last call.
+    std::vector<Observation> takeObservations() { return std::exchange(observations_, {}); }
+    // Ends old suspicions, and forgets answers that are too old to refute a crash. Call
+    // about once a second.
+    void tick(base::TimePoint now);
+
+    std::size_t heldPartCount() const { return held_.size(); }
+
+private:
+    struct Held {
+        std::size_t crashes = 0;
+        // nullopt: no trial until the suspicion ends.
+        std::optional<base::TimePoint> trialAt;
+        base::TimePoint endsAt;
+        // Set while a trial is running.
+        std::optional<base::TimePoint> trialDeadline;
+    };
+
+    void hold(Part, std::size_t crashes, base::TimePoint crashedAt);
+    // Ends the oldest suspicion except that of `newest`.
+    void evictOne(Part newest);
+    bool wasAnsweredAround(Part, base::TimePoint crashedAt) const;
+
+    base::Random random_;
+    std::map<Part, Held> held_;
+    // When each part was last answered.
+    std::unordered_map<Part, base::TimePoint> answeredAt_;
+    std::vector<Observation> observations_;
+};
+
+} // namespace arbutus::routing
--- a/src/base/Error.cpp
+++ b/src/base/Error.cpp
@@ -38,6 +38,7 @@
     ErrorRule { ErrorKind::MalformedFrame, "malformed-frame", 400, false, ExecutionStatus::NotRun, "A frame from a peer cannot be decoded." },
     ErrorRule { ErrorKind::InvalidSetting, "invalid-setting", 500, false, ExecutionStatus::NotRun, "A setting is missing or has an invalid value." },
     ErrorRule { ErrorKind::Internal, "internal", 500, false, ExecutionStatus::Unknown, "An unexpected internal error occurred." },
+    ErrorRule { ErrorKind::HeldBack, "held-back", 503, true, ExecutionStatus::NotRun, "The prompt has a part in common with requests that crashed upstreams." },
 };
 
 static constexpr bool isIndexedByKind()
@@ -46,7 +47,7 @@
         if (static_cast<std::size_t>(errorRules[i].kind) != i)
             return false;
     }
-    return errorRules.size() == static_cast<std::size_t>(ErrorKind::Internal) + 1;
+    return errorRules.size() == static_cast<std::size_t>(ErrorKind::HeldBack) + 1;
 }
 static_assert(isIndexedByKind(), "errorRules must have one row per ErrorKind, in enum order.");
 
--- /dev/null
+++ b/src/fleet/CrashReportRegistry.cpp
@@ -0,0 +1,82 @@
+#include "include/fleet/CrashReportRegistry.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace arbutus::fleet {
+
+static constexpr std::size_t maxReports = 512;
+// A refuted report is kept until no VM holds it without the refutation any more.
+static constexpr std::chrono::minutes refutedLifetime(2);
+
+static std::uint32_t millisecondsSince(base::TimePoint time, base::TimePoint now)
+{
+    auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - time).count();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
+bool CrashReportRegistry::apply(const CrashReport& report, base::TimePoint now)
+{
+    auto crashedAt = now - std::chrono::milliseconds(report.ageMilliseconds);
+    auto [found, isNew] = reports_.try_emplace({ report.part, report.crash }, Stored { crashedAt, report.isRefuted, 0 });
+    auto& stored = found->second;
+    stored.crashedAt = std::min(stored.crashedAt, crashedAt);
+    bool isNewlyRefuted = report.isRefuted && !stored.isRefuted;
+    if (!isNew && !isNewlyRefuted)
+        return false;
+    stored.isRefuted = report.isRefuted;
+    stored.revision = ++revision_;
+    if (reports_.size() > maxReports)
+        evictOne();
+    return true;
+}
+
+// Refuted reports go first, then the oldest one.
+void CrashReportRegistry::evictOne()
+{
+    reports_.erase(std::min_element(reports_.begin(), reports_.end(), [](const auto& left, const auto& right) {
+        const auto& [leftReport, rightReport] = std::tie(left.second, right.second);
+        return leftReport.isRefuted != rightReport.isRefuted ? leftReport.isRefuted : leftReport.crashedAt < rightReport.crashedAt;
+    }));
+}
+
+void CrashReportRegistry::refute(std::uint64_t part, base::TimePoint now)
+{
+    for (auto it = reports_.lower_bound({ part, 0 }); it != reports_.end() && it->first.part == part; ++it)
+        apply({ part, it->first.crash, true, millisecondsSince(it->second.crashedAt, now) }, now);
+}
+
+void CrashReportRegistry::expire(base::TimePoint now)
+{
+    for (auto it = reports_.begin(); it != reports_.end();) {
+        std::chrono::minutes lifetime = it->second.isRefuted ? refutedLifetime : reportLifetime;
+        it = now >= it->second.crashedAt + lifetime ? reports_.erase(it) : std::next(it);
+    }
+}
+
+std::vector<CrashReport> CrashReportRegistry::changesSince(std::uint64_t revision, base::TimePoint now) const
+{
+    std::vector<CrashReport> changes;
+    for (const auto& [key, stored] : reports_) {
+        if (stored.revision > revision)
+            changes.push_back({ key.part, key.crash, stored.isRefuted, millisecondsSince(stored.crashedAt, now) });
+    }
+    return changes;
+}
+
+CrashReportRegistry::Suspicion CrashReportRegistry::suspicion(std::uint64_t part, base::TimePoint now) const
+{
+    Suspicion result;
+    base::TimePoint newest;
+    for (auto it = reports_.lower_bound({ part, 0 }); it != reports_.end() && it->first.part == part; ++it) {
+        if (it->second.isRefuted)
+            continue;
+        newest = result.crashes ? std::max(newest, it->second.crashedAt) : it->second.crashedAt;
+        ++result.crashes;
+    }
+    if (result.crashes)
+        result.age = std::chrono::milliseconds(millisecondsSince(newest, now));
+    return result;
+}
+
+} // namespace arbutus::fleet
--- a/src/fleet/FleetPollServer.cpp
+++ b/src/fleet/FleetPollServer.cpp
@@ -13,7 +13,7 @@
 bool FleetPollServer::hasUpdates(const FleetPoll& poll, base::TimePoint now) const
 {
     bool hasNewRoutes = poll.wantsRoutes ? shouldSendRoutes(poll, now) : poll.routesVersion < routesPublisher_.version();
-    return poll.epoch != epoch_ || poll.revision < registry_.revision() || hasNewRoutes;
+    return poll.epoch != epoch_ || poll.revision < registry_.revision() || poll.crashRevision < crashReports_.revision() || hasNewRoutes;
 }
 
 FleetAnswer FleetPollServer::answer(const FleetPoll& poll, base::TimePoint now)
@@ -22,6 +22,8 @@
     result.epoch = epoch_;
     result.revision = registry_.revision();
     result.upstreams = registry_.changesSince(poll.epoch == epoch_ ? poll.revision : 0);
+    result.crashRevision = crashReports_.revision();
+    result.crashReports = crashReports_.changesSince(poll.epoch == epoch_ ? poll.crashRevision : 0, now);
     result.routesVersion = routesPublisher_.version();
     if (shouldSendRoutes(poll, now)) {
         auto packed = routesPublisher_.pack(poll.routesBase, now);
@@ -46,8 +48,18 @@
     reply(std::move(bytes));
 }
 
+bool FleetPollServer::applyCrashReports(const FleetPoll& poll, base::TimePoint now)
+{
+    bool isChanged = false;
+    for (const auto& report : poll.crashReports)
+        isChanged = crashReports_.apply(report, now) || isChanged;
+    return isChanged;
+}
+
 void FleetPollServer::poll(FleetPoll poll, Reply reply, base::TimePoint now)
 {
+    if (applyCrashReports(poll, now))
+        answerPendingPolls(now);
     if (poll.isEntry)
         peerLoad_.record(poll.sender, poll.load, now);
     if (hasUpdates(poll, now) || !poll.maxWaitMilliseconds) {
@@ -69,6 +81,7 @@
         it = pendingPolls_.erase(it);
     }
     peerLoad_.expire(now - entryVmTimeout);
+    crashReports_.expire(now);
 }
 
 } // namespace arbutus::fleet
--- a/src/fleet/FleetPoller.cpp
+++ b/src/fleet/FleetPoller.cpp
@@ -24,11 +24,12 @@
 // A control VM that no answer lists any more is removed after this time.
 static constexpr std::chrono::seconds listingLifetime(20);
 
-FleetPoller::FleetPoller(const base::Clock& clock, SendPoll sendPoll, Options options, UpstreamRegistry& registry, Post post)
+FleetPoller::FleetPoller(const base::Clock& clock, SendPoll sendPoll, Options options, UpstreamRegistry& registry, CrashReportRegistry& crashReports, Post post)
     : clock_(clock)
     , sendPoll_(std::move(sendPoll))
     , options_(std::move(options))
     , registry_(registry)
+    , crashReports_(crashReports)
     , post_(std::move(post))
 {
 }
@@ -66,6 +67,7 @@
 void FleetPoller::tick()
 {
     dropStalePeers();
+    crashReports_.expire(clock_.now());
     for (auto& [ip, peer] : peers_) {
         if (!peer.isPolling && clock_.now() >= peer.nextPollAt)
             poll(ip, peer);
@@ -114,6 +116,9 @@
     poll.wantsPeerLoad = peer.isFetchingPeerLoad = options_.isEntry && isPreferred(ip);
     auto maxWait = poll.wantsPeerLoad ? loadPollWait : maxPollWait;
     poll.maxWaitMilliseconds = static_cast<std::uint32_t>((peer.newerRoutesSince ? std::min(maxWait, routesFallbackDelay) : maxWait).count());
+    poll.crashRevision = peer.crashRevision;
+    poll.crashReports = crashReports_.changesSince(peer.confirmedCrashRevision, clock_.now());
+    peer.sentCrashRevision = crashReports_.revision();
     if (loadProvider_)
         poll.load = loadProvider_();
     auto done = [this, ip, isAlive = std::weak_ptr<bool>(isAlive_), post = post_](base::Result<std::string> answer) {
@@ -149,6 +154,7 @@
 
 void FleetPoller::merge(Peer& peer, FleetAnswer answer)
 {
+    mergeCrashReports(peer, answer);
     peer.epoch = answer.epoch;
     peer.revision = answer.revision;
     peer.entryVmCount = answer.entryVmCount;
@@ -172,6 +178,16 @@
         addOrRefreshPeer(replica);
 }
 
+void FleetPoller::mergeCrashReports(Peer& peer, const FleetAnswer& answer)
+{
+    for (const auto& report : answer.crashReports)
+        crashReports_.apply(report, clock_.now());
+    peer.crashRevision = answer.crashRevision;
+    // A peer that has been started since knows only what this poll brought.
+    bool isSameProcess = answer.epoch == peer.epoch;
+    peer.confirmedCrashRevision = isSameProcess ? peer.sentCrashRevision : 0;
+}
+
 void FleetPoller::adoptRoutes(const FleetAnswer& answer)
 {
     ++delivery_.documents;
--- a/src/forwarding/Exchange.cpp
+++ b/src/forwarding/Exchange.cpp
@@ -35,6 +35,7 @@
     , request_(std::move(request))
     , requestMetadata_(proxy.headerCodec_.readRequest(request_.head))
     , routeTable_(proxy.routes_)
+    , promptParts_(routing::CrashGuard::identify(requestMetadata_.sharedPromptParts))
 {
 }
 
@@ -98,8 +99,24 @@
         streamSize_ = *requestMetadata_.size;
 }
 
+std::optional<std::chrono::milliseconds> Exchange::holdTime() const
+{
+    if (relayMode_ != RelayMode::None)
+        return std::nullopt;
+    return proxy_.crashGuard_.holdTime(promptParts_, std::chrono::steady_clock::now());
+}
+
+void Exchange::refuseHeldBack(std::chrono::milliseconds holdTime)
+{
+    refuse(makeError(ErrorKind::HeldBack, "a part of the prompt may crash upstreams"), holdTime);
+}
+
 void Exchange::sendOrEnqueue()
 {
+    if (auto time = holdTime()) {
+        refuseHeldBack(*time);
+        return;
+    }
     // Requests that already wait take precedence.
     if ((!service_->waitQueue.isEmpty() || !trySend()) && !waitForCapacity(false))
         refuse(makeError(ErrorKind::NoUpstream, "no upstream of the service has capacity"));
@@ -153,6 +170,11 @@
 
 void Exchange::pollWaitQueue(TimePoint now)
 {
+    if (holdTime()) {
+        leaveWaitQueue();
+        failRequest(AttemptOutcome::NotRun);
+        return;
+    }
     if (service_->waitQueue.isAmongFirst(*waiterId_, queueLookahead) && trySend()) {
         leaveWaitQueue();
         return;
@@ -179,7 +201,9 @@
         finish();
         return;
     }
-    if (!runCount_)
+    if (auto time = holdTime(); time && !runCount_)
+        refuseHeldBack(*time);
+    else if (!runCount_)
         refuse(makeError(ErrorKind::NoUpstream, sendCount_ ? "no upstream accepted the request" : "no upstream of the service has capacity"));
     else
         refuse(makeError(outcome == AttemptOutcome::Stalled ? ErrorKind::RequestTimeout : ErrorKind::UpstreamFailed, "the response of the upstream was lost"));
@@ -202,14 +226,16 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(expected * proxy_.random_.between(retryAfterSpreadMin, retryAfterSpreadMax));
 }
 
-void Exchange::refuse(const base::Error& error)
+void Exchange::refuse(const base::Error& error) { refuse(error, retryAfterDelay()); }
+
+void Exchange::refuse(const base::Error& error, std::chrono::milliseconds retryDelay)
 {
     const auto& rule = base::errorRule(error.kind);
     bool isNotRun = rule.executionStatus == base::ExecutionStatus::NotRun;
     ++(isNotRun ? proxy_.counters_.refused : proxy_.counters_.failed);
     std::optional<std::chrono::milliseconds> retryAfter;
     if (isNotRun && rule.mayResend)
-        retryAfter = retryAfterDelay();
+        retryAfter = retryDelay;
     logger.info("A request was refused or failed.", { { "request", requestMetadata_.requestId }, { "kind", rule.name }, { "reason", error.detail }, { "sends", sendCount_ } });
     if (caller_)
         caller_->send(problemResponse(error, retryAfter));
@@ -268,6 +294,10 @@
         pollRetryBudget(now);
         return;
     }
+    if (refutationDeadline_) {
+        pollRefutation(now);
+        return;
+    }
     if (!connection_)
         return;
     if (now >= deadline_) {
@@ -277,6 +307,8 @@
     connection_->checkTimeout(now);
     if (!isFinished_ && connection_)
         checkStall(now);
+    if (!isFinished_ && connection_)
+        checkHeldBack();
 }
 
 void Exchange::timeOut()
--- a/src/forwarding/Exchange.h
+++ b/src/forwarding/Exchange.h
@@ -35,6 +35,8 @@
         Failed,
         // The response made no progress for too long.
         Stalled,
+        // Taken back before an answer began, because its prompt may crash the upstream.
+        Withdrawn,
     };
 
     // Which kind of response body has been started to the caller. Another attempt can
@@ -60,6 +62,10 @@
     // if the startup queue does not accept the request or the wait has timed out.
     bool waitForStartup();
     void leaveStartupQueue();
+    // Returns how long the request must wait because its prompt may crash an upstream;
+    // nullopt if it may run. A stream that has begun is not held back.
+    std::optional<std::chrono::milliseconds> holdTime() const;
+    void refuseHeldBack(std::chrono::milliseconds holdTime);
     // Finds the route and checks the API key and the drain deadline.
     base::Result<void> admit();
     void chooseService();
@@ -81,6 +87,8 @@
     // Closes the upstream's connection in the middle of a response and ends the attempt.
     void rejectResponse(AttemptOutcome);
     void endAttempt(AttemptOutcome);
+    // Tells the crash guard if the upstream ended before any of its answer arrived.
+    void reportCrash();
     // Logs how far the response was and which shared parts its request has.
     void logLoss() const;
     // Drops the connection and releases the load that was reserved for the attempt.
@@ -92,6 +100,9 @@
     // Starts another attempt, or waits to start it. Returns false if neither is possible.
     bool tryRetry(AttemptOutcome);
     void pollRetryBudget(base::TimePoint now);
+    // Retries the request once other VMs have refuted that its prompt crashes upstreams,
+    // or fails it when none has in time.
+    void pollRefutation(base::TimePoint now);
     // Ends the request after its last attempt: aborts a started stream, or responds with
     // the upstream's error response or a refusal.
     void failRequest(AttemptOutcome);
@@ -112,8 +123,11 @@
     // retry at once.
     std::chrono::milliseconds retryAfterDelay() const;
     void refuse(const base::Error&);
+    void refuse(const base::Error&, std::chrono::milliseconds retryDelay);
     void finish();
     void checkStall(base::TimePoint now);
+    // Takes back a request that is waiting at an upstream while its prompt became suspected.
+    void checkHeldBack();
     bool isCallStalled(std::chrono::nanoseconds silence) const;
     bool isStreamStalled(std::chrono::nanoseconds silence, base::TimePoint now) const;
     void timeOut();
@@ -127,6 +141,7 @@
     const routes::Team* team_ = nullptr;
     ServiceState* service_ = nullptr;
     routing::StreamSize streamSize_;
+    routing::CrashGuard::Parts promptParts_;
     base::TimePoint deadline_;
     bool isFinished_ = false;
 
@@ -142,6 +157,8 @@
     bool isStream_ = false;
     // Whether the attempt has brought any event.
     bool hasEvents_ = false;
+    // Whether the attempt tries if a suspected part of the prompt is harmless.
+    bool isTrial_ = false;
 
     // Set once the request has entered the startup queue.
     std::optional<base::TimePoint> startupDeadline_;
@@ -152,6 +169,8 @@
     base::TimePoint queueDeadline_;
     // Whether a started stream waits for the retry budget before it resumes.
     bool isAwaitingRetryBudget_ = false;
+    // Set while a lost request waits for what other VMs know about its prompt.
+    std::optional<base::TimePoint> refutationDeadline_;
 
     // Counts all attempts.
     int sendCount_ = 0;
--- a/src/forwarding/ExchangeAttempts.cpp
+++ b/src/forwarding/ExchangeAttempts.cpp
@@ -33,6 +33,8 @@
 static constexpr std::chrono::milliseconds refusalSuspectDuration(300);
 // Attempts allowed beyond the route's limit if earlier ones certainly did not run.
 static constexpr int maxExtraSends = 2;
+// Long enough for the observations of the other VMs to arrive.
+static constexpr std::chrono::milliseconds maxRefutationWait(400);
 // Largest idle time of a reused connection, as a fraction of the upstream's keep-alive
 // time. The upstream may close an idle connection just as a request is sent on it, so
 // requests that cannot be repeated use a smaller fraction.
@@ -73,6 +75,7 @@
     sentAt_ = progressAt_ = std::chrono::steady_clock::now();
     ++sendCount_;
     ++runCount_;
+    isTrial_ = proxy_.crashGuard_.attemptStarted(promptParts_, sentAt_);
     responseHead_.reset();
     bufferedBody_.clear();
     isStream_ = false;
@@ -108,6 +111,10 @@
 void Exchange::releaseReservation(CallResult result)
 {
     connection_.reset();
+    if (std::exchange(isTrial_, false))
+        proxy_.crashGuard_.attemptEnded(promptParts_);
+    if (result == CallResult::Answered)
+        proxy_.crashGuard_.answerBegan(promptParts_, std::chrono::steady_clock::now());
     if (!path_.empty()) {
         service_->pathSelector->release(path_, streamSize_);
         service_->waitQueue.recordCompletion(std::chrono::steady_clock::now());
@@ -117,6 +124,8 @@
 
 void Exchange::markSuspects(AttemptOutcome outcome)
 {
+    if (outcome == AttemptOutcome::Withdrawn)
+        return;
     auto now = std::chrono::steady_clock::now();
     if (path_.empty()) {
         if (outcome == AttemptOutcome::NotSent || outcome == AttemptOutcome::Stalled)
@@ -161,6 +170,10 @@
 {
     if (!mayRetry(outcome))
         return false;
+    if (holdTime()) {
+        refutationDeadline_ = std::min(deadline_, std::chrono::steady_clock::now() + maxRefutationWait);
+        return true;
+    }
     // An attempt that reached no upstream does not count as a retry. checkStall() has
     // already charged the retry budget for a stall.
     bool isCounted = outcome != AttemptOutcome::NotSent && outcome != AttemptOutcome::Stalled;
@@ -172,6 +185,16 @@
     return isAwaitingRetryBudget_;
 }
 
+void Exchange::pollRefutation(TimePoint now)
+{
+    bool isHeldBack = holdTime().has_value();
+    if (isHeldBack && now < *refutationDeadline_)
+        return;
+    refutationDeadline_.reset();
+    if (isHeldBack || !tryRetry(AttemptOutcome::Lost))
+        failRequest(AttemptOutcome::Lost);
+}
+
 void Exchange::pollRetryBudget(TimePoint now)
 {
     bool isOver = now >= deadline_;
@@ -184,10 +207,21 @@
 
 const char* Exchange::nameOf(AttemptOutcome outcome)
 {
-    static constexpr std::array<const char*, 5> names { "not sent", "not run", "lost", "failed", "stalled" };
+    static constexpr std::array<const char*, 6> names { "not sent", "not run", "lost", "failed", "stalled", "withdrawn" };
     return names[static_cast<std::size_t>(outcome)];
 }
 
+void Exchange::reportCrash()
+{
+    bool hadAnswer = eventSplitter_.hasDelivered() || requestMetadata_.lastEventId || relayMode_ != RelayMode::None;
+    bool hadBegun = responseHead_ && responseHead_->status >= 200 && responseHead_->status < 300;
+    if (promptParts_.empty() || hadAnswer || !hadBegun)
+        return;
+    auto upstream = proxy_.knownUpstreams_.find(upstreamId_);
+    auto startedAt = upstream == proxy_.knownUpstreams_.end() ? 0 : upstream->second.startedAtMilliseconds;
+    proxy_.crashGuard_.upstreamCrashed(promptParts_, routing::CrashGuard::identifyCrash(upstreamId_, startedAt), std::chrono::steady_clock::now());
+}
+
 void Exchange::logLoss() const
 {
     auto sinceSent = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - sentAt_);
@@ -196,17 +230,19 @@
 
 void Exchange::endAttempt(AttemptOutcome outcome)
 {
-    static constexpr std::array<CallResult, 5> results { CallResult::Lost, CallResult::NotRun, CallResult::Lost, CallResult::Failed, CallResult::Lost };
+    static constexpr std::array<CallResult, 6> results { CallResult::Lost, CallResult::NotRun, CallResult::Lost, CallResult::Failed, CallResult::Lost, CallResult::Cancelled };
     if (outcome == AttemptOutcome::NotSent || outcome == AttemptOutcome::NotRun)
         --runCount_;
     markSuspects(outcome);
-    if (outcome == AttemptOutcome::Lost)
+    if (outcome == AttemptOutcome::Lost) {
         logLoss();
+        reportCrash();
+    }
     logger.debug("An attempt ended without a usable response.", { { "request", requestMetadata_.requestId }, { "upstream", upstreamId_ }, { "end", nameOf(outcome) }, { "sends", sendCount_ } });
     releaseReservation(results[static_cast<std::size_t>(outcome)]);
     // An engine without capacity may have some soon, so it is suspected for a short time
     // but not avoided for the rest of the request.
-    if (path_.empty() || outcome != AttemptOutcome::NotRun)
+    if (outcome != AttemptOutcome::Withdrawn && (path_.empty() || outcome != AttemptOutcome::NotRun))
         avoidedUpstreams_.insert(upstreamId_);
     bool wasRelaying = relayMode_ != RelayMode::None;
     if (tryRetry(outcome)) {
@@ -217,6 +253,14 @@
     failRequest(outcome);
 }
 
+void Exchange::checkHeldBack()
+{
+    if (isTrial_ || responseHead_ || !isRepeatable() || !holdTime())
+        return;
+    connection_->abandon();
+    endAttempt(AttemptOutcome::Withdrawn);
+}
+
 void Exchange::checkStall(TimePoint now)
 {
     if (!mayRetry(AttemptOutcome::Stalled))
--- a/src/forwarding/ExchangeResponse.cpp
+++ b/src/forwarding/ExchangeResponse.cpp
@@ -62,8 +62,10 @@
         *stage.progressAt = progressAt_;
     if (!caller_)
         return;
-    if (relayMode_ == RelayMode::None)
+    if (relayMode_ == RelayMode::None) {
+        proxy_.crashGuard_.answerBegan(promptParts_, progressAt_);
         beginRelay(RelayMode::Events, std::nullopt);
+    }
     caller_->sendBody(events);
 }
 
--- a/src/forwarding/ReverseProxy.cpp
+++ b/src/forwarding/ReverseProxy.cpp
@@ -30,6 +30,7 @@
     , random_(options_.seed)
     , pool_(context)
     , startupQueue_(std::chrono::steady_clock::now())
+    , crashGuard_(options_.seed)
 {
 }
 
@@ -200,6 +201,7 @@
     if (now >= nextPoolTickAt_) {
         nextPoolTickAt_ = now + poolTickInterval;
         pool_.tick(now);
+        crashGuard_.tick(now);
     }
 }
 
--- a/src/node/ControlNode.cpp
+++ b/src/node/ControlNode.cpp
@@ -72,9 +72,9 @@
     , options_(std::move(options))
     , timeline_(clock_, options_.name, timelineCapacity)
     , links_(linkOptions(options_))
-    , fleetPollServer_(registry_, options_.seed | 1, routesBytesPerSecond(options_))
+    , fleetPollServer_(registry_, crashReports_, options_.seed | 1, routesBytesPerSecond(options_))
     , fleetPoller_(
-          clock_, [this](auto&&... request) { return links_.sendPoll(std::forward<decltype(request)>(request)...); }, pollerOptions(options_), registry_, [this](std::function<void()> task) { boost::asio::post(context_, std::move(task)); })
+          clock_, [this](auto&&... request) { return links_.sendPoll(std::forward<decltype(request)>(request)...); }, pollerOptions(options_), registry_, crashReports_, [this](std::function<void()> task) { boost::asio::post(context_, std::move(task)); })
     , timer_(context, tickInterval, [this] { tick(); })
     , heartbeatMonitor_(net::ipText(options_.ip), options_.heartbeatInterval)
     , replicaPlanner_(options_.targetVoters)
--- a/src/node/ControlNode.h
+++ b/src/node/ControlNode.h
@@ -153,6 +153,7 @@
     base::Timeline timeline_;
     fleet::PeerLinks links_;
     fleet::UpstreamRegistry registry_;
+    fleet::CrashReportRegistry crashReports_;
     fleet::FleetPollServer fleetPollServer_;
     fleet::FleetPoller fleetPoller_;
     std::unique_ptr<replica::ReplicaNode> replica_;
--- a/src/node/EntryNode.cpp
+++ b/src/node/EntryNode.cpp
@@ -61,7 +61,7 @@
     , readinessHandler_(std::make_shared<ReadinessHandler>(*this))
     , links_({ options_.name, options_.internalPort, options_.sharedKey, options_.seed })
     , fleetPoller_(
-          clock_, [this](auto&&... request) { return links_.sendPoll(std::forward<decltype(request)>(request)...); }, pollerOptions(options_), registry_, [this](std::function<void()> task) { boost::asio::post(context_, std::move(task)); })
+          clock_, [this](auto&&... request) { return links_.sendPoll(std::forward<decltype(request)>(request)...); }, pollerOptions(options_), registry_, crashReports_, [this](std::function<void()> task) { boost::asio::post(context_, std::move(task)); })
     , timer_(context, tickInterval, [this] { tick(); })
 {
 }
@@ -91,6 +91,25 @@
     return true;
 }
 
+void EntryNode::exchangeCrashReports(base::TimePoint now)
+{
+    auto& guard = proxy_.crashGuard();
+    for (const auto& [part, crash] : guard.takeObservations()) {
+        if (crash)
+            crashReports_.apply({ part, *crash, false, 0 }, clock_.now());
+        else
+            crashReports_.refute(part, clock_.now());
+    }
+    if (crashReports_.revision() == crashRevision_)
+        return;
+    for (const auto& report : crashReports_.changesSince(crashRevision_, clock_.now())) {
+        auto suspicion = crashReports_.suspicion(report.part, clock_.now());
+        guard.setSuspicion(report.part, suspicion.crashes, suspicion.age, now);
+        logger.info("The suspicion against a prompt part changed.", { { "part", report.part }, { "crashes", suspicion.crashes }, { "age_ms", suspicion.age.count() } });
+    }
+    crashRevision_ = crashReports_.revision();
+}
+
 bool EntryNode::isReady() const { return !stoppingSince_ && proxy_.routes(); }
 
 void EntryNode::tick()
@@ -101,6 +120,7 @@
         proxy_.setUpstreams(registry_);
     }
     proxy_.tick(now);
+    exchangeCrashReports(now);
     if (++ticks_ % ticksPerSlowTick)
         return;
     fleetPoller_.tick();
--- a/src/node/EntryNode.h
+++ b/src/node/EntryNode.h
@@ -49,6 +49,8 @@
 
     void tick();
     bool applyRoutes(std::uint64_t version, const std::string& document, const fleet::FleetPoller::RoutesDelivery&);
+    // Exchanges crash reports between the proxy and the other VMs.
+    void exchangeCrashReports(base::TimePoint now);
     bool isReady() const;
     void tryFinishStopping(base::TimePoint now);
 
@@ -58,6 +60,8 @@
     base::BootClock clock_;
     fleet::UpstreamRegistry registry_;
     std::uint64_t registryRevision_ = 0;
+    fleet::CrashReportRegistry crashReports_;
+    std::uint64_t crashRevision_ = 0;
     forwarding::ReverseProxy proxy_;
     std::shared_ptr<ReadinessHandler> readinessHandler_;
     std::unique_ptr<http1::Server> callerServer_;
--- /dev/null
+++ b/src/routing/CrashGuard.cpp
@@ -0,0 +1,162 @@
+#include "include/routing/CrashGuard.h"
+
+#include "include/base/Digest.h"
+#include "include/fleet/CrashReportRegistry.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+
+namespace arbutus::routing {
+
+// An upstream may lose a connection just after it began to answer although the request
+// is harmless. A part that was answered up to this long before is not suspected.
+static constexpr std::chrono::seconds refutingAnswerAge(2);
+// A part that was answered within this time is not suspected beside one that was not.
+static constexpr std::chrono::seconds answerRetention(60);
+static constexpr std::size_t maxAnsweredParts = 8192;
+static constexpr std::size_t maxHeldParts = 512;
+// A trial whose outcome is unknown after this time no longer prevents another one.
+static constexpr std::chrono::seconds trialTimeout(5);
+
+// Range of the time from a crash to the next trial, by the number of crashes; beyond
+// these there is no trial. Each VM draws its own time, so that VMs which learn of the
+// outcome of a trial after some 100 ms do not all try.
+struct TrialDelay {
+    std::chrono::milliseconds min;
+    std::chrono::milliseconds max;
+};
+static constexpr std::array trialDelays {
+    TrialDelay { std::chrono::seconds(3), std::chrono::seconds(12) },
+    TrialDelay { std::chrono::seconds(20), std::chrono::seconds(60) },
+};
+// Retry-After of a request that is not tried again.
+static constexpr std::chrono::minutes longestHoldTime(5);
+
+CrashGuard::Parts CrashGuard::identify(const std::vector<std::string>& sharedParts)
+{
+    Parts parts;
+    parts.reserve(2 * sharedParts.size());
+    for (std::size_t i = 0; i < sharedParts.size(); ++i) {
+        parts.push_back(base::hash64(sharedParts[i]));
+        parts.push_back(base::hash64(fmt::format("{}@{}", sharedParts[i], i)));
+    }
+    return parts;
+}
+
+std::uint64_t CrashGuard::identifyCrash(const std::string& upstream, std::int64_t startedAtMilliseconds) { return base::hash64(upstream, static_cast<std::uint64_t>(startedAtMilliseconds)); }
+
+std::optional<std::chrono::milliseconds> CrashGuard::holdTime(const Parts& parts, base::TimePoint now) const
+{
+    std::optional<std::chrono::milliseconds> longest;
+    for (auto part : parts) {
+        auto found = held_.find(part);
+        if (found == held_.end())
+            continue;
+        const auto& held = found->second;
+        auto end = held.trialAt;
+        if (end && held.trialDeadline)
+            end = std::max(*end, *held.trialDeadline);
+        if (end && now >= *end)
+            continue;
+        auto time = end ? std::chrono::ceil<std::chrono::milliseconds>(*end - now) : std::chrono::milliseconds(longestHoldTime);
+        longest = std::max(longest.value_or(time), time);
+    }
+    return longest;
+}
+
+bool CrashGuard::attemptStarted(const Parts& parts, base::TimePoint now)
+{
+    bool isTrial = false;
+    for (auto part : parts) {
+        if (auto found = held_.find(part); found != held_.end()) {
+            found->second.trialDeadline = now + trialTimeout;
+            isTrial = true;
+        }
+    }
+    return isTrial;
+}
+
+void CrashGuard::attemptEnded(const Parts& parts)
+{
+    for (auto part : parts) {
+        if (auto found = held_.find(part); found != held_.end())
+            found->second.trialDeadline.reset();
+    }
+}
+
+void CrashGuard::answerBegan(const Parts& parts, base::TimePoint now)
+{
+    for (auto part : parts) {
+        if (answeredAt_.size() < maxAnsweredParts || answeredAt_.count(part))
+            answeredAt_[part] = now;
+        if (held_.erase(part))
+            observations_.push_back({ part, std::nullopt });
+    }
+}
+
+bool CrashGuard::wasAnsweredAround(Part part, base::TimePoint crashedAt) const
+{
+    auto found = answeredAt_.find(part);
+    return found != answeredAt_.end() && found->second + refutingAnswerAge >= crashedAt;
+}
+
+void CrashGuard::upstreamCrashed(const Parts& parts, std::uint64_t crash, base::TimePoint now)
+{
+    bool hasUnanswered = std::any_of(parts.begin(), parts.end(), [this](Part part) { return !answeredAt_.count(part); });
+    for (auto part : parts) {
+        if (wasAnsweredAround(part, now) || (hasUnanswered && answeredAt_.count(part)))
+            continue;
+        observations_.push_back({ part, crash });
+        // Other VMs may have seen the same crash, so setSuspicion() counts it.
+        hold(part, 1, now);
+        if (auto& trialAt = held_[part].trialAt)
+            trialAt = std::max(*trialAt, now + trialDelays.front().min);
+    }
+}
+
+void CrashGuard::hold(Part part, std::size_t crashes, base::TimePoint crashedAt)
+{
+    auto& held = held_[part];
+    if (crashes <= held.crashes)
+        return;
+    held = { crashes, std::nullopt, crashedAt + fleet::CrashReportRegistry::reportLifetime, std::nullopt };
+    if (held_.size() > maxHeldParts)
+        evictOne(part);
+    if (crashes > trialDelays.size())
+        return;
+    const auto& delay = trialDelays[crashes - 1];
+    auto milliseconds = random_.between(static_cast<double>(delay.min.count()), static_cast<double>(delay.max.count()));
+    held.trialAt = crashedAt + std::chrono::milliseconds(static_cast<std::int64_t>(milliseconds));
+}
+
+void CrashGuard::evictOne(Part newest)
+{
+    auto oldest = held_.end();
+    for (auto it = held_.begin(); it != held_.end(); ++it) {
+        if (it->first != newest && (oldest == held_.end() || it->second.endsAt < oldest->second.endsAt))
+            oldest = it;
+    }
+    held_.erase(oldest);
+}
+
+void CrashGuard::setSuspicion(Part part, std::size_t crashes, std::chrono::milliseconds age, base::TimePoint now)
+{
+    if (!crashes)
+        held_.erase(part);
+    else if (wasAnsweredAround(part, now - age))
+        observations_.push_back({ part, std::nullopt });
+    else
+        hold(part, crashes, now - age);
+}
+
+void CrashGuard::tick(base::TimePoint now)
+{
+    for (auto it = answeredAt_.begin(); it != answeredAt_.end();)
+        it = now >= it->second + answerRetention ? answeredAt_.erase(it) : std::next(it);
+    for (auto it = held_.begin(); it != held_.end();)
+        it = now >= it->second.endsAt ? held_.erase(it) : std::next(it);
+}
+
+} // namespace arbutus::routing
--- /dev/null
+++ b/tests/CrashGuardTest.cpp
@@ -0,0 +1,113 @@
+#include "include/routing/CrashGuard.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace arbutus;
+using routing::CrashGuard;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+static const base::TimePoint start { std::chrono::hours(1) };
+
+static CrashGuard::Parts parts(const std::vector<std::string>& names) { return CrashGuard::identify(names); }
+
+static bool mayRun(const CrashGuard& guard, const std::vector<std::string>& names, base::TimePoint now) { return !guard.holdTime(parts(names), now); }
+
+BOOST_AUTO_TEST_CASE(PartThatAppearsInAnyRequestIsHeldBack)
+{
+    CrashGuard guard(1);
+    guard.upstreamCrashed(parts({ "deadly" }), 7, start);
+    BOOST_TEST(!mayRun(guard, { "deadly" }, start));
+    BOOST_TEST(!mayRun(guard, { "other", "deadly" }, start));
+    BOOST_TEST(mayRun(guard, { "other" }, start));
+}
+
+BOOST_AUTO_TEST_CASE(SoundRequestsWithTheOtherPartsAreServed)
+{
+    CrashGuard guard(1);
+    guard.answerBegan(parts({ "common" }), start - seconds(30));
+    guard.upstreamCrashed(parts({ "common", "deadly" }), 7, start);
+    BOOST_TEST(mayRun(guard, { "common" }, start));
+    BOOST_TEST(!mayRun(guard, { "common", "deadly" }, start));
+}
+
+BOOST_AUTO_TEST_CASE(PartThatIsSoundInAnotherPositionIsHeldBackInItsOwn)
+{
+    CrashGuard guard(1);
+    auto now = start;
+    for (std::uint64_t crash = 0; crash < 3; ++crash) {
+        guard.upstreamCrashed(parts({ "common", "deadly" }), crash, now);
+        guard.answerBegan(parts({ "deadly" }), now);
+        guard.answerBegan(parts({ "common" }), now);
+        now += seconds(1);
+    }
+    BOOST_TEST(mayRun(guard, { "deadly" }, now));
+    BOOST_TEST(!mayRun(guard, { "common", "deadly" }, now));
+}
+
+// Guards against refusing a popular part because one connection was lost.
+BOOST_AUTO_TEST_CASE(RecentAnswerRefutesCrash)
+{
+    CrashGuard guard(1);
+    guard.answerBegan(parts({ "common" }), start);
+    guard.upstreamCrashed(parts({ "common" }), 7, start + seconds(1));
+    BOOST_TEST(mayRun(guard, { "common" }, start + seconds(1)));
+    BOOST_TEST(guard.takeObservations().empty());
+    guard.setSuspicion(parts({ "common" }).front(), 1, milliseconds(200), start + seconds(2));
+    BOOST_TEST(mayRun(guard, { "common" }, start + seconds(2)));
+    BOOST_TEST(guard.takeObservations().size() == 1U);
+}
+
+// Returns whether a trial was due by `end`, and lets it crash an upstream.
+static bool crashOnTrial(CrashGuard& guard, std::uint64_t crash, base::TimePoint& now, base::TimePoint end)
+{
+    for (; now < end; now += milliseconds(50)) {
+        if (!mayRun(guard, { "deadly" }, now))
+            continue;
+        BOOST_TEST(guard.attemptStarted(parts({ "deadly" }), now));
+        BOOST_TEST(!mayRun(guard, { "deadly" }, now));
+        guard.attemptEnded(parts({ "deadly" }));
+        guard.upstreamCrashed(parts({ "deadly" }), crash, now);
+        for (auto part : parts({ "deadly" }))
+            guard.setSuspicion(part, crash + 1, {}, now);
+        return true;
+    }
+    return false;
+}
+
+// Guards against more requests at upstreams after the fifth crash than three.
+BOOST_AUTO_TEST_CASE(DeadlyPartIsTriedTwiceAndThenNoMore)
+{
+    CrashGuard guard(1);
+    auto now = start;
+    guard.upstreamCrashed(parts({ "deadly" }), 0, now);
+    BOOST_TEST(crashOnTrial(guard, 1, now, start + seconds(13)));
+    BOOST_TEST(crashOnTrial(guard, 2, now, start + seconds(80)));
+    BOOST_TEST(!crashOnTrial(guard, 3, now, start + std::chrono::minutes(14)));
+    guard.tick(start + std::chrono::minutes(20));
+    BOOST_TEST(guard.heldPartCount() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(AnsweredTrialClearsThePartForAllVms)
+{
+    CrashGuard guard(1);
+    guard.upstreamCrashed(parts({ "sound" }), 7, start);
+    guard.takeObservations();
+    auto now = start + seconds(13);
+    BOOST_TEST(guard.attemptStarted(parts({ "sound" }), now));
+    guard.answerBegan(parts({ "sound" }), now);
+    BOOST_TEST(mayRun(guard, { "sound" }, now));
+    auto observations = guard.takeObservations();
+    BOOST_REQUIRE(observations.size() == 2U);
+    BOOST_TEST(!observations.front().crash.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(SuspectedPartsDoNotFillTheMemory)
+{
+    CrashGuard guard(1);
+    constexpr std::size_t bound = 512;
+    for (std::uint64_t crash = 0; crash < 2 * bound; ++crash)
+        guard.upstreamCrashed(parts({ std::to_string(crash) }), crash, start + milliseconds(crash));
+    BOOST_TEST(guard.heldPartCount() == bound);
+    BOOST_TEST(!mayRun(guard, { std::to_string(2 * bound - 1) }, start + milliseconds(2 * bound)));
+}
--- /dev/null
+++ b/tests/CrashReportSpreadTest.cpp
@@ -0,0 +1,93 @@
+#include "tests/FleetNetwork.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace arbutus;
+using fleet::CrashReport;
+using fleet::CrashReportRegistry;
+using fleet::FleetNetwork;
+using fleet::Milliseconds;
+
+static constexpr std::uint64_t part = 11;
+// Well below the shortest time after which the VMs must act alike.
+static constexpr Milliseconds spreadBound(600);
+
+static std::unique_ptr<FleetNetwork> makeFleet()
+{
+    auto fleet = std::make_unique<FleetNetwork>(3, 170, 61, 20);
+    fleet->run(Milliseconds(2000));
+    return fleet;
+}
+
+static std::size_t countSuspecting(FleetNetwork& fleet)
+{
+    return static_cast<std::size_t>(std::count_if(fleet.entry.begin(), fleet.entry.end(), [&](const auto& vm) { return vm.crashReports.suspicion(part, fleet.clock.now()).crashes; }));
+}
+
+static void report(FleetNetwork& fleet, std::size_t vm, std::uint64_t crash) { fleet.entry[vm].crashReports.apply({ part, crash, false, 0 }, fleet.clock.now()); }
+
+BOOST_AUTO_TEST_CASE(CrashSeenByOneEntryVmIsKnownToAll)
+{
+    auto fleet = makeFleet();
+    report(*fleet, 5, 1);
+    fleet->run(spreadBound);
+    BOOST_TEST(countSuspecting(*fleet) == fleet->entry.size());
+    fleet->entry[7].crashReports.refute(part, fleet->clock.now());
+    fleet->run(spreadBound);
+    BOOST_TEST(countSuspecting(*fleet) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(CrashesSeenByDifferentVmsAddUpAndOneCrashCountsOnce)
+{
+    auto fleet = makeFleet();
+    report(*fleet, 1, 1);
+    report(*fleet, 2, 1);
+    report(*fleet, 3, 2);
+    fleet->run(spreadBound);
+    for (const auto& vm : fleet->entry)
+        BOOST_TEST(vm.crashReports.suspicion(part, fleet->clock.now()).crashes == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(ReportsSurviveRestartsAndLostContact)
+{
+    auto fleet = makeFleet();
+    fleet->control[1].isReachable = false;
+    report(*fleet, 5, 1);
+    fleet->run(spreadBound);
+    // All control VMs start anew, one after the other, and so does the VM that saw the crash.
+    for (std::size_t i = 0; i < fleet->control.size(); ++i) {
+        fleet->control[i].isReachable = true;
+        fleet->control[i].crashReports = {};
+        fleet->startControl(i);
+        fleet->run(Milliseconds(1500));
+    }
+    fleet->entry[5].crashReports = {};
+    fleet->startEntry(5);
+    fleet->run(spreadBound);
+    BOOST_TEST(countSuspecting(*fleet) == fleet->entry.size());
+}
+
+BOOST_AUTO_TEST_CASE(ReportsEndAfterTheirLifetimeAndAreBounded)
+{
+    CrashReportRegistry registry;
+    base::TimePoint now {};
+    constexpr std::size_t bound = 512;
+    for (std::uint64_t crash = 0; crash < 2 * bound; ++crash)
+        registry.apply({ part, crash, crash % 2 == 0, 0 }, now);
+    BOOST_TEST(registry.size() == bound);
+    BOOST_TEST(registry.suspicion(part, now).crashes == bound);
+    registry.expire(now + CrashReportRegistry::reportLifetime);
+    BOOST_TEST(registry.size() == 0U);
+}
+
+// Guards against VMs that tell each other the same report without end.
+BOOST_AUTO_TEST_CASE(KnownReportIsNoChange)
+{
+    CrashReportRegistry registry;
+    base::TimePoint now { Milliseconds(5000) };
+    BOOST_TEST(registry.apply({ part, 1, false, 100 }, now));
+    BOOST_TEST(!registry.apply({ part, 1, false, 0 }, now));
+    BOOST_TEST(registry.apply({ part, 1, true, 0 }, now));
+    BOOST_TEST(!registry.apply({ part, 1, false, 900 }, now));
+    BOOST_TEST(registry.suspicion(part, now).crashes == 0U);
+}
--- /dev/null
+++ b/tests/DeadlyPromptTest.cpp
@@ -0,0 +1,78 @@
+#include "tests/ForwardingFixture.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+using namespace arbutus;
+
+// Engines that end as soon as they begin to answer a request with the deadly part.
+struct DeadlyPromptFixture : Fixture {
+    DeadlyPromptFixture()
+        : Fixture(routes::RequestKind::Streaming, false)
+    {
+        configuration.services.front().model = smallModel();
+        upstreamCount = 6;
+        configure();
+        script = [this](Peer& connection, const std::string& request, int) {
+            bool isDeadly = contains(request, "deadly");
+            deadlyRequests += isDeadly ? 1 : 0;
+            connection.socket->write(streamHead + (isDeadly ? "" : chunk(event(1)) + "0\r\n\r\n"));
+            if (isDeadly)
+                connection.socket->closeAfterWriting();
+        };
+    }
+
+    std::string sendPrompt(const std::string& parts)
+    {
+        extraFields = "Parts: " + parts + "\r\n";
+        return sendRequest("r1", "\r\n\r\n");
+    }
+
+    int deadlyRequests = 0;
+};
+
+BOOST_AUTO_TEST_CASE(DeadlyPromptPartReachesNoSecondUpstream)
+{
+    DeadlyPromptFixture fixture;
+    BOOST_TEST(contains(fixture.sendPrompt("common"), "200"));
+    BOOST_TEST(contains(fixture.sendPrompt("common,deadly"), "502"));
+    auto refused = fixture.sendPrompt("common,deadly");
+    BOOST_TEST(contains(refused, "503"));
+    BOOST_TEST(contains(refused, "Retry-After: "));
+    BOOST_TEST(contains(fixture.sendPrompt("other,deadly"), "503"));
+    BOOST_TEST(fixture.deadlyRequests == 1);
+    BOOST_TEST(contains(fixture.sendPrompt("common"), "200"));
+}
+
+BOOST_AUTO_TEST_CASE(RequestInFlightIsTakenBackWhenItsPromptBecomesSuspected)
+{
+    DeadlyPromptFixture fixture;
+    fixture.script = [](Peer&, const std::string&, int) {};
+    auto parts = routing::CrashGuard::identify({ "deadly" });
+    fixture.extraFields = "Parts: deadly\r\n";
+    auto received = fixture.sendRequest("r1", "detail", [&] { fixture.proxy.crashGuard().upstreamCrashed(parts, 1, std::chrono::steady_clock::now()); });
+    BOOST_TEST(contains(received, "502"));
+    BOOST_REQUIRE(fixture.connections.size() == 1U);
+    BOOST_TEST(fixture.connections.front()->hasEnded);
+}
+
+BOOST_AUTO_TEST_CASE(LostRequestIsSentAgainOnceItsPromptIsCleared)
+{
+    DeadlyPromptFixture fixture;
+    auto deadlyScript = fixture.script;
+    boost::asio::steady_timer clearTimer(fixture.context);
+    fixture.script = [&](Peer& connection, const std::string& request, int number) {
+        if (number == 1) {
+            deadlyScript(connection, request, number);
+            // Another VM has had an answer to such a prompt.
+            clearTimer.expires_after(std::chrono::milliseconds(100));
+            clearTimer.async_wait([&fixture](const boost::system::error_code&) {
+                for (auto part : routing::CrashGuard::identify({ "deadly" }))
+                    fixture.proxy.crashGuard().setSuspicion(part, 0, {}, std::chrono::steady_clock::now());
+            });
+            return;
+        }
+        connection.socket->write(streamHead + chunk(event(1)) + "0\r\n\r\n");
+    };
+    fixture.extraFields = "Parts: deadly\r\n";
+    BOOST_TEST(contains(fixture.sendRequest("r1", "0\r\n\r\n"), "id: 1"));
+}
--- a/tests/FleetNetwork.h
+++ b/tests/FleetNetwork.h
@@ -26,6 +26,7 @@
     };
     struct ControlVm {
         UpstreamRegistry registry;
+        CrashReportRegistry crashReports;
         std::unique_ptr<FleetPollServer> server;
         Link uplink;
         bool isReachable = true;
@@ -34,6 +35,7 @@
     };
     struct EntryVm {
         UpstreamRegistry registry;
+        CrashReportRegistry crashReports;
         std::unique_ptr<FleetPoller> poller;
         Link downlink;
         std::uint64_t version = 0;
@@ -65,7 +67,7 @@
         std::vector<std::uint32_t> ips;
         for (std::size_t peer = 0; peer < control.size(); ++peer)
             ips.push_back(firstIp + static_cast<std::uint32_t>(peer));
-        vm.server = std::make_unique<FleetPollServer>(vm.registry, ++lastEpoch_, RoutesPublisher::maxLinkShare * vm.uplink.bytesPerSecond);
+        vm.server = std::make_unique<FleetPollServer>(vm.registry, vm.crashReports, ++lastEpoch_, RoutesPublisher::maxLinkShare * vm.uplink.bytesPerSecond);
         vm.server->setReplicas(ips);
     }
 
@@ -82,7 +84,7 @@
             sendPoll(i, ip - firstIp, std::move(poll), timeout, std::move(done));
             return true;
         };
-        vm.poller = std::make_unique<FleetPoller>(clock, send, options, vm.registry, [](const auto& task) { task(); });
+        vm.poller = std::make_unique<FleetPoller>(clock, send, options, vm.registry, vm.crashReports, [](const auto& task) { task(); });
         vm.poller->setEntryHooks([this, i](std::uint64_t version, const std::string& document, const auto&) { return apply(i, version, document); }, [] { return std::vector<UpstreamInFlightLoad>(); });
         std::vector<std::uint32_t> seeds;
         for (std::size_t seed = 0; seed < std::min<std::size_t>(3, control.size()); ++seed)
--- a/tests/ForwardingFixture.h
+++ b/tests/ForwardingFixture.h
@@ -8,6 +8,7 @@
 #include <boost/asio/post.hpp>
 
 #include <functional>
+#include <sstream>
 
 namespace arbutus {
 
@@ -20,6 +21,11 @@
         forwarding::RequestMetadata metadata;
         metadata.host = *head.fields.find("Host");
         metadata.requestId = *head.fields.find("Id");
+        if (const auto* parts = head.fields.find("Parts")) {
+            std::istringstream stream(*parts);
+            for (std::string part; std::getline(stream, part, ',');)
+                metadata.sharedPromptParts.push_back(part);
+        }
         return metadata;
     }
     forwarding::ResponseMetadata onReadResponse(const http1::ResponseHead& head) const override
@@ -82,6 +88,8 @@
     Script script;
     routes::RouteConfiguration configuration;
     int upstreamCount = 2;
+    // Sent with every request.
+    std::string extraFields;
 
     explicit Fixture(routes::RequestKind kind, bool isConfigured = true, forwarding::WindowedRetryBudgetOptions limits = { 1, 50, std::chrono::seconds(10) })
         : retryBudget(limits)
@@ -166,7 +174,7 @@
         // Waits for the connection before writing.
         for (int i = 0; i < 20; ++i)
             context.run_for(std::chrono::milliseconds(1));
-        caller->socket->write("POST /order HTTP/1.1\r\nHost: desk\r\nId: " + id + "\r\nContent-Length: 2\r\n\r\nab");
+        caller->socket->write("POST /order HTTP/1.1\r\nHost: desk\r\nId: " + id + "\r\n" + extraFields + "Content-Length: 2\r\n\r\nab");
         auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(3);
         bool hasArrived = false;
         while (!caller->hasEnded && caller->received.find(terminator) == std::string::npos && std::chrono::steady_clock::now() < deadline) {
--- a/tests/UpstreamRegistryTest.cpp
+++ b/tests/UpstreamRegistryTest.cpp
@@ -215,7 +215,8 @@
 {
     base::VirtualClock clock;
     UpstreamRegistry registry;
-    FleetPollServer pollServer(registry, 77, 1e6);
+    CrashReportRegistry crashReports;
+    FleetPollServer pollServer(registry, crashReports, 77, 1e6);
     std::vector<FleetAnswer> answers;
     auto reply = [&answers](const std::string& bytes) { answers.push_back(decode<FleetAnswer>(bytes).value()); };
     FleetPoll poll;
