--- a/include/forwarding/HeaderCodec.h
+++ b/include/forwarding/HeaderCodec.h
@@ -34,6 +34,9 @@
     // Address of the engine that caused the failure, if the response names one.
     std::optional<std::string> faultyEngineAddress;
     std::optional<std::chrono::seconds> keepAlive;
+    // How many requests a second the upstream accepts from all entry VMs together; nullopt
+    // if it has no limit.
+    std::optional<double> requestsPerSecond;
 };
 
 // Per-attempt data that the proxy adds to the header of an upstream request.
--- a/include/forwarding/ReverseProxy.h
+++ b/include/forwarding/ReverseProxy.h
@@ -112,6 +112,8 @@
     ServiceState& service(const std::string& name);
     void applyUpstream(const fleet::UpstreamRecord&);
     void detachUpstream(const fleet::UpstreamRecord&);
+    // Logs when an upstream begins, changes or ends a limit of its requests a second.
+    void recordNamedLimit(const std::string& upstream, std::optional<double> perSecond);
 
     boost::asio::io_context& context_;
     const HeaderCodec& headerCodec_;
@@ -124,6 +126,7 @@
     std::map<std::string, ServiceState> services_;
     // The last state of each upstream that is not gone, by upstream id.
     std::map<std::string, fleet::UpstreamRecord> knownUpstreams_;
+    std::map<std::string, double> namedLimits_;
     std::uint64_t upstreamRevision_ = 0;
     std::uint32_t entryVmCount_ = 1;
     std::list<std::shared_ptr<Exchange>> exchanges_;
--- a/src/forwarding/ExchangeResponse.cpp
+++ b/src/forwarding/ExchangeResponse.cpp
@@ -27,6 +27,7 @@
     responseMetadata_ = proxy_.headerCodec_.readResponse(head);
     connection_->setKeepAlive(responseMetadata_.keepAlive);
     responseHead_ = head;
+    proxy_.recordNamedLimit(upstreamId_, responseMetadata_.requestsPerSecond);
     bool isSuccess = head.status >= 200 && head.status < 300;
     if (isSuccess && (!responseMetadata_.isSigned || responseMetadata_.isEncoded)) {
         rejectResponse(AttemptOutcome::Lost);
--- a/src/forwarding/ReverseProxy.cpp
+++ b/src/forwarding/ReverseProxy.cpp
@@ -1,5 +1,6 @@
 #include "include/forwarding/ReverseProxy.h"
 
+#include "include/base/Logger.h"
 #include "include/fleet/FleetMessages.h"
 #include "src/forwarding/Exchange.h"
 
@@ -7,6 +8,8 @@
 
 namespace arbutus::forwarding {
 
+static constexpr base::Logger logger("gate");
+
 static constexpr std::chrono::seconds poolTickInterval(1);
 // Limits the rate of path searches when many requests wait for the same service.
 static constexpr std::chrono::milliseconds reachabilityCheckInterval(30);
@@ -125,6 +128,15 @@
         found->second.balancer->removeUpstream(upstream.id);
 }
 
+void ReverseProxy::recordNamedLimit(const std::string& upstream, std::optional<double> perSecond)
+{
+    static constexpr double unlimited = -1;
+    auto& known = namedLimits_.try_emplace(upstream, unlimited).first->second;
+    auto previous = std::exchange(known, perSecond.value_or(unlimited));
+    if (known != previous)
+        logger.info("An upstream named another limit of requests.", { { "upstream", upstream }, { "per_second", known }, { "previous", previous } });
+}
+
 void ReverseProxy::setPeerLoad(const std::map<std::string, fleet::UpstreamInFlightLoad>& load)
 {
     std::map<std::string, routing::InFlightLoad> engines;
