Keep requests within the limits that upstreams name

Engines that named a limit in their answers got up to twice of what is allowed.

Cause: no entry VM read the field. With nine of them, keeping to the limit alone would not have been enough either: the limit is one for all, and often less than one request a second for each.

Change: a limited upstream gets a request only for a permit (routing::RequestRateLimiter). The control VM that entry VMs already ask for the load of the others divides the permits by demand, with the same polls (fleet::RequestPermitAllocator); unused ones come back after 600 ms. If entry VMs take their permits from different control VMs, each gives out its part. Without an answer for 600 ms an entry VM uses an equal part of each limit. The newest answer decides what the limit is; an answer without one lifts it for all, and one request in 4 s still goes to an upstream whose limit is lower. Calls of plain services wait up to 320 ms for a permit.

--- a/include/fleet/FleetMessages.h
+++ b/include/fleet/FleetMessages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "include/fleet/CrashReport.h"
+#include "include/fleet/RequestLimitReport.h"
 #include "include/fleet/UpstreamRecord.h"
 
 #include <string_view>
@@ -40,7 +41,10 @@
     std::uint64_t crashRevision = 0;
     // What the receiver may not know yet.
     std::vector<CrashReport> crashReports;
-    MSGPACK_DEFINE(sender, isEntry, epoch, revision, routesVersion, wantsRoutes, routesBase, wantsPeerLoad, maxWaitMilliseconds, load, crashRevision, crashReports)
+    // Only together with `wantsPeerLoad`: what the sender knows of limits, and the permits
+    // that it wants.
+    RequestLimitReports limits;
+    MSGPACK_DEFINE(sender, isEntry, epoch, revision, routesVersion, wantsRoutes, routesBase, wantsPeerLoad, maxWaitMilliseconds, load, crashRevision, crashReports, limits)
 };
 
 // The answer to a FleetPoll.
@@ -66,7 +70,9 @@
     std::uint64_t crashRevision = 0;
     // The reports that changed after the poll's revision, or all if the epochs differ.
     std::vector<CrashReport> crashReports;
-    MSGPACK_DEFINE(epoch, revision, upstreams, routesVersion, packedRoutes, routesBase, replicas, entryVmCount, peerLoad, crashRevision, crashReports)
+    // Only together with the peer load: the permits that the poller gets.
+    RequestLimitReports limits;
+    MSGPACK_DEFINE(epoch, revision, upstreams, routesVersion, packedRoutes, routesBase, replicas, entryVmCount, peerLoad, crashRevision, crashReports, limits)
 };
 
 // Asks the leader to add the sender as a replica.
--- a/include/fleet/FleetPollServer.h
+++ b/include/fleet/FleetPollServer.h
@@ -3,6 +3,7 @@
 #include "include/fleet/CrashReportRegistry.h"
 #include "include/fleet/FleetMessages.h"
 #include "include/fleet/PeerLoadTable.h"
+#include "include/fleet/RequestPermitAllocator.h"
 #include "include/fleet/RoutesPublisher.h"
 #include "include/fleet/UpstreamRegistry.h"
 
@@ -72,6 +73,7 @@
     std::vector<std::uint32_t> replicas_;
     std::list<PendingPoll> pendingPolls_;
     PeerLoadTable peerLoad_;
+    RequestPermitAllocator permitAllocator_;
     SentTotals sent_;
 };
 
--- a/include/fleet/FleetPoller.h
+++ b/include/fleet/FleetPoller.h
@@ -42,6 +42,8 @@
     // Returns whether the configuration is now in force on this VM.
     using RoutesHandler = std::function<bool(std::uint64_t version, const std::string& document, const RoutesDelivery&)>;
     using LoadProvider = std::function<std::vector<UpstreamInFlightLoad>()>;
+    using LimitProvider = std::function<RequestLimitReports()>;
+    using LimitHandler = std::function<void(const RequestLimitReports&)>;
 
     FleetPoller(const base::Clock&, SendPoll, Options, UpstreamRegistry&, CrashReportRegistry&, Post);
     ~FleetPoller();
@@ -49,6 +51,9 @@
     // Sets the callbacks of an entry VM. The handler receives new route configurations;
     // the provider returns the in-flight load to report.
     void setEntryHooks(RoutesHandler, LoadProvider);
+    // Sets how limits of upstreams are exchanged with the preferred control VM. The handler
+    // is called for each of its answers.
+    void setLimitHooks(LimitProvider, LimitHandler);
     // Sets the initial control VMs. Control VMs listed in answers are polled as well.
     void setSeeds(const std::vector<std::uint32_t>& ips);
     // Starts the polls that are due. Must be called several times a second.
@@ -109,6 +114,8 @@
     const Post post_;
     RoutesHandler routesHandler_;
     LoadProvider loadProvider_;
+    LimitProvider limitProvider_;
+    LimitHandler limitHandler_;
     std::set<std::uint32_t> seeds_;
     std::map<std::uint32_t, Peer> peers_;
     // The configuration in force on this VM. Newer versions are fetched relative to it.
--- a/include/forwarding/ReverseProxy.h
+++ b/include/forwarding/ReverseProxy.h
@@ -9,6 +9,7 @@
 #include "include/routing/CapacityQueue.h"
 #include "include/routing/CrashGuard.h"
 #include "include/routing/LayerPathSelector.h"
+#include "include/routing/RequestRateLimiter.h"
 #include "include/routing/ServiceBalancer.h"
 #include "include/routing/StartupQueue.h"
 #include "include/routing/WindowedRetryBudget.h"
@@ -57,6 +58,7 @@
     std::unique_ptr<routing::ServiceBalancer> balancer;
     routing::WindowedRetryBudget retryBudget;
     routing::CapacityQueue waitQueue;
+    routing::RequestRateLimiter rateLimiter;
 
     // isReachable() returns false without a new check until this time.
     base::TimePoint nextReachabilityCheckAt;
@@ -84,6 +86,12 @@
     // Returns the load that this VM has placed on each upstream.
     std::vector<fleet::UpstreamInFlightLoad> ownLoad() const;
 
+    // Returns what the control VMs must learn of the upstreams' limits, and the permits that
+    // this VM wants. Call once for each poll.
+    fleet::RequestLimitReports takeLimitReports();
+    // Merges the limits and permits of a control VM's answer.
+    void applyLimitReports(const fleet::RequestLimitReports&);
+
     // Holds back requests with parts that crash upstreams. The caller exchanges its
     // observations with the other entry VMs.
     routing::CrashGuard& crashGuard() { return crashGuard_; }
@@ -112,8 +120,6 @@
     ServiceState& service(const std::string& name);
     void applyUpstream(const fleet::UpstreamRecord&);
     void detachUpstream(const fleet::UpstreamRecord&);
-    // Logs when an upstream begins, changes or ends a limit of its requests a second.
-    void recordNamedLimit(const std::string& upstream, std::optional<double> perSecond);
 
     boost::asio::io_context& context_;
     const HeaderCodec& headerCodec_;
@@ -126,7 +132,6 @@
     std::map<std::string, ServiceState> services_;
     // The last state of each upstream that is not gone, by upstream id.
     std::map<std::string, fleet::UpstreamRecord> knownUpstreams_;
-    std::map<std::string, double> namedLimits_;
     std::uint64_t upstreamRevision_ = 0;
     std::uint32_t entryVmCount_ = 1;
     std::list<std::shared_ptr<Exchange>> exchanges_;
--- a/include/routing/CapacityQueue.h
+++ b/include/routing/CapacityQueue.h
@@ -29,6 +29,8 @@
     // Adds a request behind all that are at least as urgent; lower numbers are more
     // urgent. Returns nullopt if the expected wait exceeds the maximum.
     std::optional<WaiterId> tryEnqueue(int priority, base::TimePoint now);
+    // Adds a request whatever the expected wait is; the caller bounds the number.
+    WaiterId enqueue(int priority) { return insert(insertPosition(priority), priority); }
     // Adds a stream whose caller already receives its answer, ahead of all requests
     // that have not started. Never rejected, because that would truncate the answer.
     WaiterId enqueueStarted();
--- /dev/null
+++ b/include/routing/RequestRateLimiter.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "include/base/Time.h"
+#include "include/fleet/RequestLimitReport.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace arbutus::routing {
+
+// Keeps the requests of one entry VM to the upstreams of a service within the limits that
+// the upstreams have named for all entry VMs together. A limited upstream gets a request
+// only for a permit. A control VM divides the permits (fleet::RequestPermitAllocator);
+// the caller exchanges the reports with it. While no control VM answers, the VM uses an
+// equal part of each limit. Not thread-safe.
+class RequestRateLimiter {
+public:
+    void setEntryVmCount(std::uint32_t entryVmCount) { entryVmCount_ = entryVmCount; }
+
+    // Call when a request for the service arrives.
+    void requestArrived(base::TimePoint now);
+    // Call for each answer of an upstream to a request sent at `sentAt`, with the limit
+    // that it names, if any. Returns whether that is a change.
+    bool observe(const std::string& upstream, std::optional<double> perSecond, base::TimePoint sentAt, base::TimePoint now);
+
+    // Adds the upstreams to which no request may be sent now.
+    void addExhausted(std::set<std::string>& upstreams, base::TimePoint now);
+    // Whether any upstream is exhausted.
+    bool isLimiting(base::TimePoint now);
+    // Call when a request is sent. Uses a permit if the upstream is limited.
+    void sent(const std::string& upstream, base::TimePoint now);
+
+    // Returns what a control VM must learn, with the permits wanted while `waiting`
+    // requests of the service wait.
+    fleet::RequestLimitReports takeReports(std::size_t waiting, base::TimePoint now);
+    // Merges a control VM's report about an upstream of this service.
+    void apply(const fleet::RequestLimitReport&, base::TimePoint now);
+    // Call for each answer of the control VM that divides the permits.
+    void allocatorAnswered(base::TimePoint now) { allocatorAnsweredAt_ = now; }
+    void removeUpstream(const std::string& upstream) { limits_.erase(upstream); }
+
+    std::size_t limitCount() const { return limits_.size(); }
+
+private:
+    struct Limit {
+        double perSecond = 0;
+        bool isLifted = false;
+        // When an upstream's answer showed this.
+        base::TimePoint observedAt;
+        base::TimePoint changedAt;
+        // When each permit expires.
+        std::deque<base::TimePoint> permits;
+        std::uint32_t unused = 0;
+        // The part of this VM while no control VM answers.
+        double ownPermits = 0;
+        base::TimePoint refilledAt;
+    };
+
+    bool setLimit(const std::string& upstream, std::optional<double> perSecond, base::TimePoint observedAt, base::TimePoint now);
+    bool maySend(Limit&, base::TimePoint now);
+    void dropExpired(Limit&, base::TimePoint now);
+    void refillOwn(Limit&, base::TimePoint now) const;
+
+    std::map<std::string, Limit> limits_;
+    std::uint32_t entryVmCount_ = 1;
+    base::TimePoint allocatorAnsweredAt_;
+    base::TimePoint arrivedAt_;
+    // Since the last reports.
+    std::uint32_t arrivals_ = 0;
+};
+
+} // namespace arbutus::routing
--- a/src/fleet/FleetPollServer.cpp
+++ b/src/fleet/FleetPollServer.cpp
@@ -32,8 +32,10 @@
     }
     result.replicas = replicas_;
     result.entryVmCount = static_cast<std::uint32_t>(peerLoad_.entryVmCount());
-    if (poll.wantsPeerLoad)
+    if (poll.wantsPeerLoad) {
         result.peerLoad = peerLoad_.loadExcluding(poll.sender);
+        result.limits = permitAllocator_.allocate(poll.limits, now);
+    }
     return result;
 }
 
@@ -60,8 +62,11 @@
 {
     if (applyCrashReports(poll, now))
         answerPendingPolls(now);
-    if (poll.isEntry)
+    if (poll.isEntry) {
         peerLoad_.record(poll.sender, poll.load, now);
+        permitAllocator_.entryVmPolled(poll.sender, poll.wantsPeerLoad, now);
+        permitAllocator_.apply(poll.limits, now);
+    }
     if (hasUpdates(poll, now) || !poll.maxWaitMilliseconds) {
         sendAnswer(poll, reply, now);
         return;
@@ -82,6 +87,7 @@
     }
     peerLoad_.expire(now - entryVmTimeout);
     crashReports_.expire(now);
+    permitAllocator_.expire(now);
 }
 
 } // namespace arbutus::fleet
--- a/src/fleet/FleetPoller.cpp
+++ b/src/fleet/FleetPoller.cpp
@@ -42,6 +42,12 @@
     loadProvider_ = std::move(loadProvider);
 }
 
+void FleetPoller::setLimitHooks(LimitProvider limitProvider, LimitHandler limitHandler)
+{
+    limitProvider_ = std::move(limitProvider);
+    limitHandler_ = std::move(limitHandler);
+}
+
 void FleetPoller::setSeeds(const std::vector<std::uint32_t>& ips)
 {
     seeds_ = { ips.begin(), ips.end() };
@@ -121,6 +127,8 @@
     peer.sentCrashRevision = crashReports_.revision();
     if (loadProvider_)
         poll.load = loadProvider_();
+    if (limitProvider_ && poll.wantsPeerLoad)
+        poll.limits = limitProvider_();
     auto done = [this, ip, isAlive = std::weak_ptr<bool>(isAlive_), post = post_](base::Result<std::string> answer) {
         post([this, ip, isAlive, answer = std::move(answer)] {
             if (auto alive = isAlive.lock(); alive && *alive)
@@ -165,6 +173,8 @@
         peerLoad_.clear();
         for (auto& load : answer.peerLoad)
             peerLoad_[load.upstream] = std::move(load);
+        if (limitHandler_)
+            limitHandler_(answer.limits);
     }
     if (!answer.packedRoutes.empty())
         adoptRoutes(answer);
--- /dev/null
+++ b/src/fleet/RequestPermitAllocator.cpp
@@ -0,0 +1,125 @@
+#include "include/fleet/RequestPermitAllocator.h"
+
+#include <algorithm>
+
+namespace arbutus::fleet {
+
+// An entry VM polls at least twice within this time unless it is down or partitioned.
+static constexpr std::chrono::seconds entryVmTimeout(2);
+// An upstream that nobody sends requests to keeps its limit for this time.
+static constexpr std::chrono::minutes limitLifetime(5);
+static constexpr std::size_t maxLimits = 4096;
+// The most permits that collect beyond one while nobody wants them, as a time at the
+// limit's rate.
+static constexpr double burstSeconds = 0.5;
+// Permits come back at most once in the lifetime of a permit and a poll.
+static constexpr double returnedSeconds = 1;
+
+void RequestPermitAllocator::entryVmPolled(const std::string& entryVm, bool takesPermits, base::TimePoint now) { entryVms_[entryVm] = { now, takesPermits }; }
+
+double RequestPermitAllocator::ownShare() const
+{
+    auto takers = std::count_if(entryVms_.begin(), entryVms_.end(), [](const auto& entry) { return entry.second.takesPermits; });
+    return entryVms_.empty() ? 1 : static_cast<double>(takers) / static_cast<double>(entryVms_.size());
+}
+
+void RequestPermitAllocator::merge(const RequestLimitReport& report, base::TimePoint now)
+{
+    auto observedAt = now - std::chrono::milliseconds(report.ageMilliseconds);
+    auto found = limits_.find(report.upstream);
+    if (found == limits_.end()) {
+        if (report.isLifted)
+            return;
+        if (limits_.size() >= maxLimits)
+            evictOldest();
+        limits_[report.upstream] = { report.perSecond, false, observedAt, now, now, 0, now, 0 };
+        return;
+    }
+    auto& limit = found->second;
+    limit.reportedAt = now;
+    if (observedAt <= limit.observedAt)
+        return;
+    limit.observedAt = observedAt;
+    if (limit.isLifted == report.isLifted && limit.perSecond == report.perSecond)
+        return;
+    refill(limit, now);
+    limit.perSecond = report.perSecond;
+    limit.isLifted = report.isLifted;
+    limit.changedAt = now;
+}
+
+void RequestPermitAllocator::evictOldest()
+{
+    limits_.erase(std::min_element(limits_.begin(), limits_.end(), [](const auto& left, const auto& right) { return left.second.reportedAt < right.second.reportedAt; }));
+}
+
+void RequestPermitAllocator::refill(Limit& limit, base::TimePoint now) const
+{
+    double perSecond = ownShare() * std::max(minPerSecond, limit.perSecond);
+    double seconds = std::chrono::duration<double>(now - limit.refilledAt).count();
+    limit.permits = std::min(limit.permits + perSecond * seconds, 1 + perSecond * burstSeconds);
+    limit.refilledAt = now;
+}
+
+void RequestPermitAllocator::takeBack(Limit& limit, std::uint32_t unused)
+{
+    auto most = static_cast<std::uint32_t>(std::max(1.0, limit.perSecond * returnedSeconds));
+    limit.returned = std::min(limit.returned + unused, most);
+}
+
+std::uint32_t RequestPermitAllocator::grant(Limit& limit, std::uint32_t wanted, base::TimePoint now) const
+{
+    refill(limit, now);
+    auto again = std::min(wanted, limit.returned);
+    limit.returned -= again;
+    auto fresh = std::min(wanted - again, static_cast<std::uint32_t>(limit.permits));
+    limit.permits -= fresh;
+    return again + fresh;
+}
+
+void RequestPermitAllocator::apply(const RequestLimitReports& reports, base::TimePoint now)
+{
+    for (const auto& report : reports) {
+        merge(report, now);
+        if (auto found = limits_.find(report.upstream); found != limits_.end())
+            takeBack(found->second, report.unused);
+    }
+}
+
+RequestLimitReport RequestPermitAllocator::report(const std::string& upstream, const Limit& limit, base::TimePoint now)
+{
+    auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - limit.observedAt).count();
+    RequestLimitReport result;
+    result.upstream = upstream;
+    result.perSecond = limit.perSecond;
+    result.isLifted = limit.isLifted;
+    result.ageMilliseconds = static_cast<std::uint32_t>(std::max<std::int64_t>(0, age));
+    return result;
+}
+
+RequestLimitReports RequestPermitAllocator::allocate(const RequestLimitReports& wanted, base::TimePoint now)
+{
+    std::map<std::string, std::uint32_t> permits;
+    for (const auto& report : wanted)
+        permits[report.upstream] += report.permits;
+    RequestLimitReports result;
+    for (auto& [upstream, limit] : limits_) {
+        auto asked = permits.find(upstream);
+        if (asked == permits.end() && now >= limit.changedAt + newsLifetime)
+            continue;
+        result.push_back(report(upstream, limit, now));
+        if (asked != permits.end() && !limit.isLifted)
+            result.back().permits = grant(limit, asked->second, now);
+    }
+    return result;
+}
+
+void RequestPermitAllocator::expire(base::TimePoint now)
+{
+    for (auto it = limits_.begin(); it != limits_.end();)
+        it = now >= it->second.reportedAt + limitLifetime ? limits_.erase(it) : std::next(it);
+    for (auto it = entryVms_.begin(); it != entryVms_.end();)
+        it = now >= it->second.polledAt + entryVmTimeout ? entryVms_.erase(it) : std::next(it);
+}
+
+} // namespace arbutus::fleet
--- a/src/forwarding/Exchange.cpp
+++ b/src/forwarding/Exchange.cpp
@@ -93,6 +93,7 @@
     const auto& name = routes::pickService(*route_, proxy_.random_.unit());
     service_ = &proxy_.service(name);
     service_->retryBudget.recordRequest(request_.arrivedAt);
+    service_->rateLimiter.requestArrived(request_.arrivedAt);
     auto timeout = std::min(route_->timeout, requestMetadata_.callerTimeout.value_or(route_->timeout));
     deadline_ = request_.arrivedAt + timeout;
     if (requestMetadata_.size)
@@ -144,8 +145,9 @@
 bool Exchange::waitForCapacity(bool isResuming)
 {
     auto now = std::chrono::steady_clock::now();
+    auto priority = team_ && team_->priority ? *team_->priority : route_->priority;
     if (!service_->pathSelector)
-        return false;
+        return waitForPermit(priority, now);
     // A stream that has started may wait until its deadline, because a refusal would
     // truncate it.
     if (relayMode_ != RelayMode::None) {
@@ -155,12 +157,21 @@
     }
     if (!service_->pathSelector->hasPath(now))
         return false;
-    auto priority = team_ && team_->priority ? *team_->priority : route_->priority;
     waiterId_ = service_->waitQueue.tryEnqueue(isResuming ? resumedRequestPriority : priority, now);
     queueDeadline_ = now + maxQueueWait;
     return waiterId_.has_value();
 }
 
+bool Exchange::waitForPermit(int priority, TimePoint now)
+{
+    bool isWaitUseful = !service_->waitQueue.isEmpty() || service_->rateLimiter.isLimiting(now);
+    if (!isWaitUseful || service_->waitQueue.size() >= queueLookahead)
+        return false;
+    waiterId_ = service_->waitQueue.enqueue(priority);
+    queueDeadline_ = std::min(deadline_, now + maxQueueWait);
+    return true;
+}
+
 void Exchange::leaveWaitQueue()
 {
     if (waiterId_)
--- a/src/forwarding/Exchange.h
+++ b/src/forwarding/Exchange.h
@@ -74,8 +74,14 @@
     bool isRepeatable() const;
     // Chooses an upstream and starts an attempt. Returns false if none is available.
     bool trySend();
-    // Joins the wait queue for engine capacity. Returns false if the wait would be too long.
+    // Returns the upstreams that this request avoids, and those that may get none now.
+    std::set<std::string> unavailableUpstreams(base::TimePoint now) const;
+    // Joins the wait queue for engine capacity, or for a permit of an upstream with a limit
+    // of requests. Returns false if the wait would be too long.
     bool waitForCapacity(bool isResuming);
+    // Waits for a permit of an upstream without a model. Only few may wait, because the
+    // permits come slowly.
+    bool waitForPermit(int priority, base::TimePoint now);
     void leaveWaitQueue();
     // Sends the request if it is near the front of the queue and there is capacity, or
     // fails it when its wait has timed out.
@@ -110,6 +116,8 @@
     void abortResponse(AttemptOutcome);
     static const char* nameOf(AttemptOutcome);
 
+    // Records the limit of requests that the response names, if any.
+    void recordNamedLimit();
     void relayEvents(std::string_view);
     void sendEvents(std::string_view);
     void relayPlainBody(std::string_view);
--- a/src/forwarding/ExchangeAttempts.cpp
+++ b/src/forwarding/ExchangeAttempts.cpp
@@ -46,9 +46,17 @@
     return service_->pathSelector ? trySendAlongPath() : trySendToUpstream();
 }
 
+std::set<std::string> Exchange::unavailableUpstreams(TimePoint now) const
+{
+    auto upstreams = avoidedUpstreams_;
+    service_->rateLimiter.addExhausted(upstreams, now);
+    return upstreams;
+}
+
 bool Exchange::trySendAlongPath()
 {
-    auto path = service_->pathSelector->choose(streamSize_, avoidedUpstreams_, std::chrono::steady_clock::now());
+    auto now = std::chrono::steady_clock::now();
+    auto path = service_->pathSelector->choose(streamSize_, unavailableUpstreams(now), now);
     if (!path)
         return false;
     path_ = std::move(*path);
@@ -60,7 +68,8 @@
 
 bool Exchange::trySendToUpstream()
 {
-    auto upstream = service_->balancer->choose(avoidedUpstreams_, std::chrono::steady_clock::now());
+    auto now = std::chrono::steady_clock::now();
+    auto upstream = service_->balancer->choose(unavailableUpstreams(now), now);
     if (!upstream)
         return false;
     path_.clear();
@@ -75,6 +84,7 @@
     sentAt_ = progressAt_ = std::chrono::steady_clock::now();
     ++sendCount_;
     ++runCount_;
+    service_->rateLimiter.sent(upstreamId_, sentAt_);
     isTrial_ = proxy_.crashGuard_.attemptStarted(promptParts_, sentAt_);
     responseHead_.reset();
     bufferedBody_.clear();
@@ -290,7 +300,7 @@
     if (!isAnySilent && silence < isolatedStallTimeout)
         return false;
     // The engines may still recover, so the attempt ends only if another path has capacity.
-    auto avoided = avoidedUpstreams_;
+    auto avoided = unavailableUpstreams(now);
     for (const auto& stage : path_)
         avoided.insert(stage.upstream);
     return service_->pathSelector->choose(streamSize_, avoided, now).has_value();
--- a/src/forwarding/ExchangeResponse.cpp
+++ b/src/forwarding/ExchangeResponse.cpp
@@ -1,10 +1,14 @@
 #include "src/forwarding/Exchange.h"
 
+#include "include/base/Logger.h"
+
 namespace arbutus::forwarding {
 
 using routes::RequestKind;
 using routing::CallResult;
 
+static constexpr base::Logger logger("gate");
+
 // Responses up to this size are buffered until they are complete, so that the request
 // can still be retried if the response is truncated.
 static constexpr std::size_t maxBufferedBodyBytes = std::size_t { 256 } << 10;
@@ -27,7 +31,7 @@
     responseMetadata_ = proxy_.headerCodec_.readResponse(head);
     connection_->setKeepAlive(responseMetadata_.keepAlive);
     responseHead_ = head;
-    proxy_.recordNamedLimit(upstreamId_, responseMetadata_.requestsPerSecond);
+    recordNamedLimit();
     bool isSuccess = head.status >= 200 && head.status < 300;
     if (isSuccess && (!responseMetadata_.isSigned || responseMetadata_.isEncoded)) {
         rejectResponse(AttemptOutcome::Lost);
@@ -36,6 +40,13 @@
     isStream_ = isSuccess && route_->kind == RequestKind::Streaming;
 }
 
+void Exchange::recordNamedLimit()
+{
+    auto limit = responseMetadata_.requestsPerSecond;
+    if (service_->rateLimiter.observe(upstreamId_, limit, sentAt_, std::chrono::steady_clock::now()))
+        logger.info("An upstream named another limit of requests.", { { "upstream", upstreamId_ }, { "request", requestMetadata_.requestId }, { "is_limited", limit.has_value() }, { "per_second", limit.value_or(0) } });
+}
+
 void Exchange::onBody(std::string_view bytes)
 {
     auto self = shared_from_this();
--- a/src/forwarding/ReverseProxy.cpp
+++ b/src/forwarding/ReverseProxy.cpp
@@ -1,14 +1,13 @@
 #include "include/forwarding/ReverseProxy.h"
 
-#include "include/base/Logger.h"
 #include "include/fleet/FleetMessages.h"
 #include "src/forwarding/Exchange.h"
 
 #include <fmt/format.h>
 
-namespace arbutus::forwarding {
+#include <iterator>
 
-static constexpr base::Logger logger("gate");
+namespace arbutus::forwarding {
 
 static constexpr std::chrono::seconds poolTickInterval(1);
 // Limits the rate of path searches when many requests wait for the same service.
@@ -59,7 +58,8 @@
     if (found == services_.end()) {
         routing::WindowedRetryBudget retryBudget(options_.retryBudget.ratio, options_.retryBudget.slack, options_.retryBudget.window);
         retryBudget.setEntryVmCount(entryVmCount_);
-        found = services_.emplace(name, ServiceState { name, nullptr, nullptr, retryBudget, routing::CapacityQueue(maxExpectedQueueWait), {} }).first;
+        found = services_.emplace(name, ServiceState { name, nullptr, nullptr, retryBudget, routing::CapacityQueue(maxExpectedQueueWait), {}, {} }).first;
+        found->second.rateLimiter.setEntryVmCount(entryVmCount_);
     }
     auto& state = found->second;
     const auto* service = routes_ ? routes_->service(name) : nullptr;
@@ -111,6 +111,8 @@
     auto found = services_.find(upstream.service);
     if (found == services_.end())
         return;
+    if (upstream.state == fleet::UpstreamState::Gone)
+        found->second.rateLimiter.removeUpstream(upstream.id);
     if (found->second.pathSelector)
         found->second.pathSelector->setEngine(upstream);
     if (found->second.balancer)
@@ -122,19 +124,34 @@
     auto found = services_.find(upstream.service);
     if (found == services_.end())
         return;
+    found->second.rateLimiter.removeUpstream(upstream.id);
     if (found->second.pathSelector)
         found->second.pathSelector->removeEngine(upstream.id);
     if (found->second.balancer)
         found->second.balancer->removeUpstream(upstream.id);
 }
 
-void ReverseProxy::recordNamedLimit(const std::string& upstream, std::optional<double> perSecond)
+fleet::RequestLimitReports ReverseProxy::takeLimitReports()
+{
+    fleet::RequestLimitReports reports;
+    for (auto& [name, state] : services_) {
+        auto ofService = state.rateLimiter.takeReports(state.waitQueue.size(), std::chrono::steady_clock::now());
+        reports.insert(reports.end(), std::make_move_iterator(ofService.begin()), std::make_move_iterator(ofService.end()));
+    }
+    return reports;
+}
+
+void ReverseProxy::applyLimitReports(const fleet::RequestLimitReports& reports)
 {
-    static constexpr double unlimited = -1;
-    auto& known = namedLimits_.try_emplace(upstream, unlimited).first->second;
-    auto previous = std::exchange(known, perSecond.value_or(unlimited));
-    if (known != previous)
-        logger.info("An upstream named another limit of requests.", { { "upstream", upstream }, { "per_second", known }, { "previous", previous } });
+    auto now = std::chrono::steady_clock::now();
+    for (auto& [name, state] : services_)
+        state.rateLimiter.allocatorAnswered(now);
+    for (const auto& report : reports) {
+        auto upstream = knownUpstreams_.find(report.upstream);
+        auto service = upstream == knownUpstreams_.end() ? services_.end() : services_.find(upstream->second.service);
+        if (service != services_.end())
+            service->second.rateLimiter.apply(report, now);
+    }
 }
 
 void ReverseProxy::setPeerLoad(const std::map<std::string, fleet::UpstreamInFlightLoad>& load)
@@ -156,8 +173,10 @@
 void ReverseProxy::setEntryVmCount(std::uint32_t count)
 {
     entryVmCount_ = count;
-    for (auto& [name, state] : services_)
+    for (auto& [name, state] : services_) {
         state.retryBudget.setEntryVmCount(count);
+        state.rateLimiter.setEntryVmCount(count);
+    }
 }
 
 std::vector<fleet::UpstreamInFlightLoad> ReverseProxy::ownLoad() const
--- /dev/null
+++ b/src/routing/RequestRateLimiter.cpp
@@ -0,0 +1,150 @@
+#include "include/routing/RequestRateLimiter.h"
+
+#include "include/fleet/RequestPermitAllocator.h"
+
+#include <algorithm>
+
+namespace arbutus::routing {
+
+using fleet::RequestPermitAllocator;
+
+// Several times the interval in which control VMs answer.
+static constexpr std::chrono::milliseconds allocatorTimeout(600);
+// A permit is kept at hand while requests have arrived within this time.
+static constexpr std::chrono::seconds demandWindow(1);
+// A lifted limit is kept until the other VMs know of it.
+static constexpr std::chrono::seconds liftedLifetime(10);
+static constexpr std::uint32_t maxWantedPermits = 64;
+
+void RequestRateLimiter::requestArrived(base::TimePoint now)
+{
+    arrivedAt_ = now;
+    ++arrivals_;
+}
+
+bool RequestRateLimiter::setLimit(const std::string& upstream, std::optional<double> perSecond, base::TimePoint observedAt, base::TimePoint now)
+{
+    auto found = limits_.find(upstream);
+    if (found == limits_.end()) {
+        if (!perSecond)
+            return false;
+        found = limits_.emplace(upstream, Limit {}).first;
+        found->second.refilledAt = now;
+    }
+    auto& limit = found->second;
+    limit.observedAt = observedAt;
+    bool isSame = limit.changedAt != base::TimePoint() && limit.isLifted == !perSecond && (!perSecond || limit.perSecond == *perSecond);
+    if (isSame)
+        return false;
+    refillOwn(limit, now);
+    // Permits for a higher rate would exceed the new one.
+    bool isLowered = perSecond && *perSecond < limit.perSecond;
+    if (isLowered && !limit.isLifted)
+        limit.permits.resize(static_cast<std::size_t>(static_cast<double>(limit.permits.size()) * *perSecond / limit.perSecond));
+    limit.perSecond = perSecond.value_or(limit.perSecond);
+    limit.isLifted = !perSecond;
+    limit.changedAt = now;
+    return true;
+}
+
+bool RequestRateLimiter::observe(const std::string& upstream, std::optional<double> perSecond, base::TimePoint sentAt, base::TimePoint now)
+{
+    auto found = limits_.find(upstream);
+    bool isOutdated = !perSecond && found != limits_.end() && sentAt <= found->second.observedAt;
+    return !isOutdated && setLimit(upstream, perSecond, now, now);
+}
+
+void RequestRateLimiter::dropExpired(Limit& limit, base::TimePoint now)
+{
+    while (!limit.permits.empty() && now >= limit.permits.front()) {
+        limit.permits.pop_front();
+        ++limit.unused;
+    }
+}
+
+void RequestRateLimiter::refillOwn(Limit& limit, base::TimePoint now) const
+{
+    double perSecond = std::max(RequestPermitAllocator::minPerSecond, limit.perSecond) / std::max(1U, entryVmCount_);
+    bool isAnswered = now < allocatorAnsweredAt_ + allocatorTimeout;
+    double seconds = std::chrono::duration<double>(now - limit.refilledAt).count();
+    limit.ownPermits = isAnswered ? 0 : std::min(1.0, limit.ownPermits + perSecond * seconds);
+    limit.refilledAt = now;
+}
+
+bool RequestRateLimiter::maySend(Limit& limit, base::TimePoint now)
+{
+    if (limit.isLifted)
+        return true;
+    dropExpired(limit, now);
+    refillOwn(limit, now);
+    return !limit.permits.empty() || limit.ownPermits >= 1;
+}
+
+void RequestRateLimiter::addExhausted(std::set<std::string>& upstreams, base::TimePoint now)
+{
+    for (auto& [upstream, limit] : limits_) {
+        if (!maySend(limit, now))
+            upstreams.insert(upstream);
+    }
+}
+
+bool RequestRateLimiter::isLimiting(base::TimePoint now)
+{
+    return std::any_of(limits_.begin(), limits_.end(), [&](auto& entry) { return !maySend(entry.second, now); });
+}
+
+void RequestRateLimiter::sent(const std::string& upstream, base::TimePoint now)
+{
+    auto found = limits_.find(upstream);
+    if (found == limits_.end() || found->second.isLifted)
+        return;
+    auto& limit = found->second;
+    dropExpired(limit, now);
+    if (!limit.permits.empty())
+        limit.permits.pop_front();
+    else
+        limit.ownPermits = std::max(0.0, limit.ownPermits - 1);
+}
+
+fleet::RequestLimitReports RequestRateLimiter::takeReports(std::size_t waiting, base::TimePoint now)
+{
+    auto wanted = std::exchange(arrivals_, 0) + static_cast<std::uint32_t>(std::min<std::size_t>(waiting, maxWantedPermits));
+    if (now < arrivedAt_ + demandWindow)
+        wanted = std::max(wanted, 1U);
+    fleet::RequestLimitReports reports;
+    for (auto it = limits_.begin(); it != limits_.end();) {
+        auto& [upstream, limit] = *it;
+        if (limit.isLifted && now >= limit.changedAt + liftedLifetime) {
+            it = limits_.erase(it);
+            continue;
+        }
+        dropExpired(limit, now);
+        fleet::RequestLimitReport report;
+        report.upstream = upstream;
+        report.perSecond = limit.perSecond;
+        report.isLifted = limit.isLifted;
+        report.ageMilliseconds = static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now - limit.observedAt).count());
+        auto held = static_cast<std::uint32_t>(limit.permits.size());
+        report.permits = limit.isLifted ? 0 : std::min(maxWantedPermits, wanted) - std::min({ held, wanted, maxWantedPermits });
+        report.unused = std::exchange(limit.unused, 0);
+        bool isNews = now < limit.changedAt + RequestPermitAllocator::newsLifetime;
+        if (report.permits || report.unused || isNews)
+            reports.push_back(std::move(report));
+        ++it;
+    }
+    return reports;
+}
+
+void RequestRateLimiter::apply(const fleet::RequestLimitReport& report, base::TimePoint now)
+{
+    auto observedAt = now - std::chrono::milliseconds(report.ageMilliseconds);
+    auto found = limits_.find(report.upstream);
+    if (found == limits_.end() || observedAt > found->second.observedAt)
+        setLimit(report.upstream, report.isLifted ? std::nullopt : std::optional<double>(report.perSecond), observedAt, now);
+    if (found = limits_.find(report.upstream); found == limits_.end())
+        return;
+    for (std::uint32_t i = 0; i < std::min(report.permits, maxWantedPermits); ++i)
+        found->second.permits.push_back(now + RequestPermitAllocator::permitLifetime);
+}
+
+} // namespace arbutus::routing
--- a/tests/ForwardingFixture.h
+++ b/tests/ForwardingFixture.h
@@ -35,6 +35,8 @@
             metadata.requestId = *id;
         metadata.isSigned = head.fields.has("Signed");
         metadata.isNotRun = head.fields.has("Not-Run");
+        if (const auto* limit = head.fields.find("Limit"))
+            metadata.requestsPerSecond = http1::parseDecimal(*limit);
         return metadata;
     }
     bool onIsManagedField(std::string_view name) const override { return name == "Upstream"; }
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -109,6 +109,21 @@
     BOOST_TEST((metadata.callerTimeout.value() == std::chrono::seconds(20)));
 }
 
+BOOST_AUTO_TEST_CASE(ReadsOnlyUsableRequestLimits)
+{
+    PlatformHeaderCodec headerCodec;
+    auto limitOf = [&headerCodec](const std::string& value) {
+        http1::ResponseHead response;
+        response.fields.add("Server-Limit", value);
+        return headerCodec.readResponse(response).requestsPerSecond;
+    };
+    BOOST_TEST(limitOf("2.4").value() == 2.4);
+    BOOST_TEST(limitOf("0").value() == 0);
+    for (const char* value : { "", "none", "-1", "nan", "inf" })
+        BOOST_TEST(!limitOf(value).has_value());
+    BOOST_TEST(!headerCodec.readResponse({}).requestsPerSecond.has_value());
+}
+
 // Guards against a process that starts with unusable settings.
 BOOST_AUTO_TEST_CASE(RejectsInvalidSettings)
 {
