Keep what is known of a named limit in one type

The rule that the newest answer decides stood in the limiter of the entry VM and in the allocator of the control VM. Both use fleet::NamedLimit now.

--- a/include/fleet/RequestPermitAllocator.h
+++ b/include/fleet/RequestPermitAllocator.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "include/base/Time.h"
+#include "include/fleet/NamedLimit.h"
 #include "include/fleet/RequestLimitReport.h"
 
 #include <chrono>
@@ -36,11 +37,7 @@
 
 private:
     struct Limit {
-        double perSecond = 0;
-        bool isLifted = false;
-        // When an upstream's answer showed this.
-        base::TimePoint observedAt;
-        base::TimePoint changedAt;
+        NamedLimit named;
         base::TimePoint reportedAt;
         double permits = 0;
         base::TimePoint refilledAt;
@@ -57,7 +54,6 @@
     void refill(Limit&, base::TimePoint now) const;
     static void takeBack(Limit&, std::uint32_t unused);
     std::uint32_t grant(Limit&, std::uint32_t wanted, base::TimePoint now) const;
-    static RequestLimitReport report(const std::string& upstream, const Limit&, base::TimePoint now);
     void evictOldest();
 
     std::map<std::string, Limit> limits_;
--- a/include/routing/RequestRateLimiter.h
+++ b/include/routing/RequestRateLimiter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "include/base/Time.h"
+#include "include/fleet/NamedLimit.h"
 #include "include/fleet/RequestLimitReport.h"
 
 #include <chrono>
@@ -49,11 +50,7 @@
 
 private:
     struct Limit {
-        double perSecond = 0;
-        bool isLifted = false;
-        // When an upstream's answer showed this.
-        base::TimePoint observedAt;
-        base::TimePoint changedAt;
+        fleet::NamedLimit named;
         // When each permit expires.
         std::deque<base::TimePoint> permits;
         std::uint32_t unused = 0;
@@ -62,7 +59,10 @@
         base::TimePoint refilledAt;
     };
 
-    bool setLimit(const std::string& upstream, std::optional<double> perSecond, base::TimePoint observedAt, base::TimePoint now);
+    // Returns the limit of an upstream and makes it known if it is not.
+    Limit& findOrAdd(const std::string& upstream, base::TimePoint now);
+    // Removes permits that exceed a limit which was `perSecondBefore` and has changed.
+    static void trimPermits(Limit&, double perSecondBefore);
     bool maySend(Limit&, base::TimePoint now);
     void dropExpired(Limit&, base::TimePoint now);
     void refillOwn(Limit&, base::TimePoint now) const;
--- a/src/fleet/RequestPermitAllocator.cpp
+++ b/src/fleet/RequestPermitAllocator.cpp
@@ -25,27 +25,21 @@
 
 void RequestPermitAllocator::merge(const RequestLimitReport& report, base::TimePoint now)
 {
-    auto observedAt = now - std::chrono::milliseconds(report.ageMilliseconds);
     auto found = limits_.find(report.upstream);
     if (found == limits_.end()) {
         if (report.isLifted)
             return;
         if (limits_.size() >= maxLimits)
             evictOldest();
-        limits_[report.upstream] = { report.perSecond, false, observedAt, now, now, 0, now, 0 };
-        return;
+        found = limits_.emplace(report.upstream, Limit {}).first;
+        found->second.refilledAt = now;
     }
     auto& limit = found->second;
     limit.reportedAt = now;
-    if (observedAt <= limit.observedAt)
-        return;
-    limit.observedAt = observedAt;
-    if (limit.isLifted == report.isLifted && limit.perSecond == report.perSecond)
+    if (observationTime(report, now) <= limit.named.observedAt)
         return;
     refill(limit, now);
-    limit.perSecond = report.perSecond;
-    limit.isLifted = report.isLifted;
-    limit.changedAt = now;
+    limit.named.update(report, now);
 }
 
 void RequestPermitAllocator::evictOldest()
@@ -55,7 +49,7 @@
 
 void RequestPermitAllocator::refill(Limit& limit, base::TimePoint now) const
 {
-    double perSecond = ownShare() * std::max(minPerSecond, limit.perSecond);
+    double perSecond = ownShare() * std::max(minPerSecond, limit.named.perSecond);
     double seconds = std::chrono::duration<double>(now - limit.refilledAt).count();
     limit.permits = std::min(limit.permits + perSecond * seconds, 1 + perSecond * burstSeconds);
     limit.refilledAt = now;
@@ -63,7 +57,7 @@
 
 void RequestPermitAllocator::takeBack(Limit& limit, std::uint32_t unused)
 {
-    auto most = static_cast<std::uint32_t>(std::max(1.0, limit.perSecond * returnedSeconds));
+    auto most = static_cast<std::uint32_t>(std::max(1.0, limit.named.perSecond * returnedSeconds));
     limit.returned = std::min(limit.returned + unused, most);
 }
 
@@ -86,17 +80,6 @@
     }
 }
 
-RequestLimitReport RequestPermitAllocator::report(const std::string& upstream, const Limit& limit, base::TimePoint now)
-{
-    auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - limit.observedAt).count();
-    RequestLimitReport result;
-    result.upstream = upstream;
-    result.perSecond = limit.perSecond;
-    result.isLifted = limit.isLifted;
-    result.ageMilliseconds = static_cast<std::uint32_t>(std::max<std::int64_t>(0, age));
-    return result;
-}
-
 RequestLimitReports RequestPermitAllocator::allocate(const RequestLimitReports& wanted, base::TimePoint now)
 {
     std::map<std::string, std::uint32_t> permits;
@@ -105,10 +88,10 @@
     RequestLimitReports result;
     for (auto& [upstream, limit] : limits_) {
         auto asked = permits.find(upstream);
-        if (asked == permits.end() && now >= limit.changedAt + newsLifetime)
+        if (asked == permits.end() && now >= limit.named.changedAt + newsLifetime)
             continue;
-        result.push_back(report(upstream, limit, now));
-        if (asked != permits.end() && !limit.isLifted)
+        result.push_back(limit.named.report(upstream, now));
+        if (asked != permits.end() && !limit.named.isLifted)
             result.back().permits = grant(limit, asked->second, now);
     }
     return result;
--- a/src/routing/RequestRateLimiter.cpp
+++ b/src/routing/RequestRateLimiter.cpp
@@ -22,36 +22,35 @@
     ++arrivals_;
 }
 
-bool RequestRateLimiter::setLimit(const std::string& upstream, std::optional<double> perSecond, base::TimePoint observedAt, base::TimePoint now)
+RequestRateLimiter::Limit& RequestRateLimiter::findOrAdd(const std::string& upstream, base::TimePoint now)
 {
-    auto found = limits_.find(upstream);
-    if (found == limits_.end()) {
-        if (!perSecond)
-            return false;
-        found = limits_.emplace(upstream, Limit {}).first;
+    auto [found, isNew] = limits_.try_emplace(upstream);
+    if (isNew)
         found->second.refilledAt = now;
-    }
-    auto& limit = found->second;
-    limit.observedAt = observedAt;
-    bool isSame = limit.changedAt != base::TimePoint() && limit.isLifted == !perSecond && (!perSecond || limit.perSecond == *perSecond);
-    if (isSame)
-        return false;
-    refillOwn(limit, now);
-    // Permits for a higher rate would exceed the new one.
-    bool isLowered = perSecond && *perSecond < limit.perSecond;
-    if (isLowered && !limit.isLifted)
-        limit.permits.resize(static_cast<std::size_t>(static_cast<double>(limit.permits.size()) * *perSecond / limit.perSecond));
-    limit.perSecond = perSecond.value_or(limit.perSecond);
-    limit.isLifted = !perSecond;
-    limit.changedAt = now;
-    return true;
+    refillOwn(found->second, now);
+    return found->second;
+}
+
+void RequestRateLimiter::trimPermits(Limit& limit, double perSecondBefore)
+{
+    if (limit.named.isLifted || limit.named.perSecond >= perSecondBefore)
+        return;
+    double kept = static_cast<double>(limit.permits.size()) * limit.named.perSecond / perSecondBefore;
+    limit.permits.resize(static_cast<std::size_t>(kept));
 }
 
 bool RequestRateLimiter::observe(const std::string& upstream, std::optional<double> perSecond, base::TimePoint sentAt, base::TimePoint now)
 {
     auto found = limits_.find(upstream);
-    bool isOutdated = !perSecond && found != limits_.end() && sentAt <= found->second.observedAt;
-    return !isOutdated && setLimit(upstream, perSecond, now, now);
+    bool isLimited = found != limits_.end();
+    // An answer to an older request may have been on its way while the limit was named.
+    if (!perSecond && (!isLimited || sentAt <= found->second.named.observedAt))
+        return false;
+    auto& limit = findOrAdd(upstream, now);
+    double perSecondBefore = limit.named.perSecond;
+    bool isChanged = limit.named.update(perSecond, now, now);
+    trimPermits(limit, perSecondBefore);
+    return isChanged;
 }
 
 void RequestRateLimiter::dropExpired(Limit& limit, base::TimePoint now)
@@ -64,7 +63,7 @@
 
 void RequestRateLimiter::refillOwn(Limit& limit, base::TimePoint now) const
 {
-    double perSecond = std::max(RequestPermitAllocator::minPerSecond, limit.perSecond) / std::max(1U, entryVmCount_);
+    double perSecond = std::max(RequestPermitAllocator::minPerSecond, limit.named.perSecond) / std::max(1U, entryVmCount_);
     bool isAnswered = now < allocatorAnsweredAt_ + allocatorTimeout;
     double seconds = std::chrono::duration<double>(now - limit.refilledAt).count();
     limit.ownPermits = isAnswered ? 0 : std::min(1.0, limit.ownPermits + perSecond * seconds);
@@ -73,7 +72,7 @@
 
 bool RequestRateLimiter::maySend(Limit& limit, base::TimePoint now)
 {
-    if (limit.isLifted)
+    if (limit.named.isLifted)
         return true;
     dropExpired(limit, now);
     refillOwn(limit, now);
@@ -96,7 +95,7 @@
 void RequestRateLimiter::sent(const std::string& upstream, base::TimePoint now)
 {
     auto found = limits_.find(upstream);
-    if (found == limits_.end() || found->second.isLifted)
+    if (found == limits_.end() || found->second.named.isLifted)
         return;
     auto& limit = found->second;
     dropExpired(limit, now);
@@ -114,20 +113,16 @@
     fleet::RequestLimitReports reports;
     for (auto it = limits_.begin(); it != limits_.end();) {
         auto& [upstream, limit] = *it;
-        if (limit.isLifted && now >= limit.changedAt + liftedLifetime) {
+        if (limit.named.isLifted && now >= limit.named.changedAt + liftedLifetime) {
             it = limits_.erase(it);
             continue;
         }
         dropExpired(limit, now);
-        fleet::RequestLimitReport report;
-        report.upstream = upstream;
-        report.perSecond = limit.perSecond;
-        report.isLifted = limit.isLifted;
-        report.ageMilliseconds = static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now - limit.observedAt).count());
+        auto report = limit.named.report(upstream, now);
         auto held = static_cast<std::uint32_t>(limit.permits.size());
-        report.permits = limit.isLifted ? 0 : std::min(maxWantedPermits, wanted) - std::min({ held, wanted, maxWantedPermits });
+        report.permits = limit.named.isLifted ? 0 : std::min(maxWantedPermits, wanted) - std::min({ held, wanted, maxWantedPermits });
         report.unused = std::exchange(limit.unused, 0);
-        bool isNews = now < limit.changedAt + RequestPermitAllocator::newsLifetime;
+        bool isNews = now < limit.named.changedAt + RequestPermitAllocator::newsLifetime;
         if (report.permits || report.unused || isNews)
             reports.push_back(std::move(report));
         ++it;
@@ -137,14 +132,16 @@
 
 void RequestRateLimiter::apply(const fleet::RequestLimitReport& report, base::TimePoint now)
 {
-    auto observedAt = now - std::chrono::milliseconds(report.ageMilliseconds);
-    auto found = limits_.find(report.upstream);
-    if (found == limits_.end() || observedAt > found->second.observedAt)
-        setLimit(report.upstream, report.isLifted ? std::nullopt : std::optional<double>(report.perSecond), observedAt, now);
-    if (found = limits_.find(report.upstream); found == limits_.end())
+    if (report.isLifted && !limits_.count(report.upstream))
         return;
+    auto& limit = findOrAdd(report.upstream, now);
+    if (fleet::observationTime(report, now) > limit.named.observedAt) {
+        double perSecondBefore = limit.named.perSecond;
+        limit.named.update(report, now);
+        trimPermits(limit, perSecondBefore);
+    }
     for (std::uint32_t i = 0; i < std::min(report.permits, maxWantedPermits); ++i)
-        found->second.permits.push_back(now + RequestPermitAllocator::permitLifetime);
+        limit.permits.push_back(now + RequestPermitAllocator::permitLifetime);
 }
 
 } // namespace arbutus::routing
