Split the calls to engines from ControlNode

The status calls to engines and the commands of the layer plan are node::EngineClient now, and the codec of a platform's messages has a header of its own.

--- a/src/node/ControlNode.cpp
+++ b/src/node/ControlNode.cpp
@@ -33,10 +33,7 @@
 static constexpr std::chrono::milliseconds proposalTimeout(1500);
 static constexpr std::chrono::milliseconds readTimeout(800);
 static constexpr std::chrono::milliseconds changeTimeout(3000);
-static constexpr std::chrono::milliseconds layerCommandTimeout(1000);
 static constexpr std::chrono::milliseconds routesDecodeInterval(1000);
-static constexpr std::chrono::milliseconds enginePollInterval(1000);
-static constexpr std::chrono::milliseconds enginePollTimeout(600);
 static constexpr std::size_t frameWorkerCount = 1;
 static constexpr double bytesPerMegabit = 125'000;
 static constexpr std::size_t timelineCapacity = 256;
@@ -78,13 +75,12 @@
     , timer_(context, tickInterval, [this] { tick(); })
     , heartbeatMonitor_(net::ipText(options_.ip), options_.heartbeatInterval)
     , replicaPlanner_(options_.targetVoters)
-    , upstreamPool_(context)
+    , engineClient_(context, codec_, registry_, net::ipText(options_.ip), [this] { fleetPollServer_.answerPendingPolls(clock_.now()); })
 {
 }
 
 ControlNode::~ControlNode()
 {
-    *isAlive_ = false;
     frameServer_.reset();
     replica_.reset();
 }
@@ -329,14 +325,12 @@
     heartbeatMonitor_.tick(
         registry_, isConnected(), [this](std::uint32_t ip, base::TimePoint since) { return fleetPoller_.hasHeardFrom(ip, since); }, now);
     requestToJoin(now);
-    pollEngines(now);
+    engineClient_.pollEngines(now);
     if (isLeader()) {
         reconcileReplicas(now);
         placeLayers(now);
     }
-    for (auto& call : calls_)
-        call->tick(std::chrono::steady_clock::now());
-    calls_.erase(std::remove_if(calls_.begin(), calls_.end(), [](const auto& call) { return call->isFinished(); }), calls_.end());
+    engineClient_.endOverdueCalls();
     fleetPollServer_.answerPendingPolls(now);
     reportActivity(now);
     tickDueAt_ = clock_.now() + tickInterval;
@@ -418,62 +412,7 @@
 
 void ControlNode::sendLayerCommand(const placement::LayerCommand& command)
 {
-    logger.info("Sending a layer command to an engine.", { { "upstream", command.upstream }, { "address", command.endpoint.text() }, { "from", command.layers.from }, { "to", command.layers.to } });
-    startCall(command.endpoint, codec_.layerCommandRequest(command, replicaView_.status.term), layerCommandTimeout, [this, command](const auto& answer) {
-        auto result = answer ? codec_.decodeLayerCommandStatus(answer->status) : placement::LayerCommandResult::Unknown;
-        if (result != placement::LayerCommandResult::Accepted)
-            logger.info("A layer command was not accepted.", { { "upstream", command.upstream }, { "status", answer ? answer->status : 0 } });
-        layerController_.recordResult(command, result, clock_.now());
-    });
-}
-
-void ControlNode::startCall(const net::Endpoint& endpoint, std::string request, std::chrono::milliseconds timeout, std::function<void(const std::optional<forwarding::ControlCall::Response>&)> done)
-{
-    auto now = base::TimePoint(std::chrono::steady_clock::now());
-    auto call = std::make_shared<forwarding::ControlCall>(
-        upstreamPool_, endpoint, [done = std::move(done), isAlive = std::weak_ptr<bool>(isAlive_)](const auto& answer) {
-            if (auto alive = isAlive.lock(); alive && *alive)
-                done(answer);
-        },
-        now);
-    calls_.push_back(call);
-    call->send(std::move(request), now + timeout);
-}
-
-// Heartbeats do not show that an engine has slowed down, and an engine's layers can
-// change between two heartbeats.
-void ControlNode::pollEngines(base::TimePoint now)
-{
-    std::map<std::string, base::TimePoint> nextPollAt;
-    for (const auto* upstream : registry_.all()) {
-        bool isEngine = !upstream->accelerator.empty() && upstream->state == fleet::UpstreamState::Ready;
-        if (!isEngine || upstream->registrar != net::ipText(options_.ip))
-            continue;
-        auto known = nextEnginePollAt_.find(upstream->id);
-        auto due = known == nextEnginePollAt_.end() ? now : known->second;
-        if (now >= due) {
-            pollEngine(*upstream);
-            due = now + enginePollInterval;
-        }
-        nextPollAt[upstream->id] = due;
-    }
-    nextEnginePollAt_ = std::move(nextPollAt);
-    upstreamPool_.tick(std::chrono::steady_clock::now());
-}
-
-void ControlNode::pollEngine(const fleet::UpstreamRecord& engine)
-{
-    startCall(engine.endpoint(), codec_.engineStatusRequest(engine), enginePollTimeout, [this, id = engine.id, startedAtMilliseconds = engine.startedAtMilliseconds](const auto& answer) {
-        if (!answer || answer->status != 200)
-            return;
-        auto status = codec_.decodeEngineStatus(answer->body);
-        if (!status) {
-            logger.warning("Failed to decode the status of an engine.", { { "upstream", id }, { "reason", status.error().detail } });
-            return;
-        }
-        if (registry_.applyStatus(id, startedAtMilliseconds, status.value().slowdownFactor, status.value().layers, clock_.now()))
-            fleetPollServer_.answerPendingPolls(clock_.now());
-    });
+    engineClient_.sendCommand(command, replicaView_.status.term, [this, command](placement::LayerCommandResult result) { layerController_.recordResult(command, result, clock_.now()); });
 }
 
 } // namespace arbutus::node
--- a/src/node/ControlNode.h
+++ b/src/node/ControlNode.h
@@ -12,7 +12,8 @@
 #include "include/net/RepeatingTimer.h"
 #include "include/placement/LayerController.h"
 #include "include/transport/FrameServer.h"
-#include "src/forwarding/ControlCall.h"
+#include "src/node/EngineClient.h"
+#include "src/node/PlatformCodec.h"
 #include "src/replica/ReplicaNode.h"
 
 #include <memory>
@@ -21,38 +22,6 @@
 
 namespace arbutus::node {
 
-// The status that an engine reports when it is polled.
-struct EngineStatus {
-    // Step time relative to the nominal time of the accelerator. Above 1, the engine is
-    // slower than nominal.
-    double slowdownFactor = 1;
-    fleet::LayerRange layers;
-};
-
-// Encodes and decodes the messages of control VMs whose format differs between
-// platforms.
-class PlatformCodec {
-public:
-    virtual ~PlatformCodec() = default;
-
-    base::Result<routes::RouteConfiguration> decodeRoutes(std::string_view document) const { return onDecodeRoutes(document); }
-    // Returns the complete HTTP request that commands an engine to hold exactly the given
-    // layers. The fencing number is the leader's term.
-    std::string layerCommandRequest(const placement::LayerCommand& command, std::uint64_t fencingNumber) const { return onLayerCommandRequest(command, fencingNumber); }
-    placement::LayerCommandResult decodeLayerCommandStatus(int status) const { return onDecodeLayerCommandStatus(status); }
-    // Returns the complete HTTP request that polls an engine for its status.
-    std::string engineStatusRequest(const fleet::UpstreamRecord& engine) const { return onEngineStatusRequest(engine); }
-    // Decodes the body of the engine's response.
-    base::Result<EngineStatus> decodeEngineStatus(std::string_view body) const { return onDecodeEngineStatus(body); }
-
-private:
-    virtual base::Result<routes::RouteConfiguration> onDecodeRoutes(std::string_view) const = 0;
-    virtual std::string onLayerCommandRequest(const placement::LayerCommand&, std::uint64_t fencingNumber) const = 0;
-    virtual placement::LayerCommandResult onDecodeLayerCommandStatus(int status) const = 0;
-    virtual std::string onEngineStatusRequest(const fleet::UpstreamRecord&) const = 0;
-    virtual base::Result<EngineStatus> onDecodeEngineStatus(std::string_view body) const = 0;
-};
-
 struct ControlOptions {
     std::string name;
     std::uint32_t ip = 0;
@@ -138,9 +107,6 @@
     void reconcileReplicas(base::TimePoint now);
     void placeLayers(base::TimePoint now);
     void proposePlans(const placement::LayerPlans&);
-    void pollEngines(base::TimePoint now);
-    void pollEngine(const fleet::UpstreamRecord&);
-    void startCall(const net::Endpoint&, std::string request, std::chrono::milliseconds timeout, std::function<void(const std::optional<forwarding::ControlCall::Response>&)>);
     void sendLayerCommand(const placement::LayerCommand&);
     std::string encodeIntroduction() const;
     std::string encodeCommand(state::CommandBody) const;
@@ -182,11 +148,7 @@
     std::vector<routes::Service> services_;
     std::uint64_t decodedRoutesVersion_ = 0;
     base::TimePoint nextRoutesDecodeAt_;
-    forwarding::UpstreamConnectionPool upstreamPool_;
-    std::vector<std::shared_ptr<forwarding::ControlCall>> calls_;
-    // When each engine is polled next, by upstream id.
-    std::map<std::string, base::TimePoint> nextEnginePollAt_;
-    std::shared_ptr<bool> isAlive_ = std::make_shared<bool>(true);
+    EngineClient engineClient_;
 };
 
 } // namespace arbutus::node
