Forget the limit of an upstream's former process

What callers would see: an upstream that is started again under its id gets few requests, although its new process has not named a limit.

Cause: the limit was kept by upstream id, and only an answer lifts it.

Change: the limit goes when a new process of the upstream is known. Evidence: NamedLimitTest/RestartedUpstreamIsNotLimitedByItsFormerProcess failed without it (503 instead of 200) and passes now.

--- a/include/forwarding/ReverseProxy.h
+++ b/include/forwarding/ReverseProxy.h
@@ -120,6 +120,8 @@
     ServiceState& service(const std::string& name);
     void applyUpstream(const fleet::UpstreamRecord&);
     void detachUpstream(const fleet::UpstreamRecord&);
+    // Forgets what an earlier process of the upstream has named.
+    void forgetLimit(const fleet::UpstreamRecord&);
 
     boost::asio::io_context& context_;
     const HeaderCodec& headerCodec_;
--- a/src/forwarding/ReverseProxy.cpp
+++ b/src/forwarding/ReverseProxy.cpp
@@ -93,14 +93,18 @@
     for (const auto& upstream : registry.changesSince(upstreamRevision_)) {
         auto known = knownUpstreams_.find(upstream.id);
         bool isNewProcess = known == knownUpstreams_.end() || known->second.startedAtMilliseconds != upstream.startedAtMilliseconds;
-        if (isNewProcess)
+        if (isNewProcess) {
             pool_.evict(upstream.endpoint());
+            forgetLimit(upstream);
+        }
         if (known != knownUpstreams_.end() && known->second.service != upstream.service)
             detachUpstream(known->second);
-        if (upstream.state == fleet::UpstreamState::Gone)
+        if (upstream.state == fleet::UpstreamState::Gone) {
             knownUpstreams_.erase(upstream.id);
-        else
+            forgetLimit(upstream);
+        } else {
             knownUpstreams_[upstream.id] = upstream;
+        }
         applyUpstream(upstream);
     }
     upstreamRevision_ = registry.revision();
@@ -111,20 +115,24 @@
     auto found = services_.find(upstream.service);
     if (found == services_.end())
         return;
-    if (upstream.state == fleet::UpstreamState::Gone)
-        found->second.rateLimiter.removeUpstream(upstream.id);
     if (found->second.pathSelector)
         found->second.pathSelector->setEngine(upstream);
     if (found->second.balancer)
         found->second.balancer->setUpstream(upstream);
 }
 
+void ReverseProxy::forgetLimit(const fleet::UpstreamRecord& upstream)
+{
+    if (auto found = services_.find(upstream.service); found != services_.end())
+        found->second.rateLimiter.removeUpstream(upstream.id);
+}
+
 void ReverseProxy::detachUpstream(const fleet::UpstreamRecord& upstream)
 {
     auto found = services_.find(upstream.service);
     if (found == services_.end())
         return;
-    found->second.rateLimiter.removeUpstream(upstream.id);
+    forgetLimit(upstream);
     if (found->second.pathSelector)
         found->second.pathSelector->removeEngine(upstream.id);
     if (found->second.balancer)
--- a/tests/NamedLimitTest.cpp
+++ b/tests/NamedLimitTest.cpp
@@ -41,3 +41,18 @@
         "200 OK"));
     BOOST_TEST(fixture.requests.size() == 3U);
 }
+
+BOOST_AUTO_TEST_CASE(RestartedUpstreamIsNotLimitedByItsFormerProcess)
+{
+    Fixture fixture(routes::RequestKind::Safe, false);
+    fixture.upstreamCount = 1;
+    fixture.configure();
+    fixture.script = [](Peer& connection, const std::string&, int number) { connection.socket->write(number == 1 ? limitedResponse("0.3") : successResponse("r1", "done")); };
+    BOOST_TEST(contains(fixture.sendRequest("r1", "done"), "200 OK"));
+    BOOST_TEST(contains(fixture.sendRequest("r1", "detail"), "503"));
+    auto record = *fixture.registry.all().front();
+    record.startedAtMilliseconds += 1;
+    fixture.registry.apply(record, {});
+    fixture.proxy.setUpstreams(fixture.registry);
+    BOOST_TEST(contains(fixture.sendRequest("r1", "done"), "200 OK"));
+}
