Hold back whole stream requests that crash upstreams

What callers would see: a stream request without a part in common with others, sent again by its caller, crashes an upstream each time.

Change: the request as a whole (host, target, key and body) counts like a part of its prompt, but only from the second crash on, because an answer to it by another caller can not clear it. Evidence: without it six requests reach upstreams in DeadlyPromptTest/RequestThatCrashesUpstreamsIsHeldBackWhenItIsSentAgain by its script (two for each time that the caller asks), now two. Calls without a stream are not covered.

--- a/include/routing/CrashGuard.h
+++ b/include/routing/CrashGuard.h
@@ -9,19 +9,21 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
 namespace arbutus::routing {
 
-// Holds back requests whose prompt has a part that may crash the upstreams. A part is
-// suspected when an upstream ends just as it begins to answer a request with it, and
-// cleared when a request with it is answered. After some time, each VM tries a single
-// request; the more crashes, the later. What other entry VMs observe counts like own
-// observations, and is exchanged by the caller. Not thread-safe.
+// Holds back requests that may crash the upstreams: those whose prompt has a part under
+// which an upstream ended just as it began to answer, and those under which as a whole two
+// upstreams ended. An answer clears them. After some time, each VM tries a single request;
+// the more crashes, the later. What other entry VMs observe counts like own observations,
+// and is exchanged by the caller. Not thread-safe.
 class CrashGuard {
 public:
+    // Identifies a part of a prompt or a whole request.
     using Part = std::uint64_t;
     using Parts = std::vector<Part>;
 
@@ -40,6 +42,8 @@
     // Identifies the parts of a prompt. Each is counted by itself and together with its
     // position, so that a part which is harmless elsewhere is suspected in one position.
     static Parts identify(const std::vector<std::string>& sharedParts);
+    // Identifies a request by what its caller repeats when it sends it again.
+    static Part identifyRequest(std::string_view host, std::string_view target, std::string_view apiKey, std::string_view body);
     // Identifies one incarnation of an upstream that has ended.
     static std::uint64_t identifyCrash(const std::string& upstream, std::int64_t startedAtMilliseconds);
 
@@ -77,6 +81,8 @@
         std::optional<base::TimePoint> trialDeadline;
     };
 
+    // Whether there are enough crashes to hold requests back.
+    static bool isConclusive(Part, const Held&);
     void hold(Part, std::size_t crashes, base::TimePoint crashedAt);
     // Ends the oldest suspicion except that of `newest`.
     void evictOne(Part newest);
--- a/src/forwarding/Exchange.cpp
+++ b/src/forwarding/Exchange.cpp
@@ -98,6 +98,8 @@
     deadline_ = request_.arrivedAt + timeout;
     if (requestMetadata_.size)
         streamSize_ = *requestMetadata_.size;
+    if (route_->kind == RequestKind::Streaming)
+        promptParts_.push_back(routing::CrashGuard::identifyRequest(requestMetadata_.host, request_.head.target, requestMetadata_.apiKey.value_or(""), request_.body));
 }
 
 std::optional<std::chrono::milliseconds> Exchange::holdTime() const
--- a/src/routing/CrashGuard.cpp
+++ b/src/routing/CrashGuard.cpp
@@ -17,6 +17,9 @@
 static constexpr std::chrono::seconds answerRetention(60);
 static constexpr std::size_t maxAnsweredParts = 8192;
 static constexpr std::size_t maxHeldParts = 512;
+// A whole request is held back from this number of crashes on, because a connection that
+// was lost once says little about a request that nobody else sends.
+static constexpr std::size_t minCrashesOfRequest = 2;
 // A trial whose outcome is unknown after this time no longer prevents another one.
 static constexpr std::chrono::seconds trialTimeout(5);
 
@@ -34,17 +37,32 @@
 // Retry-After of a request that is not tried again.
 static constexpr std::chrono::minutes longestHoldTime(5);
 
+// The lowest bit tells whole requests from parts.
+static constexpr CrashGuard::Part wholeRequestBit = 1;
+
+static bool isWholeRequest(CrashGuard::Part part) { return part & wholeRequestBit; }
+
 CrashGuard::Parts CrashGuard::identify(const std::vector<std::string>& sharedParts)
 {
     Parts parts;
-    parts.reserve(2 * sharedParts.size());
+    parts.reserve(2 * sharedParts.size() + 1);
     for (std::size_t i = 0; i < sharedParts.size(); ++i) {
-        parts.push_back(base::hash64(sharedParts[i]));
-        parts.push_back(base::hash64(fmt::format("{}@{}", sharedParts[i], i)));
+        parts.push_back(base::hash64(sharedParts[i]) & ~wholeRequestBit);
+        parts.push_back(base::hash64(fmt::format("{}@{}", sharedParts[i], i)) & ~wholeRequestBit);
     }
     return parts;
 }
 
+CrashGuard::Part CrashGuard::identifyRequest(std::string_view host, std::string_view target, std::string_view apiKey, std::string_view body)
+{
+    auto hash = base::hash64(host);
+    for (auto text : { target, apiKey, body })
+        hash = base::hash64(text, hash);
+    return hash | wholeRequestBit;
+}
+
+bool CrashGuard::isConclusive(Part part, const Held& held) { return held.crashes >= (isWholeRequest(part) ? minCrashesOfRequest : 1); }
+
 std::uint64_t CrashGuard::identifyCrash(const std::string& upstream, std::int64_t startedAtMilliseconds) { return base::hash64(upstream, static_cast<std::uint64_t>(startedAtMilliseconds)); }
 
 std::optional<std::chrono::milliseconds> CrashGuard::holdTime(const Parts& parts, base::TimePoint now) const
@@ -55,6 +73,8 @@
         if (found == held_.end())
             continue;
         const auto& held = found->second;
+        if (!isConclusive(part, held))
+            continue;
         auto end = held.trialAt;
         if (end && held.trialDeadline)
             end = std::max(*end, *held.trialDeadline);
@@ -70,7 +90,7 @@
 {
     bool isTrial = false;
     for (auto part : parts) {
-        if (auto found = held_.find(part); found != held_.end()) {
+        if (auto found = held_.find(part); found != held_.end() && isConclusive(part, found->second)) {
             found->second.trialDeadline = now + trialTimeout;
             isTrial = true;
         }
@@ -89,7 +109,7 @@
 void CrashGuard::answerBegan(const Parts& parts, base::TimePoint now)
 {
     for (auto part : parts) {
-        if (answeredAt_.size() < maxAnsweredParts || answeredAt_.count(part))
+        if (!isWholeRequest(part) && (answeredAt_.size() < maxAnsweredParts || answeredAt_.count(part)))
             answeredAt_[part] = now;
         if (held_.erase(part))
             observations_.push_back({ part, std::nullopt });
@@ -104,7 +124,7 @@
 
 void CrashGuard::upstreamCrashed(const Parts& parts, std::uint64_t crash, base::TimePoint now)
 {
-    bool hasUnanswered = std::any_of(parts.begin(), parts.end(), [this](Part part) { return !answeredAt_.count(part); });
+    bool hasUnanswered = std::any_of(parts.begin(), parts.end(), [this](Part part) { return !isWholeRequest(part) && !answeredAt_.count(part); });
     for (auto part : parts) {
         if (wasAnsweredAround(part, now) || (hasUnanswered && answeredAt_.count(part)))
             continue;
--- a/tests/CrashGuardTest.cpp
+++ b/tests/CrashGuardTest.cpp
@@ -102,6 +102,25 @@
     BOOST_TEST(!observations.front().crash.has_value());
 }
 
+// Guards against a request that crashes upstreams although its prompt has no such part.
+BOOST_AUTO_TEST_CASE(WholeRequestIsHeldBackAfterTwoCrashes)
+{
+    CrashGuard guard(1);
+    auto request = parts({ "common" });
+    request.push_back(CrashGuard::identifyRequest("desk", "/a", "key", "deadly"));
+    auto other = parts({ "common" });
+    other.push_back(CrashGuard::identifyRequest("desk", "/a", "key", "sound"));
+    guard.answerBegan(other, start);
+    guard.upstreamCrashed(request, 0, start);
+    BOOST_TEST(!guard.holdTime(request, start).has_value());
+    BOOST_TEST(!guard.attemptStarted(request, start));
+    guard.setSuspicion(request.back(), 2, {}, start);
+    BOOST_TEST(guard.holdTime(request, start).has_value());
+    BOOST_TEST(!guard.holdTime(other, start).has_value());
+    guard.setSuspicion(request.back(), 3, {}, start);
+    BOOST_TEST(guard.holdTime(request, start + std::chrono::minutes(14)).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(SuspectedPartsDoNotFillTheMemory)
 {
     CrashGuard guard(1);
--- a/tests/DeadlyPromptTest.cpp
+++ b/tests/DeadlyPromptTest.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <map>
+
 using namespace arbutus;
 
 // Engines that end as soon as they begin to answer a request with the deadly part.
@@ -76,3 +78,25 @@
     fixture.extraFields = "Parts: deadly\r\n";
     BOOST_TEST(contains(fixture.sendRequest("r1", "0\r\n\r\n"), "id: 1"));
 }
+
+BOOST_AUTO_TEST_CASE(RequestThatCrashesUpstreamsIsHeldBackWhenItIsSentAgain)
+{
+    DeadlyPromptFixture fixture;
+    // The crashes that the reports of all entry VMs add up to.
+    std::map<routing::CrashGuard::Part, std::size_t> crashes;
+    auto countCrashes = [&] {
+        auto& guard = fixture.proxy.crashGuard();
+        for (const auto& observation : guard.takeObservations())
+            guard.setSuspicion(observation.part, observation.crash ? ++crashes[observation.part] : 0, {}, std::chrono::steady_clock::now());
+    };
+    fixture.script = [](Peer& connection, const std::string&, int) {
+        connection.socket->write(streamHead);
+        connection.socket->closeAfterWriting();
+    };
+    for (int i = 0; i < 3; ++i) {
+        fixture.sendPrompt("");
+        countCrashes();
+    }
+    BOOST_TEST(fixture.requests.size() == 2U);
+    BOOST_TEST(contains(fixture.sendPrompt(""), "503"));
+}
