--- a/include/fleet/CrashReportRegistry.h
+++ b/include/fleet/CrashReportRegistry.h
@@ -16,7 +16,7 @@
 class CrashReportRegistry {
 public:
     // After this time a part counts as new again.
-    static constexpr std::chrono::minutes reportLifetime { 15 };
+    static constexpr std::chrono::hours reportLifetime { 24 };
 
     // The reports of one part that are not refuted.
     struct Suspicion {
--- a/src/routing/CrashGuard.cpp
+++ b/src/routing/CrashGuard.cpp
@@ -33,8 +33,10 @@
 static constexpr std::array trialDelays {
     TrialDelay { std::chrono::seconds(3), std::chrono::seconds(12) },
     TrialDelay { std::chrono::seconds(20), std::chrono::seconds(60) },
+    TrialDelay { std::chrono::minutes(15), std::chrono::minutes(30) },
+    TrialDelay { std::chrono::hours(2), std::chrono::hours(4) },
 };
-// Retry-After of a request that is not tried again.
+// Bounds what callers are told, who may know better when to come back.
 static constexpr std::chrono::minutes longestHoldTime(5);
 
 // The lowest bit tells whole requests from parts.
@@ -80,7 +82,9 @@
             end = std::max(*end, *held.trialDeadline);
         if (end && now >= *end)
             continue;
-        auto time = end ? std::chrono::ceil<std::chrono::milliseconds>(*end - now) : std::chrono::milliseconds(longestHoldTime);
+        std::chrono::milliseconds time = longestHoldTime;
+        if (end)
+            time = std::min(time, std::chrono::ceil<std::chrono::milliseconds>(*end - now));
         longest = std::max(longest.value_or(time), time);
     }
     return longest;
