Bench of the state that entry VMs share, and a cheaper count of pollers

arbutus-bench fleet measures bytes and time of crash reports, held parts and limits. No change of behaviour; LimitSpreadTest passes.

--- a/bench/Bench.h
+++ b/bench/Bench.h
@@ -13,6 +13,7 @@
 // Each benchmark prints a CSV header and rows to standard output. Seeds are fixed.
 void benchConsensus();
 void benchCodec();
+void benchFleet();
 
 struct Bench {
     std::string_view name;
@@ -22,6 +23,7 @@
 constexpr Bench benches[] = {
     { "codec", benchCodec },
     { "consensus", benchConsensus },
+    { "fleet", benchFleet },
     { "membership", arbutus::membership::benchMembership },
     { "routing", benchRouting },
     { "state", benchState },
--- a/include/fleet/CrashReport.h
+++ b/include/fleet/CrashReport.h
@@ -6,10 +6,10 @@
 
 namespace arbutus::fleet {
 
-// States that an upstream ended just as it began to answer a request whose prompt has a
-// certain part.
+// States that an upstream ended just as it began to answer a certain request, or one whose
+// prompt has a certain part.
 struct CrashReport {
-    // Identifies the part.
+    // Identifies the part or the request.
     std::uint64_t part = 0;
     // Identifies the incarnation of the upstream, so that several reports of one crash
     // count once.
--- a/include/fleet/RequestPermitAllocator.h
+++ b/include/fleet/RequestPermitAllocator.h
@@ -58,6 +58,8 @@
 
     std::map<std::string, Limit> limits_;
     std::map<std::string, EntryVm> entryVms_;
+    // How many of them take their permits from this control VM.
+    std::size_t takerCount_ = 0;
 };
 
 } // namespace arbutus::fleet
--- a/src/fleet/RequestPermitAllocator.cpp
+++ b/src/fleet/RequestPermitAllocator.cpp
@@ -15,14 +15,16 @@
 // Permits come back at most once in the lifetime of a permit and a poll.
 static constexpr double returnedSeconds = 1;
 
-void RequestPermitAllocator::entryVmPolled(const std::string& entryVm, bool takesPermits, base::TimePoint now) { entryVms_[entryVm] = { now, takesPermits }; }
-
-double RequestPermitAllocator::ownShare() const
+void RequestPermitAllocator::entryVmPolled(const std::string& entryVm, bool takesPermits, base::TimePoint now)
 {
-    auto takers = std::count_if(entryVms_.begin(), entryVms_.end(), [](const auto& entry) { return entry.second.takesPermits; });
-    return entryVms_.empty() ? 1 : static_cast<double>(takers) / static_cast<double>(entryVms_.size());
+    auto& known = entryVms_[entryVm];
+    takerCount_ += takesPermits ? 1 : 0;
+    takerCount_ -= known.takesPermits ? 1 : 0;
+    known = { now, takesPermits };
 }
 
+double RequestPermitAllocator::ownShare() const { return entryVms_.empty() ? 1 : static_cast<double>(takerCount_) / static_cast<double>(entryVms_.size()); }
+
 void RequestPermitAllocator::merge(const RequestLimitReport& report, base::TimePoint now)
 {
     auto found = limits_.find(report.upstream);
@@ -101,8 +103,14 @@
 {
     for (auto it = limits_.begin(); it != limits_.end();)
         it = now >= it->second.reportedAt + limitLifetime ? limits_.erase(it) : std::next(it);
-    for (auto it = entryVms_.begin(); it != entryVms_.end();)
-        it = now >= it->second.polledAt + entryVmTimeout ? entryVms_.erase(it) : std::next(it);
+    for (auto it = entryVms_.begin(); it != entryVms_.end();) {
+        if (now < it->second.polledAt + entryVmTimeout) {
+            ++it;
+            continue;
+        }
+        takerCount_ -= it->second.takesPermits ? 1 : 0;
+        it = entryVms_.erase(it);
+    }
 }
 
 } // namespace arbutus::fleet
