Count a leader's proof from its last majority

Cause: a leader confirmed its leadership by a read under its lease, and took the time of that read for the proof. A lone leader went on to do so until its lease of 540 ms ended, so the 3 s of the entry VMs began later if the replica that was left led.

Change: the proof is as old as the newest heartbeat that a majority has confirmed, which the core keeps already as the start of the lease. ReplicaCore::leadershipConfirmedAt says it, and the age of the lease in the log uses it, too.

ConsensusCoreTest/LeadershipIsConfirmedByTheMajorityOnly tests the new function and was not run on the old code. The program of the users' platform does not use this time but for the log. The check and its bound are unchanged.

--- a/include/consensus/ReplicaCore.h
+++ b/include/consensus/ReplicaCore.h
@@ -190,6 +190,9 @@
     Index appliedIndex() const { return appliedIndex_; }
     const ReplicaLog& log() const { return log_; }
     const Configuration& configuration() const { return log_.configuration(); }
+    // Returns when the newest heartbeat was sent that a majority has confirmed; nullopt
+    // without one, or in any role but that of the leader.
+    std::optional<base::TimePoint> leadershipConfirmedAt() const { return role_ == Role::Leader ? leaseStart_ : std::nullopt; }
     // Returns when the leader's lease ends; a time in the past in any other role.
     base::TimePoint leaseEnd() const;
     // Returns how long a lease lasts from the sending of the heartbeat that grants it.
--- a/src/consensus/ReplicaCoreLeader.cpp
+++ b/src/consensus/ReplicaCoreLeader.cpp
@@ -26,7 +26,8 @@
 
 base::TimePoint ReplicaCore::leaseEnd() const
 {
-    return role_ == Role::Leader && leaseStart_ ? *leaseStart_ + leaseDuration() : base::TimePoint();
+    auto confirmedAt = leadershipConfirmedAt();
+    return confirmedAt ? *confirmedAt + leaseDuration() : base::TimePoint();
 }
 
 void ReplicaCore::becomeLeader()
--- a/src/replica/ReplicaNode.cpp
+++ b/src/replica/ReplicaNode.cpp
@@ -267,7 +267,7 @@
         if (result.requestId == leadershipReadId_) {
             leadershipReadId_ = 0;
             if (isGranted)
-                leadershipConfirmedAt_ = clock_.now();
+                leadershipConfirmedAt_ = core_->leadershipConfirmedAt();
             continue;
         }
         auto found = pendingRequests_.find(result.requestId);
@@ -385,8 +385,8 @@
 {
     auto now = clock_.now();
     lateness_.record(now - core_->nextDeadline());
-    if (core_->role() == consensus::Role::Leader && core_->leaseEnd() != base::TimePoint())
-        leaseAge_.record(now - (core_->leaseEnd() - core_->leaseDuration()));
+    if (auto confirmedAt = core_->leadershipConfirmedAt())
+        leaseAge_.record(now - *confirmedAt);
 }
 
 void ReplicaNode::publishStatus()
--- a/src/replica/ReplicaNode.h
+++ b/src/replica/ReplicaNode.h
@@ -42,7 +42,8 @@
     // Digest of the last audit record. Replicas with the same applied index have the same
     // digest.
     state::RawDigest auditHead {};
-    // When this replica last confirmed its leadership with a read under its lease.
+    // When the newest heartbeat was sent that had been confirmed by a majority at the last
+    // read under the lease.
     std::optional<base::TimePoint> leadershipConfirmedAt;
 };
 
--- a/tests/ConsensusCoreTest.cpp
+++ b/tests/ConsensusCoreTest.cpp
@@ -105,6 +105,19 @@
     BOOST_TEST((core.role() == Role::Follower));
 }
 
+// Guards against a leader that lost its majority and goes on to prove its leadership.
+BOOST_AUTO_TEST_CASE(LeadershipIsConfirmedByTheMajorityOnly)
+{
+    ReplicaCore core = makeCore({}, {});
+    const auto sentAt = electLeader(core);
+    BOOST_TEST(!core.leadershipConfirmedAt().has_value());
+    receive(core, 1, HeartbeatResponse { 1 }, sentAt + std::chrono::milliseconds(90));
+    core.step(Tick {}, sentAt + std::chrono::milliseconds(500));
+    BOOST_TEST((core.leadershipConfirmedAt() == sentAt));
+    core.step(Tick {}, core.leaseEnd());
+    BOOST_TEST(!core.leadershipConfirmedAt().has_value());
+}
+
 // Guards against unbounded memory growth on a leader whose followers stop responding.
 BOOST_AUTO_TEST_CASE(LeaderRejectsOversizedAndExcessProposals)
 {
