Spread the trials of a suspected part by the number of entry VMs

Each trial crashes an engine, and its copy of the model is loaded again.

Cause: each VM drew its time from the same range of 9 s, whatever their number, and a trial's outcome is known to the others only after some 100 ms.

Change: the range is 1 s for each entry VM (5 s, 1 min and 10 min after more crashes). With many VMs the first ones whose time has come meet such requests long before the others may.

--- a/include/routing/CrashGuard.h
+++ b/include/routing/CrashGuard.h
@@ -39,6 +39,9 @@
     {
     }
 
+    // Sets the number of entry VMs, over which the trials are spread.
+    void setEntryVmCount(std::uint32_t count) { entryVmCount_ = count; }
+
     // Identifies the parts of a prompt. Each is counted by itself and together with its
     // position, so that a part which is harmless elsewhere is suspected in one position.
     static Parts identify(const std::vector<std::string>& sharedParts);
@@ -89,6 +92,7 @@
     bool wasAnsweredAround(Part, base::TimePoint crashedAt) const;
 
     base::Random random_;
+    std::uint32_t entryVmCount_ = 1;
     std::map<Part, Held> held_;
     // When each part was last answered.
     std::unordered_map<Part, base::TimePoint> answeredAt_;
--- a/src/forwarding/ReverseProxy.cpp
+++ b/src/forwarding/ReverseProxy.cpp
@@ -181,6 +181,7 @@
 void ReverseProxy::setEntryVmCount(std::uint32_t count)
 {
     entryVmCount_ = count;
+    crashGuard_.setEntryVmCount(count);
     for (auto& [name, state] : services_) {
         state.retryBudget.setEntryVmCount(count);
         state.rateLimiter.setEntryVmCount(count);
--- a/src/routing/CrashGuard.cpp
+++ b/src/routing/CrashGuard.cpp
@@ -23,18 +23,18 @@
 // A trial whose outcome is unknown after this time no longer prevents another one.
 static constexpr std::chrono::seconds trialTimeout(5);
 
-// Range of the time from a crash to the next trial, by the number of crashes; beyond
-// these there is no trial. Each VM draws its own time, so that VMs which learn of the
-// outcome of a trial after some 100 ms do not all try.
+// The time from a crash to the next trial, by the number of crashes; beyond these there is
+// no trial. The VMs learn of the outcome of a trial after some 100 ms. So each draws its
+// own time from a range that grows with their number.
 struct TrialDelay {
     std::chrono::milliseconds min;
-    std::chrono::milliseconds max;
+    std::chrono::milliseconds rangePerEntryVm;
 };
 static constexpr std::array trialDelays {
-    TrialDelay { std::chrono::seconds(3), std::chrono::seconds(12) },
-    TrialDelay { std::chrono::seconds(20), std::chrono::seconds(60) },
-    TrialDelay { std::chrono::minutes(15), std::chrono::minutes(30) },
-    TrialDelay { std::chrono::hours(2), std::chrono::hours(4) },
+    TrialDelay { std::chrono::seconds(3), std::chrono::seconds(1) },
+    TrialDelay { std::chrono::seconds(20), std::chrono::seconds(5) },
+    TrialDelay { std::chrono::minutes(15), std::chrono::minutes(1) },
+    TrialDelay { std::chrono::hours(2), std::chrono::minutes(10) },
 };
 // Bounds what callers are told, who may know better when to come back.
 static constexpr std::chrono::minutes longestHoldTime(5);
@@ -151,8 +151,8 @@
     if (crashes > trialDelays.size())
         return;
     const auto& delay = trialDelays[crashes - 1];
-    auto milliseconds = random_.between(static_cast<double>(delay.min.count()), static_cast<double>(delay.max.count()));
-    held.trialAt = crashedAt + std::chrono::milliseconds(static_cast<std::int64_t>(milliseconds));
+    auto range = static_cast<double>(delay.rangePerEntryVm.count()) * std::max(1U, entryVmCount_);
+    held.trialAt = crashedAt + delay.min + std::chrono::milliseconds(static_cast<std::int64_t>(random_.between(0, range)));
 }
 
 void CrashGuard::evictOne(Part newest)
--- a/tests/CrashGuardTest.cpp
+++ b/tests/CrashGuardTest.cpp
@@ -91,6 +91,51 @@
     BOOST_TEST(guard.heldPartCount() == 0U);
 }
 
+// Returns how many VMs try a part before the outcome of the first trial is known to all.
+static int countOverlappingTrials(std::uint32_t entryVms, std::uint64_t seed)
+{
+    constexpr milliseconds outcomeDelay(500);
+    constexpr milliseconds step(10);
+    base::Random random(seed);
+    std::vector<CrashGuard> guards;
+    for (std::uint32_t i = 0; i < entryVms; ++i) {
+        guards.emplace_back(seed * entryVms + i);
+        guards.back().setEntryVmCount(entryVms);
+        for (auto part : parts({ "deadly" }))
+            guards.back().setSuspicion(part, 1, {}, start);
+    }
+    int trials = 0;
+    std::optional<base::TimePoint> outcomeAt;
+    for (auto now = start; !outcomeAt || now < *outcomeAt; now += step) {
+        // Each VM gets such a request every 3 s.
+        for (auto& guard : guards) {
+            if (random.unit() >= std::chrono::duration<double>(step).count() / 3 || !mayRun(guard, { "deadly" }, now))
+                continue;
+            guard.attemptStarted(parts({ "deadly" }), now);
+            ++trials;
+            outcomeAt = outcomeAt.value_or(now + outcomeDelay);
+        }
+    }
+    return trials;
+}
+
+// Guards against VMs that all try a part at the same time, each of which crashes an upstream.
+BOOST_AUTO_TEST_CASE(TrialsOfManyVmsRarelyOverlap)
+{
+    constexpr int seeds = 20;
+    // The rule allows three requests beyond the crash that is already counted.
+    constexpr int mostTrials = 4;
+    for (std::uint32_t entryVms : { 9U, 61U, 300U }) {
+        int total = 0;
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            int trials = countOverlappingTrials(entryVms, seed);
+            BOOST_TEST(trials <= mostTrials);
+            total += trials;
+        }
+        BOOST_TEST(total <= 2 * seeds);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(AnsweredTrialClearsThePartForAllVms)
 {
     CrashGuard guard(1);
