Pass on refutations of old crash reports

What callers would see: a prompt part that one entry VM has found harmless stays held back at the others if its crash is more than two minutes ago, so its callers get 503 there until each VM has made a trial of its own.

Cause: a refuted report was forgotten two minutes after the crash and not after the refutation, so an older one went before the other VMs had heard of it, and could come back from them without the refutation.

Change: a report stores when it expires; a refutation sets that to two minutes from then.

Evidence: CrashReportSpreadTest/AnswerClearsAnOldSuspicionAtAllVms (61 entry VMs, a report one hour old) failed before, 53 VMs kept the suspicion, and passes now.

--- a/include/fleet/CrashReportRegistry.h
+++ b/include/fleet/CrashReportRegistry.h
@@ -46,6 +46,7 @@
     };
     struct Stored {
         base::TimePoint crashedAt;
+        base::TimePoint expiresAt;
         bool isRefuted = false;
         std::uint64_t revision = 0;
     };
--- a/src/fleet/CrashReportRegistry.cpp
+++ b/src/fleet/CrashReportRegistry.cpp
@@ -6,7 +6,7 @@
 namespace arbutus::fleet {
 
 static constexpr std::size_t maxReports = 512;
-// A refuted report is kept until no VM holds it without the refutation any more.
+// From the refutation, until no VM holds the report without it any more.
 static constexpr std::chrono::minutes refutedLifetime(2);
 
 static std::uint32_t millisecondsSince(base::TimePoint time, base::TimePoint now)
@@ -18,13 +18,15 @@
 bool CrashReportRegistry::apply(const CrashReport& report, base::TimePoint now)
 {
     auto crashedAt = now - std::chrono::milliseconds(report.ageMilliseconds);
-    auto [found, isNew] = reports_.try_emplace({ report.part, report.crash }, Stored { crashedAt, report.isRefuted, 0 });
+    auto [found, isNew] = reports_.try_emplace({ report.part, report.crash }, Stored { crashedAt, crashedAt + reportLifetime, report.isRefuted, 0 });
     auto& stored = found->second;
     stored.crashedAt = std::min(stored.crashedAt, crashedAt);
-    bool isNewlyRefuted = report.isRefuted && !stored.isRefuted;
+    bool isNewlyRefuted = report.isRefuted && (isNew || !stored.isRefuted);
     if (!isNew && !isNewlyRefuted)
         return false;
     stored.isRefuted = report.isRefuted;
+    if (isNewlyRefuted)
+        stored.expiresAt = now + refutedLifetime;
     stored.revision = ++revision_;
     if (reports_.size() > maxReports)
         evictOne();
@@ -48,10 +50,8 @@
 
 void CrashReportRegistry::expire(base::TimePoint now)
 {
-    for (auto it = reports_.begin(); it != reports_.end();) {
-        std::chrono::minutes lifetime = it->second.isRefuted ? refutedLifetime : reportLifetime;
-        it = now >= it->second.crashedAt + lifetime ? reports_.erase(it) : std::next(it);
-    }
+    for (auto it = reports_.begin(); it != reports_.end();)
+        it = now >= it->second.expiresAt ? reports_.erase(it) : std::next(it);
 }
 
 std::vector<CrashReport> CrashReportRegistry::changesSince(std::uint64_t revision, base::TimePoint now) const
--- a/tests/CrashReportSpreadTest.cpp
+++ b/tests/CrashReportSpreadTest.cpp
@@ -67,6 +67,18 @@
     BOOST_TEST(countSuspecting(*fleet) == fleet->entry.size());
 }
 
+BOOST_AUTO_TEST_CASE(AnswerClearsAnOldSuspicionAtAllVms)
+{
+    auto fleet = makeFleet();
+    constexpr std::uint32_t hourOld = 3600 * 1000;
+    fleet->entry[5].crashReports.apply({ part, 1, false, hourOld }, fleet->clock.now());
+    fleet->run(spreadBound);
+    BOOST_TEST(countSuspecting(*fleet) == fleet->entry.size());
+    fleet->entry[7].crashReports.refute(part, fleet->clock.now());
+    fleet->run(spreadBound);
+    BOOST_TEST(countSuspecting(*fleet) == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(ReportsEndAfterTheirLifetimeAndAreBounded)
 {
     CrashReportRegistry registry;
