Do not use equal parts of a limit at the same moment

Cause: the equal parts began to fill when the control VMs were lost, which is the same moment for all entry VMs, and each was saved until a request came. With 61 entry VMs and a limit of 2 a second each had one request after half a minute, and they sent 57 in 4 s where 17 are allowed.

Change: each entry VM draws a phase, at which its parts come, and an unused part expires like a permit.

--- a/include/routing/RequestRateLimiter.h
+++ b/include/routing/RequestRateLimiter.h
@@ -22,6 +22,13 @@
 // equal part of each limit. Not thread-safe.
 class RequestRateLimiter {
 public:
+    // `phase`, from 0 to 1, should differ between the entry VMs: it tells when they use
+    // their equal parts, so that they do not all send at the same moment.
+    explicit RequestRateLimiter(double phase)
+        : phase_(phase)
+    {
+    }
+
     void setEntryVmCount(std::uint32_t entryVmCount) { entryVmCount_ = entryVmCount; }
 
     // Call when a request for the service arrives.
@@ -54,19 +61,20 @@
         // When each permit expires.
         std::deque<base::TimePoint> permits;
         std::uint32_t unused = 0;
-        // The part of this VM while no control VM answers.
-        double ownPermits = 0;
-        base::TimePoint refilledAt;
+        // While no control VM answers: when the part of this VM next allows a request.
+        std::optional<base::TimePoint> ownPermitAt;
     };
 
-    // Returns the limit of an upstream and makes it known if it is not.
-    Limit& findOrAdd(const std::string& upstream, base::TimePoint now);
     // Removes permits that exceed a limit which was `perSecondBefore` and has changed.
     static void trimPermits(Limit&, double perSecondBefore);
     bool maySend(Limit&, base::TimePoint now);
     void dropExpired(Limit&, base::TimePoint now);
-    void refillOwn(Limit&, base::TimePoint now) const;
+    // The time between two requests of this VM's equal part.
+    std::chrono::nanoseconds ownInterval(const Limit&) const;
+    // Brings `ownPermitAt` up to date.
+    void scheduleOwn(Limit&, base::TimePoint now) const;
 
+    double phase_;
     std::map<std::string, Limit> limits_;
     std::uint32_t entryVmCount_ = 1;
     base::TimePoint allocatorAnsweredAt_;
--- a/src/forwarding/ReverseProxy.cpp
+++ b/src/forwarding/ReverseProxy.cpp
@@ -58,7 +58,7 @@
     if (found == services_.end()) {
         routing::WindowedRetryBudget retryBudget(options_.retryBudget.ratio, options_.retryBudget.slack, options_.retryBudget.window);
         retryBudget.setEntryVmCount(entryVmCount_);
-        found = services_.emplace(name, ServiceState { name, nullptr, nullptr, retryBudget, routing::CapacityQueue(maxExpectedQueueWait), {}, {} }).first;
+        found = services_.emplace(name, ServiceState { name, nullptr, nullptr, retryBudget, routing::CapacityQueue(maxExpectedQueueWait), routing::RequestRateLimiter(random_.unit()), {} }).first;
         found->second.rateLimiter.setEntryVmCount(entryVmCount_);
     }
     auto& state = found->second;
--- a/src/routing/RequestRateLimiter.cpp
+++ b/src/routing/RequestRateLimiter.cpp
@@ -22,15 +22,6 @@
     ++arrivals_;
 }
 
-RequestRateLimiter::Limit& RequestRateLimiter::findOrAdd(const std::string& upstream, base::TimePoint now)
-{
-    auto [found, isNew] = limits_.try_emplace(upstream);
-    if (isNew)
-        found->second.refilledAt = now;
-    refillOwn(found->second, now);
-    return found->second;
-}
-
 void RequestRateLimiter::trimPermits(Limit& limit, double perSecondBefore)
 {
     if (limit.named.isLifted || limit.named.perSecond >= perSecondBefore)
@@ -46,7 +37,7 @@
     // An answer to an older request may have been on its way while the limit was named.
     if (!perSecond && (!isLimited || sentAt <= found->second.named.observedAt))
         return false;
-    auto& limit = findOrAdd(upstream, now);
+    auto& limit = limits_[upstream];
     double perSecondBefore = limit.named.perSecond;
     bool isChanged = limit.named.update(perSecond, now, now);
     trimPermits(limit, perSecondBefore);
@@ -61,13 +52,24 @@
     }
 }
 
-void RequestRateLimiter::refillOwn(Limit& limit, base::TimePoint now) const
+std::chrono::nanoseconds RequestRateLimiter::ownInterval(const Limit& limit) const
 {
     double perSecond = std::max(RequestPermitAllocator::minPerSecond, limit.named.perSecond) / std::max(1U, entryVmCount_);
-    bool isAnswered = now < allocatorAnsweredAt_ + allocatorTimeout;
-    double seconds = std::chrono::duration<double>(now - limit.refilledAt).count();
-    limit.ownPermits = isAnswered ? 0 : std::min(1.0, limit.ownPermits + perSecond * seconds);
-    limit.refilledAt = now;
+    return std::chrono::duration_cast<std::chrono::nanoseconds>(std::chrono::duration<double>(1 / perSecond));
+}
+
+void RequestRateLimiter::scheduleOwn(Limit& limit, base::TimePoint now) const
+{
+    if (now < allocatorAnsweredAt_ + allocatorTimeout) {
+        limit.ownPermitAt.reset();
+        return;
+    }
+    auto interval = ownInterval(limit);
+    if (!limit.ownPermitAt || now + interval < *limit.ownPermitAt)
+        limit.ownPermitAt = now + std::chrono::duration_cast<std::chrono::nanoseconds>(phase_ * interval);
+    // Unused ones expire, because those of all VMs add up.
+    if (auto lateness = now - *limit.ownPermitAt - RequestPermitAllocator::permitLifetime; lateness >= std::chrono::nanoseconds(0))
+        *limit.ownPermitAt += (lateness / interval + 1) * interval;
 }
 
 bool RequestRateLimiter::maySend(Limit& limit, base::TimePoint now)
@@ -75,8 +77,8 @@
     if (limit.named.isLifted)
         return true;
     dropExpired(limit, now);
-    refillOwn(limit, now);
-    return !limit.permits.empty() || limit.ownPermits >= 1;
+    scheduleOwn(limit, now);
+    return !limit.permits.empty() || (limit.ownPermitAt && now >= *limit.ownPermitAt);
 }
 
 void RequestRateLimiter::addExhausted(std::set<std::string>& upstreams, base::TimePoint now)
@@ -101,8 +103,8 @@
     dropExpired(limit, now);
     if (!limit.permits.empty())
         limit.permits.pop_front();
-    else
-        limit.ownPermits = std::max(0.0, limit.ownPermits - 1);
+    else if (limit.ownPermitAt)
+        *limit.ownPermitAt += ownInterval(limit);
 }
 
 fleet::RequestLimitReports RequestRateLimiter::takeReports(std::size_t waiting, base::TimePoint now)
@@ -134,7 +136,7 @@
 {
     if (report.isLifted && !limits_.count(report.upstream))
         return;
-    auto& limit = findOrAdd(report.upstream, now);
+    auto& limit = limits_[report.upstream];
     if (fleet::observationTime(report, now) > limit.named.observedAt) {
         double perSecondBefore = limit.named.perSecond;
         limit.named.update(report, now);
--- a/tests/LimitSpreadTest.cpp
+++ b/tests/LimitSpreadTest.cpp
@@ -25,19 +25,20 @@
 public:
     LimitedFleet(std::size_t entryCount, double requestsPerSecond, std::uint64_t seed)
         : network(3, 170, entryCount, 20)
-        , limiters(entryCount)
         , random_(seed)
         , requestsPerVm_(requestsPerSecond / static_cast<double>(entryCount))
     {
-        for (std::size_t i = 0; i < entryCount; ++i)
+        for (std::size_t i = 0; i < entryCount; ++i) {
+            limiters.emplace_back(random_.unit());
             connect(i);
+        }
         network.run(seconds(2));
     }
 
     // Call when an entry VM has been started.
     void connect(std::size_t i)
     {
-        limiters[i] = {};
+        limiters[i] = RequestRateLimiter(random_.unit());
         network.entry[i].poller->setLimitHooks([this, i] { return limiters[i].takeReports(0, network.clock.now()); }, [this, i](const auto& reports) {
             limiters[i].allocatorAnswered(network.clock.now());
             for (const auto& report : reports)
@@ -188,6 +189,28 @@
     BOOST_TEST(fleet.servedPerSecond(namedAt + contactTime) >= 0.7 * 5);
 }
 
+// Guards against equal parts of a limit that all entry VMs use at the same moment.
+BOOST_AUTO_TEST_CASE(LimitIsKeptByManyEntryVmsWithoutControlVms)
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        for (double perSecond : { 8.0, 2.0 }) {
+            LimitedFleet fleet(61, 80, seed);
+            fleet.limit = perSecond;
+            auto namedAt = fleet.network.clock.now();
+            fleet.run(seconds(8));
+            for (auto& vm : fleet.network.control)
+                vm.isReachable = false;
+            auto lostAt = fleet.network.clock.now();
+            fleet.run(seconds(45));
+            BOOST_TEST_CONTEXT("limit " << perSecond << ", seed " << seed)
+            {
+                BOOST_TEST(static_cast<double>(fleet.mostInWindow(namedAt + contactTime + countedWindow)) <= allowedInWindow(perSecond));
+                BOOST_TEST(fleet.servedPerSecond(lostAt + seconds(1)) >= 0.3 * perSecond);
+            }
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(RestartedEntryVmAdoptsTheLimit)
 {
     LimitedFleet fleet(9, 80, 7);
