Do not take an upstream for crashed that answers later requests

Cause: one connection that is lost just after the head of an answer looks the same, whether the upstream has crashed or has spoilt this one answer.

Change: an entry VM that gets the first event of an answer reports that the upstreams of its path, by incarnation, have answered a request sent at that time. Crash reports of the same incarnation from before are refuted, on all VMs. Only the time at which the request was sent counts, so a VM that was frozen and reads old bytes afterwards refutes nothing.

Evidence: CrashReportSpreadTest/UpstreamThatAnswersLaterRequestsIsNotTakenForCrashed tests the new function; DeadlyPromptTest/UpstreamThatBrokeOffAnAnswerAndAnswersTheNextHasNotCrashed fails with the report switched off.

--- a/include/fleet/CrashReportRegistry.h
+++ b/include/fleet/CrashReportRegistry.h
@@ -29,6 +29,9 @@
     bool apply(const CrashReport&, base::TimePoint now);
     // Refutes all reports of a part.
     void refute(std::uint64_t part, base::TimePoint now);
+    // Refutes all reports of a crash that was seen before `answeredRequestSentAt`, because
+    // the upstream has answered a request which was sent then.
+    void refuteCrash(std::uint64_t crash, base::TimePoint answeredRequestSentAt, base::TimePoint now);
     // Forgets reports after their lifetime.
     void expire(base::TimePoint now);
 
--- a/include/routing/CrashGuard.h
+++ b/include/routing/CrashGuard.h
@@ -12,6 +12,7 @@
 #include <string_view>
 #include <unordered_map>
 #include <utility>
+#include <variant>
 #include <vector>
 
 namespace arbutus::routing {
@@ -27,12 +28,21 @@
     using Part = std::uint64_t;
     using Parts = std::vector<Part>;
 
-    // An observation that the other entry VMs must learn.
-    struct Observation {
+    // Observations that the other entry VMs must learn.
+    struct PartCrashed {
         Part part = 0;
-        // Identifies the crash; nullopt if the part is cleared.
-        std::optional<std::uint64_t> crash;
+        std::uint64_t crash = 0;
     };
+    struct PartAnswered {
+        Part part = 0;
+    };
+    // An upstream has answered a request, so the crash of its incarnation that was seen
+    // before the request was sent was none.
+    struct UpstreamAnswered {
+        std::uint64_t crash = 0;
+        base::TimePoint sentAt;
+    };
+    using Observation = std::variant<PartCrashed, PartAnswered, UpstreamAnswered>;
 
     explicit CrashGuard(std::uint64_t seed)
         : random_(seed)
@@ -60,6 +70,9 @@
 
     // Call when the first part of an answer has arrived.
     void answerBegan(const Parts&, base::TimePoint now);
+    // Call when an upstream has brought the first part of an answer to a request that was
+    // sent at `sentAt`, with what identifyCrash() returns for it.
+    void upstreamAnswered(std::uint64_t crash, base::TimePoint sentAt);
     // Call when an upstream has begun to answer and ended before any of the answer arrived.
     void upstreamCrashed(const Parts&, std::uint64_t crash, base::TimePoint now);
 
@@ -97,6 +110,8 @@
     // When each part was last answered.
     std::unordered_map<Part, base::TimePoint> answeredAt_;
     std::vector<Observation> observations_;
+    // Until then, answers of upstreams may show that they have not crashed.
+    base::TimePoint refutableUntil_;
 };
 
 } // namespace arbutus::routing
--- a/src/fleet/CrashReportRegistry.cpp
+++ b/src/fleet/CrashReportRegistry.cpp
@@ -48,6 +48,14 @@
         apply({ part, it->first.crash, true, millisecondsSince(it->second.crashedAt, now) }, now);
 }
 
+void CrashReportRegistry::refuteCrash(std::uint64_t crash, base::TimePoint answeredRequestSentAt, base::TimePoint now)
+{
+    for (const auto& [key, stored] : reports_) {
+        if (key.crash == crash && !stored.isRefuted && stored.crashedAt < answeredRequestSentAt)
+            apply({ key.part, key.crash, true, millisecondsSince(stored.crashedAt, now) }, now);
+    }
+}
+
 void CrashReportRegistry::expire(base::TimePoint now)
 {
     for (auto it = reports_.begin(); it != reports_.end();)
--- a/src/forwarding/Exchange.h
+++ b/src/forwarding/Exchange.h
@@ -93,6 +93,10 @@
     // Closes the upstream's connection in the middle of a response and ends the attempt.
     void rejectResponse(AttemptOutcome);
     void endAttempt(AttemptOutcome);
+    // Identifies the crash that would end the known incarnation of an upstream.
+    std::uint64_t crashOf(const std::string& upstream) const;
+    // Tells the crash guard that the upstreams of the attempt work.
+    void reportWorkingUpstreams();
     // Tells the crash guard if the upstream ended before any of its answer arrived.
     void reportCrash();
     // Logs how far the response was and which shared parts its request has.
--- a/src/forwarding/ExchangeAttempts.cpp
+++ b/src/forwarding/ExchangeAttempts.cpp
@@ -221,15 +221,28 @@
     return names[static_cast<std::size_t>(outcome)];
 }
 
+std::uint64_t Exchange::crashOf(const std::string& upstream) const
+{
+    auto known = proxy_.knownUpstreams_.find(upstream);
+    auto startedAt = known == proxy_.knownUpstreams_.end() ? 0 : known->second.startedAtMilliseconds;
+    return routing::CrashGuard::identifyCrash(upstream, startedAt);
+}
+
+void Exchange::reportWorkingUpstreams()
+{
+    if (path_.empty())
+        proxy_.crashGuard_.upstreamAnswered(crashOf(upstreamId_), sentAt_);
+    for (const auto& stage : path_)
+        proxy_.crashGuard_.upstreamAnswered(crashOf(stage.upstream), sentAt_);
+}
+
 void Exchange::reportCrash()
 {
     bool hadAnswer = eventSplitter_.hasDelivered() || requestMetadata_.lastEventId || relayMode_ != RelayMode::None;
     bool hadBegun = responseHead_ && responseHead_->status >= 200 && responseHead_->status < 300;
     if (promptParts_.empty() || hadAnswer || !hadBegun)
         return;
-    auto upstream = proxy_.knownUpstreams_.find(upstreamId_);
-    auto startedAt = upstream == proxy_.knownUpstreams_.end() ? 0 : upstream->second.startedAtMilliseconds;
-    proxy_.crashGuard_.upstreamCrashed(promptParts_, routing::CrashGuard::identifyCrash(upstreamId_, startedAt), std::chrono::steady_clock::now());
+    proxy_.crashGuard_.upstreamCrashed(promptParts_, crashOf(upstreamId_), std::chrono::steady_clock::now());
 }
 
 void Exchange::logLoss() const
--- a/src/forwarding/ExchangeResponse.cpp
+++ b/src/forwarding/ExchangeResponse.cpp
@@ -68,7 +68,8 @@
 
 void Exchange::sendEvents(std::string_view events)
 {
-    hasEvents_ = true;
+    if (!std::exchange(hasEvents_, true))
+        reportWorkingUpstreams();
     progressAt_ = std::chrono::steady_clock::now();
     for (const auto& stage : path_)
         *stage.progressAt = progressAt_;
--- a/src/node/EntryNode.cpp
+++ b/src/node/EntryNode.cpp
@@ -92,15 +92,22 @@
     return true;
 }
 
+void EntryNode::record(const routing::CrashGuard::PartCrashed& observation) { crashReports_.apply({ observation.part, observation.crash, false, 0 }, clock_.now()); }
+
+void EntryNode::record(const routing::CrashGuard::PartAnswered& observation) { crashReports_.refute(observation.part, clock_.now()); }
+
+void EntryNode::record(const routing::CrashGuard::UpstreamAnswered& observation)
+{
+    // The proxy reads another clock.
+    auto age = base::TimePoint(std::chrono::steady_clock::now()) - observation.sentAt;
+    crashReports_.refuteCrash(observation.crash, clock_.now() - age, clock_.now());
+}
+
 void EntryNode::exchangeCrashReports(base::TimePoint now)
 {
     auto& guard = proxy_.crashGuard();
-    for (const auto& [part, crash] : guard.takeObservations()) {
-        if (crash)
-            crashReports_.apply({ part, *crash, false, 0 }, clock_.now());
-        else
-            crashReports_.refute(part, clock_.now());
-    }
+    for (const auto& observation : guard.takeObservations())
+        std::visit([this](const auto& kind) { record(kind); }, observation);
     if (crashReports_.revision() == crashRevision_)
         return;
     for (const auto& report : crashReports_.changesSince(crashRevision_, clock_.now())) {
--- a/src/node/EntryNode.h
+++ b/src/node/EntryNode.h
@@ -49,6 +49,10 @@
 
     void tick();
     bool applyRoutes(std::uint64_t version, const std::string& document, const fleet::FleetPoller::RoutesDelivery&);
+    // Adds what the proxy has observed to the reports that the other VMs get.
+    void record(const routing::CrashGuard::PartCrashed&);
+    void record(const routing::CrashGuard::PartAnswered&);
+    void record(const routing::CrashGuard::UpstreamAnswered&);
     // Exchanges crash reports between the proxy and the other VMs.
     void exchangeCrashReports(base::TimePoint now);
     bool isReady() const;
--- a/src/routing/CrashGuard.cpp
+++ b/src/routing/CrashGuard.cpp
@@ -15,6 +15,9 @@
 static constexpr std::chrono::seconds refutingAnswerAge(2);
 // A part that was answered within this time is not suspected beside one that was not.
 static constexpr std::chrono::seconds answerRetention(60);
+// An upstream that lives on after it lost a connection answers other requests well within
+// this time.
+static constexpr std::chrono::minutes refutableTime(1);
 static constexpr std::size_t maxAnsweredParts = 8192;
 static constexpr std::size_t maxHeldParts = 512;
 // A whole request is held back from this number of crashes on, because a connection that
@@ -116,10 +119,16 @@
         if (!isWholeRequest(part) && (answeredAt_.size() < maxAnsweredParts || answeredAt_.count(part)))
             answeredAt_[part] = now;
         if (held_.erase(part))
-            observations_.push_back({ part, std::nullopt });
+            observations_.push_back(PartAnswered { part });
     }
 }
 
+void CrashGuard::upstreamAnswered(std::uint64_t crash, base::TimePoint sentAt)
+{
+    if (sentAt < refutableUntil_)
+        observations_.push_back(UpstreamAnswered { crash, sentAt });
+}
+
 bool CrashGuard::wasAnsweredAround(Part part, base::TimePoint crashedAt) const
 {
     auto found = answeredAt_.find(part);
@@ -132,7 +141,7 @@
     for (auto part : parts) {
         if (wasAnsweredAround(part, now) || (hasUnanswered && answeredAt_.count(part)))
             continue;
-        observations_.push_back({ part, crash });
+        observations_.push_back(PartCrashed { part, crash });
         // Other VMs may have seen the same crash, so setSuspicion() counts it.
         hold(part, 1, now);
         if (auto& trialAt = held_[part].trialAt)
@@ -146,6 +155,7 @@
     if (crashes <= held.crashes)
         return;
     held = { crashes, std::nullopt, crashedAt + fleet::CrashReportRegistry::reportLifetime, std::nullopt };
+    refutableUntil_ = std::max(refutableUntil_, crashedAt + refutableTime);
     if (held_.size() > maxHeldParts)
         evictOne(part);
     if (crashes > trialDelays.size())
@@ -170,7 +180,7 @@
     if (!crashes)
         held_.erase(part);
     else if (wasAnsweredAround(part, now - age))
-        observations_.push_back({ part, std::nullopt });
+        observations_.push_back(PartAnswered { part });
     else
         hold(part, crashes, now - age);
 }
--- a/tests/CrashGuardTest.cpp
+++ b/tests/CrashGuardTest.cpp
@@ -147,7 +147,7 @@
     BOOST_TEST(mayRun(guard, { "sound" }, now));
     auto observations = guard.takeObservations();
     BOOST_REQUIRE(observations.size() == 2U);
-    BOOST_TEST(!observations.front().crash.has_value());
+    BOOST_TEST(std::holds_alternative<CrashGuard::PartAnswered>(observations.front()));
 }
 
 // Guards against a request that crashes upstreams although its prompt has no such part.
--- a/tests/CrashReportSpreadTest.cpp
+++ b/tests/CrashReportSpreadTest.cpp
@@ -79,6 +79,24 @@
     BOOST_TEST(countSuspecting(*fleet) == 0U);
 }
 
+// Guards against refusing callers because an upstream spoilt one answer.
+BOOST_AUTO_TEST_CASE(UpstreamThatAnswersLaterRequestsIsNotTakenForCrashed)
+{
+    auto fleet = makeFleet();
+    auto sentBefore = fleet->clock.now();
+    fleet->run(Milliseconds(50));
+    report(*fleet, 5, 1);
+    fleet->run(spreadBound);
+    auto& other = fleet->entry[7].crashReports;
+    other.refuteCrash(1, sentBefore, fleet->clock.now());
+    other.refuteCrash(2, fleet->clock.now(), fleet->clock.now());
+    fleet->run(spreadBound);
+    BOOST_TEST(countSuspecting(*fleet) == fleet->entry.size());
+    other.refuteCrash(1, fleet->clock.now(), fleet->clock.now());
+    fleet->run(spreadBound);
+    BOOST_TEST(countSuspecting(*fleet) == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(ReportsEndAfterTheirLifetimeAndAreBounded)
 {
     CrashReportRegistry registry;
--- a/tests/DeadlyPromptTest.cpp
+++ b/tests/DeadlyPromptTest.cpp
@@ -8,11 +8,11 @@
 
 // Engines that end as soon as they begin to answer a request with the deadly part.
 struct DeadlyPromptFixture : Fixture {
-    DeadlyPromptFixture()
+    explicit DeadlyPromptFixture(int upstreams = 6)
         : Fixture(routes::RequestKind::Streaming, false)
     {
         configuration.services.front().model = smallModel();
-        upstreamCount = 6;
+        upstreamCount = upstreams;
         configure();
         script = [this](Peer& connection, const std::string& request, int) {
             bool isDeadly = contains(request, "deadly");
@@ -57,6 +57,26 @@
     BOOST_TEST(fixture.connections.front()->hasEnded);
 }
 
+BOOST_AUTO_TEST_CASE(UpstreamThatBrokeOffAnAnswerAndAnswersTheNextHasNotCrashed)
+{
+    DeadlyPromptFixture fixture(1);
+    fixture.sendPrompt("deadly");
+    auto sentAt = base::TimePoint(std::chrono::steady_clock::now());
+    std::uint64_t crash = 0;
+    for (const auto& observation : fixture.proxy.crashGuard().takeObservations()) {
+        if (const auto* crashed = std::get_if<routing::CrashGuard::PartCrashed>(&observation))
+            crash = crashed->crash;
+    }
+    BOOST_REQUIRE(crash);
+    while (!contains(fixture.sendPrompt("common"), "id: 1"))
+        continue;
+    auto observations = fixture.proxy.crashGuard().takeObservations();
+    BOOST_TEST(std::any_of(observations.begin(), observations.end(), [&](const auto& observation) {
+        const auto* answered = std::get_if<routing::CrashGuard::UpstreamAnswered>(&observation);
+        return answered && answered->crash == crash && answered->sentAt >= sentAt;
+    }));
+}
+
 BOOST_AUTO_TEST_CASE(LostRequestIsSentAgainOnceItsPromptIsCleared)
 {
     DeadlyPromptFixture fixture;
@@ -86,8 +106,10 @@
     std::map<routing::CrashGuard::Part, std::size_t> crashes;
     auto countCrashes = [&] {
         auto& guard = fixture.proxy.crashGuard();
-        for (const auto& observation : guard.takeObservations())
-            guard.setSuspicion(observation.part, observation.crash ? ++crashes[observation.part] : 0, {}, std::chrono::steady_clock::now());
+        for (const auto& observation : guard.takeObservations()) {
+            if (const auto* crashed = std::get_if<routing::CrashGuard::PartCrashed>(&observation))
+                guard.setSuspicion(crashed->part, ++crashes[crashed->part], {}, std::chrono::steady_clock::now());
+        }
     };
     fixture.script = [](Peer& connection, const std::string&, int) {
         connection.socket->write(streamHead);
