Try a suspected prompt part after a minute at the earliest

Cause: each entry VM tried a suspected part after 3 s and a random time. So a trial nearly always crashes an upstream, with its copy of the model, to spare the callers of a rare part some seconds.

In the first 2 s, in which answers clear sound parts, callers are told to come back after that time. The Retry-After is spread by a random factor.

--- a/include/routing/CrashGuard.h
+++ b/include/routing/CrashGuard.h
@@ -60,7 +60,8 @@
     // Identifies one incarnation of an upstream that has ended.
     static std::uint64_t identifyCrash(const std::string& upstream, std::int64_t startedAtMilliseconds);
 
-    // Returns how long a request with these parts is held back; nullopt if it may run.
+    // Returns when the caller of a request with these parts should ask again; nullopt if
+    // the request may run.
     std::optional<std::chrono::milliseconds> holdTime(const Parts&, base::TimePoint now) const;
 
     // Call when a request is sent. Returns whether the attempt is the trial of a suspected
@@ -90,6 +91,7 @@
 private:
     struct Held {
         std::size_t crashes = 0;
+        base::TimePoint settlesAt;
         // nullopt: no trial until the suspicion ends.
         std::optional<base::TimePoint> trialAt;
         base::TimePoint endsAt;
--- a/src/forwarding/Exchange.cpp
+++ b/src/forwarding/Exchange.cpp
@@ -111,7 +111,7 @@
 
 void Exchange::refuseHeldBack(std::chrono::milliseconds holdTime)
 {
-    refuse(makeError(ErrorKind::HeldBack, "a part of the prompt may crash upstreams"), holdTime);
+    refuse(makeError(ErrorKind::HeldBack, "a part of the prompt may crash upstreams"), std::chrono::duration_cast<std::chrono::milliseconds>(holdTime * proxy_.random_.between(1, retryAfterSpreadMax)));
 }
 
 void Exchange::sendOrEnqueue()
--- a/src/routing/CrashGuard.cpp
+++ b/src/routing/CrashGuard.cpp
@@ -27,18 +27,21 @@
 static constexpr std::chrono::seconds trialTimeout(5);
 
 // The time from a crash to the next trial, by the number of crashes; beyond these there is
-// no trial. The VMs learn of the outcome of a trial after some 100 ms. So each draws its
-// own time from a range that grows with their number.
+// no trial. Sound parts are mostly cleared by answers to other requests, so a trial mostly
+// costs an upstream. The VMs learn of the outcome of a trial after some 100 ms. So each
+// draws its own time from a range that grows with their number.
 struct TrialDelay {
     std::chrono::milliseconds min;
     std::chrono::milliseconds rangePerEntryVm;
 };
 static constexpr std::array trialDelays {
-    TrialDelay { std::chrono::seconds(3), std::chrono::seconds(1) },
-    TrialDelay { std::chrono::seconds(20), std::chrono::seconds(5) },
+    TrialDelay { std::chrono::minutes(1), std::chrono::seconds(5) },
     TrialDelay { std::chrono::minutes(15), std::chrono::minutes(1) },
     TrialDelay { std::chrono::hours(2), std::chrono::minutes(10) },
 };
+// Answers to requests that were on their way at the crash clear sound parts within this
+// time, so callers are not told to stay away for longer before.
+static constexpr std::chrono::seconds settlingTime(2);
 // Bounds what callers are told, who may know better when to come back.
 static constexpr std::chrono::minutes longestHoldTime(5);
 
@@ -86,8 +89,9 @@
         if (end && now >= *end)
             continue;
         std::chrono::milliseconds time = longestHoldTime;
-        if (end)
-            time = std::min(time, std::chrono::ceil<std::chrono::milliseconds>(*end - now));
+        auto told = now < held.settlesAt ? held.settlesAt : end;
+        if (told)
+            time = std::min(time, std::chrono::ceil<std::chrono::milliseconds>(*told - now));
         longest = std::max(longest.value_or(time), time);
     }
     return longest;
@@ -154,7 +158,7 @@
     auto& held = held_[part];
     if (crashes <= held.crashes)
         return;
-    held = { crashes, std::nullopt, crashedAt + fleet::CrashReportRegistry::reportLifetime, std::nullopt };
+    held = { crashes, crashedAt + settlingTime, std::nullopt, crashedAt + fleet::CrashReportRegistry::reportLifetime, std::nullopt };
     refutableUntil_ = std::max(refutableUntil_, crashedAt + refutableTime);
     if (held_.size() > maxHeldParts)
         evictOne(part);
