A rejection by an upstream does not clear a suspicion

What callers would see: a prompt part that crashes upstreams is sent to them again by all entry VMs after one upstream has rejected a request with it, by a 404 or 413 for instance.

Cause: every answer below 500 that states a run cleared the parts of its prompt, although an upstream that rejects a request has not begun to write an answer, at which it would crash.

Change: only answers below 400 clear parts.

Evidence: DeadlyPromptTest/RejectionByAnUpstreamDoesNotClearASuspicion failed before (no part was held any more) and passes now.

--- a/src/forwarding/ExchangeAttempts.cpp
+++ b/src/forwarding/ExchangeAttempts.cpp
@@ -123,7 +123,8 @@
     connection_.reset();
     if (std::exchange(isTrial_, false))
         proxy_.crashGuard_.attemptEnded(promptParts_);
-    if (result == CallResult::Answered)
+    // An upstream that rejects a request has not begun to answer it.
+    if (result == CallResult::Answered && responseHead_->status < 400)
         proxy_.crashGuard_.answerBegan(promptParts_, std::chrono::steady_clock::now());
     if (!path_.empty()) {
         service_->pathSelector->release(path_, streamSize_);
--- a/tests/DeadlyPromptTest.cpp
+++ b/tests/DeadlyPromptTest.cpp
@@ -77,6 +77,17 @@
     }));
 }
 
+BOOST_AUTO_TEST_CASE(RejectionByAnUpstreamDoesNotClearASuspicion)
+{
+    DeadlyPromptFixture fixture;
+    auto& guard = fixture.proxy.crashGuard();
+    // Long enough ago for a trial.
+    guard.upstreamCrashed(routing::CrashGuard::identify({ "deadly" }), 1, std::chrono::steady_clock::now() - std::chrono::minutes(2));
+    fixture.script = [](Peer& connection, const std::string&, int) { connection.socket->write("HTTP/1.1 404 Not Found\r\nSigned: s\r\nId: r1\r\nContent-Length: 0\r\n\r\n"); };
+    BOOST_TEST(contains(fixture.sendPrompt("deadly"), "404"));
+    BOOST_TEST(guard.heldPartCount() > 0U);
+}
+
 BOOST_AUTO_TEST_CASE(LostRequestIsSentAgainOnceItsPromptIsCleared)
 {
     DeadlyPromptFixture fixture;
