A rejection without a limit does not lift it

Cause: any response without the field lifted the limit, also a rejection, which may come from another engine of the path.

Change: any response may name a limit, only a signed success without one lifts it.

Evidence: NamedLimitTest/RejectionWithoutALimitDoesNotLiftIt failed before (a third request was sent without a permit) and passes now.

--- a/src/forwarding/Exchange.h
+++ b/src/forwarding/Exchange.h
@@ -120,7 +120,8 @@
     void abortResponse(AttemptOutcome);
     static const char* nameOf(AttemptOutcome);
 
-    // Records the limit of requests that the response names, if any.
+    // Records the limit of requests that the response names. Only a success shows that a
+    // limit was lifted: a rejection may come from elsewhere on the path.
     void recordNamedLimit();
     void relayEvents(std::string_view);
     void sendEvents(std::string_view);
--- a/src/forwarding/ExchangeResponse.cpp
+++ b/src/forwarding/ExchangeResponse.cpp
@@ -43,6 +43,9 @@
 void Exchange::recordNamedLimit()
 {
     auto limit = responseMetadata_.requestsPerSecond;
+    bool isSuccess = responseHead_->status >= 200 && responseHead_->status < 300;
+    if (!limit && !(isSuccess && responseMetadata_.isSigned))
+        return;
     if (service_->rateLimiter.observe(upstreamId_, limit, sentAt_, std::chrono::steady_clock::now()))
         logger.info("An upstream named another limit of requests.", { { "upstream", upstreamId_ }, { "request", requestMetadata_.requestId }, { "is_limited", limit.has_value() }, { "per_second", limit.value_or(0) } });
 }
--- a/tests/NamedLimitTest.cpp
+++ b/tests/NamedLimitTest.cpp
@@ -42,6 +42,19 @@
     BOOST_TEST(fixture.requests.size() == 3U);
 }
 
+BOOST_AUTO_TEST_CASE(RejectionWithoutALimitDoesNotLiftIt)
+{
+    Fixture fixture(routes::RequestKind::Safe, false);
+    fixture.upstreamCount = 1;
+    fixture.configure();
+    fixture.script = [](Peer& connection, const std::string&, int number) { connection.socket->write(number == 1 ? limitedResponse("0.3") : "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nId: r1\r\nContent-Length: 0\r\n\r\n"); };
+    BOOST_TEST(contains(fixture.sendRequest("r1", "done"), "200 OK"));
+    fixture.proxy.applyLimitReports({ { "u0", 0.3, false, 0, 1, 0 } });
+    BOOST_TEST(contains(fixture.sendRequest("r1", "detail"), "503"));
+    BOOST_TEST(contains(fixture.sendRequest("r1", "detail"), "503"));
+    BOOST_TEST(fixture.requests.size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(RestartedUpstreamIsNotLimitedByItsFormerProcess)
 {
     Fixture fixture(routes::RequestKind::Safe, false);
