--- a/include/fleet/FleetMessages.h
+++ b/include/fleet/FleetMessages.h
@@ -4,11 +4,15 @@
 #include "include/fleet/RequestLimitReport.h"
 #include "include/fleet/UpstreamRecord.h"
 
+#include <chrono>
 #include <string_view>
 #include <vector>
 
 namespace arbutus::fleet {
 
+// An entry VM polls at least twice within this time unless it is down or partitioned.
+constexpr std::chrono::seconds entryVmTimeout { 2 };
+
 // The in-flight load of one or more entry VMs on one upstream.
 struct UpstreamInFlightLoad {
     std::string upstream;
--- a/include/http1/Message.h
+++ b/include/http1/Message.h
@@ -48,6 +48,8 @@
     // Whether the body has neither a length nor chunks, so that only the end of the
     // connection ends it.
     bool endsWithConnection = false;
+
+    bool isSuccess() const { return status >= 200 && status < 300; }
 };
 
 // Whether a field is hop-by-hop and must not be forwarded as it is. `connection` is the
--- a/src/fleet/FleetPollServer.cpp
+++ b/src/fleet/FleetPollServer.cpp
@@ -2,9 +2,6 @@
 
 namespace arbutus::fleet {
 
-// An entry VM polls at least twice within this time unless it is down or partitioned.
-static constexpr std::chrono::seconds entryVmTimeout(2);
-
 bool FleetPollServer::shouldSendRoutes(const FleetPoll& poll, base::TimePoint now) const
 {
     return poll.wantsRoutes && poll.routesVersion < routesPublisher_.version() && routesPublisher_.maySend(now);
--- a/src/fleet/RequestPermitAllocator.cpp
+++ b/src/fleet/RequestPermitAllocator.cpp
@@ -1,11 +1,11 @@
 #include "include/fleet/RequestPermitAllocator.h"
 
+#include "include/fleet/FleetMessages.h"
+
 #include <algorithm>
 
 namespace arbutus::fleet {
 
-// An entry VM polls at least twice within this time unless it is down or partitioned.
-static constexpr std::chrono::seconds entryVmTimeout(2);
 // An upstream that nobody sends requests to keeps its limit for this time.
 static constexpr std::chrono::minutes limitLifetime(5);
 static constexpr std::size_t maxLimits = 4096;
--- a/src/forwarding/ExchangeAttempts.cpp
+++ b/src/forwarding/ExchangeAttempts.cpp
@@ -124,7 +124,7 @@
     if (std::exchange(isTrial_, false))
         proxy_.crashGuard_.attemptEnded(promptParts_);
     // An upstream that rejects a request has not begun to answer it.
-    if (result == CallResult::Answered && responseHead_->status < 400)
+    if (result == CallResult::Answered && responseHead_->isSuccess())
         proxy_.crashGuard_.answerBegan(promptParts_, std::chrono::steady_clock::now());
     if (!path_.empty()) {
         service_->pathSelector->release(path_, streamSize_);
@@ -240,7 +240,7 @@
 void Exchange::reportCrash()
 {
     bool hadAnswer = eventSplitter_.hasDelivered() || requestMetadata_.lastEventId || relayMode_ != RelayMode::None;
-    bool hadBegun = responseHead_ && responseHead_->status >= 200 && responseHead_->status < 300;
+    bool hadBegun = responseHead_ && responseHead_->isSuccess();
     if (promptParts_.empty() || hadAnswer || !hadBegun)
         return;
     proxy_.crashGuard_.upstreamCrashed(promptParts_, crashOf(upstreamId_), std::chrono::steady_clock::now());
--- a/src/forwarding/ExchangeResponse.cpp
+++ b/src/forwarding/ExchangeResponse.cpp
@@ -32,19 +32,17 @@
     connection_->setKeepAlive(responseMetadata_.keepAlive);
     responseHead_ = head;
     recordNamedLimit();
-    bool isSuccess = head.status >= 200 && head.status < 300;
-    if (isSuccess && (!responseMetadata_.isSigned || responseMetadata_.isEncoded)) {
+    if (head.isSuccess() && (!responseMetadata_.isSigned || responseMetadata_.isEncoded)) {
         rejectResponse(AttemptOutcome::Lost);
         return;
     }
-    isStream_ = isSuccess && route_->kind == RequestKind::Streaming;
+    isStream_ = head.isSuccess() && route_->kind == RequestKind::Streaming;
 }
 
 void Exchange::recordNamedLimit()
 {
     auto limit = responseMetadata_.requestsPerSecond;
-    bool isSuccess = responseHead_->status >= 200 && responseHead_->status < 300;
-    if (!limit && !(isSuccess && responseMetadata_.isSigned))
+    if (!limit && !(responseHead_->isSuccess() && responseMetadata_.isSigned))
         return;
     if (service_->rateLimiter.observe(upstreamId_, limit, sentAt_, std::chrono::steady_clock::now()))
         logger.info("An upstream named another limit of requests.", { { "upstream", upstreamId_ }, { "request", requestMetadata_.requestId }, { "is_limited", limit.has_value() }, { "per_second", limit.value_or(0) } });
@@ -97,8 +95,7 @@
     bufferedBody_.append(bytes);
     if (bufferedBody_.size() <= maxBufferedBodyBytes)
         return;
-    bool isUsable = responseHead_->status >= 200 && responseHead_->status < 300;
-    if (!isUsable) {
+    if (!responseHead_->isSuccess()) {
         rejectResponse(responseMetadata_.isNotRun ? AttemptOutcome::NotRun : AttemptOutcome::Lost);
         return;
     }
