Adopt crash reports before the configuration of the same answer

Cause: the first answer of a control VM brings the crash reports and the configuration. The configuration came into force at once, and the waiting requests were sent; the reports were adopted only at the end of the next tick. Log of front-palermo-2: configuration at 11.771, request sent at 11.780, report adopted at 11.842.

Change: the poller tells its owner of changed reports before it hands over a configuration, and the entry VM adopts them then.

Evidence: CrashReportSpreadTest/RestartedEntryVmKnowsCrashReportsBeforeItsConfiguration tests the order of the new call.

--- a/include/fleet/FleetPoller.h
+++ b/include/fleet/FleetPoller.h
@@ -42,6 +42,7 @@
     // Returns whether the configuration is now in force on this VM.
     using RoutesHandler = std::function<bool(std::uint64_t version, const std::string& document, const RoutesDelivery&)>;
     using LoadProvider = std::function<std::vector<UpstreamInFlightLoad>()>;
+    using CrashReportsHandler = std::function<void()>;
     using LimitProvider = std::function<RequestLimitReports()>;
     using LimitHandler = std::function<void(const RequestLimitReports&)>;
 
@@ -51,6 +52,9 @@
     // Sets the callbacks of an entry VM. The handler receives new route configurations;
     // the provider returns the in-flight load to report.
     void setEntryHooks(RoutesHandler, LoadProvider);
+    // Sets what is called when an answer has changed the crash reports, before a
+    // configuration in the same answer comes into force.
+    void setCrashReportsHandler(CrashReportsHandler);
     // Sets how limits of upstreams are exchanged with the preferred control VM. The handler
     // is called for each of its answers.
     void setLimitHooks(LimitProvider, LimitHandler);
@@ -114,6 +118,7 @@
     const Post post_;
     RoutesHandler routesHandler_;
     LoadProvider loadProvider_;
+    CrashReportsHandler crashReportsHandler_;
     LimitProvider limitProvider_;
     LimitHandler limitHandler_;
     std::set<std::uint32_t> seeds_;
--- a/src/fleet/FleetPoller.cpp
+++ b/src/fleet/FleetPoller.cpp
@@ -42,6 +42,8 @@
     loadProvider_ = std::move(loadProvider);
 }
 
+void FleetPoller::setCrashReportsHandler(CrashReportsHandler handler) { crashReportsHandler_ = std::move(handler); }
+
 void FleetPoller::setLimitHooks(LimitProvider limitProvider, LimitHandler limitHandler)
 {
     limitProvider_ = std::move(limitProvider);
@@ -190,12 +192,15 @@
 
 void FleetPoller::mergeCrashReports(Peer& peer, const FleetAnswer& answer)
 {
+    bool isChanged = false;
     for (const auto& report : answer.crashReports)
-        crashReports_.apply(report, clock_.now());
+        isChanged = crashReports_.apply(report, clock_.now()) || isChanged;
     peer.crashRevision = answer.crashRevision;
     // A peer that has been started since knows only what this poll brought.
     bool isSameProcess = answer.epoch == peer.epoch;
     peer.confirmedCrashRevision = isSameProcess ? peer.sentCrashRevision : 0;
+    if (isChanged && crashReportsHandler_)
+        crashReportsHandler_();
 }
 
 void FleetPoller::adoptRoutes(const FleetAnswer& answer)
--- a/src/node/EntryNode.cpp
+++ b/src/node/EntryNode.cpp
@@ -69,6 +69,7 @@
 base::Result<void> EntryNode::start()
 {
     fleetPoller_.setEntryHooks([this](std::uint64_t version, const std::string& document, const auto& delivery) { return applyRoutes(version, document, delivery); }, [this] { return proxy_.ownLoad(); });
+    fleetPoller_.setCrashReportsHandler([this] { exchangeCrashReports(std::chrono::steady_clock::now()); });
     fleetPoller_.setLimitHooks([this] { return proxy_.takeLimitReports(); }, [this](const auto& reports) { proxy_.applyLimitReports(reports); });
     fleetPoller_.setSeeds(options_.seeds);
     BOOST_OUTCOME_TRY(callerServer, http1::Server::Make(context_, tcpEndpoint(options_.callerEndpoint), proxy_));
--- a/tests/CrashReportSpreadTest.cpp
+++ b/tests/CrashReportSpreadTest.cpp
@@ -79,6 +79,28 @@
     BOOST_TEST(countSuspecting(*fleet) == 0U);
 }
 
+// Guards against a restarted VM that sends waiting requests before it knows the reports.
+BOOST_AUTO_TEST_CASE(RestartedEntryVmKnowsCrashReportsBeforeItsConfiguration)
+{
+    auto fleet = makeFleet();
+    fleet->commit(1, "routes");
+    report(*fleet, 5, 1);
+    fleet->run(spreadBound);
+    auto& vm = fleet->entry[5];
+    vm.crashReports = {};
+    fleet->startEntry(5);
+    bool isWarned = false;
+    std::optional<bool> wasWarnedBefore;
+    vm.poller->setCrashReportsHandler([&isWarned] { isWarned = true; });
+    auto applyRoutes = [&](auto&&...) {
+        wasWarnedBefore = wasWarnedBefore.value_or(isWarned);
+        return true;
+    };
+    vm.poller->setEntryHooks(applyRoutes, [] { return std::vector<fleet::UpstreamInFlightLoad>(); });
+    fleet->run(spreadBound);
+    BOOST_TEST(wasWarnedBefore.value_or(false));
+}
+
 // Guards against refusing callers because an upstream spoilt one answer.
 BOOST_AUTO_TEST_CASE(UpstreamThatAnswersLaterRequestsIsNotTakenForCrashed)
 {
