Send crash reports at once

Cause: a report waited until the outstanding poll of the entry VM was answered, up to 120 ms, while engines begin to answer 60 to 250 ms after a request was sent. Requests of other VMs that had not been answered yet could have been taken back in that time.

Change: an observation that changes the reports is also sent to the preferred control VM in a message of its own, which makes that answer the polls of all other entry VMs.

--- a/include/fleet/FleetPoller.h
+++ b/include/fleet/FleetPoller.h
@@ -63,6 +63,10 @@
     // Starts the polls that are due. Must be called several times a second.
     void tick();
 
+    // Sends changed crash reports to the preferred control VM at once. Its outstanding poll
+    // may be answered only after other VMs have sent such requests.
+    void sendCrashReports();
+
     // Returns whether the control VM at `ip` has answered at or after `since`.
     bool hasHeardFrom(std::uint32_t ip, base::TimePoint since) const;
     // Returns the largest number of entry VMs that any control VM reports, at least 1.
--- a/src/fleet/FleetPoller.cpp
+++ b/src/fleet/FleetPoller.cpp
@@ -82,6 +82,23 @@
     }
 }
 
+void FleetPoller::sendCrashReports()
+{
+    auto preferred = std::find_if(peers_.begin(), peers_.end(), [this](const auto& entry) { return isPreferred(entry.first); });
+    if (preferred == peers_.end())
+        return;
+    const auto& [ip, peer] = *preferred;
+    FleetPoll poll;
+    poll.sender = options_.self;
+    poll.epoch = peer.epoch;
+    poll.revision = peer.revision;
+    poll.routesVersion = peer.routesVersion;
+    poll.crashRevision = peer.crashRevision;
+    poll.crashReports = crashReports_.changesSince(peer.confirmedCrashRevision, clock_.now());
+    // The next regular poll brings the reports again, so the answer does not matter.
+    sendPoll_(ip, encode(poll), answerTimeout, [](const base::Result<std::string>&) {});
+}
+
 bool FleetPoller::shouldFetchRoutes(std::uint32_t ip, const Peer& peer) const
 {
     if (!options_.isEntry || isPreferred(ip))
--- a/src/node/EntryNode.cpp
+++ b/src/node/EntryNode.cpp
@@ -107,8 +107,11 @@
 void EntryNode::exchangeCrashReports(base::TimePoint now)
 {
     auto& guard = proxy_.crashGuard();
+    auto revisionBefore = crashReports_.revision();
     for (const auto& observation : guard.takeObservations())
         std::visit([this](const auto& kind) { record(kind); }, observation);
+    if (crashReports_.revision() != revisionBefore)
+        fleetPoller_.sendCrashReports();
     if (crashReports_.revision() == crashRevision_)
         return;
     for (const auto& report : crashReports_.changesSince(crashRevision_, clock_.now())) {
--- a/tests/CrashReportSpreadTest.cpp
+++ b/tests/CrashReportSpreadTest.cpp
@@ -37,6 +37,22 @@
     BOOST_TEST(countSuspecting(*fleet) == 0U);
 }
 
+// Guards against VMs that go on sending a deadly part while a poll waits for its answer.
+BOOST_AUTO_TEST_CASE(CrashIsKnownToAllBeforeOtherSuchRequestsAreAnswered)
+{
+    // Engines began to answer requests 60 ms and more after these were sent.
+    constexpr Milliseconds shortestAnswer(60);
+    auto fleet = makeFleet();
+    for (std::size_t vm = 0; vm < 10; ++vm) {
+        fleet->run(Milliseconds(37));
+        fleet->entry[vm].crashReports.apply({ part + vm, 1, 0, false, 0 }, fleet->clock.now());
+        fleet->entry[vm].poller->sendCrashReports();
+        fleet->run(shortestAnswer);
+        for (const auto& other : fleet->entry)
+            BOOST_TEST(!other.crashReports.suspicion(part + vm, fleet->clock.now()).origins.empty());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(CrashesSeenByDifferentVmsAddUpAndOneCrashCountsOnce)
 {
     auto fleet = makeFleet();
