--- a/tests/CrashReportSpreadTest.cpp
+++ b/tests/CrashReportSpreadTest.cpp
@@ -26,15 +26,21 @@
 
 static void report(FleetNetwork& fleet, std::size_t vm, std::uint64_t crash) { fleet.entry[vm].crashReports.apply({ part, crash, 0, false, 0 }, fleet.clock.now()); }
 
+// Checks that all entry VMs learn of the report, and then of an answer that one VM gets.
+static void checkSpreadAndRefutation(FleetNetwork& fleet)
+{
+    fleet.run(spreadBound);
+    BOOST_TEST(countSuspecting(fleet) == fleet.entry.size());
+    fleet.entry[7].crashReports.refute(part, fleet.clock.now());
+    fleet.run(spreadBound);
+    BOOST_TEST(countSuspecting(fleet) == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(CrashSeenByOneEntryVmIsKnownToAll)
 {
     auto fleet = makeFleet();
     report(*fleet, 5, 1);
-    fleet->run(spreadBound);
-    BOOST_TEST(countSuspecting(*fleet) == fleet->entry.size());
-    fleet->entry[7].crashReports.refute(part, fleet->clock.now());
-    fleet->run(spreadBound);
-    BOOST_TEST(countSuspecting(*fleet) == 0U);
+    checkSpreadAndRefutation(*fleet);
 }
 
 // Guards against VMs that go on sending a deadly part while a poll waits for its answer.
@@ -88,11 +94,7 @@
     auto fleet = makeFleet();
     constexpr std::uint32_t hourOld = 3600 * 1000;
     fleet->entry[5].crashReports.apply({ part, 1, 0, false, hourOld }, fleet->clock.now());
-    fleet->run(spreadBound);
-    BOOST_TEST(countSuspecting(*fleet) == fleet->entry.size());
-    fleet->entry[7].crashReports.refute(part, fleet->clock.now());
-    fleet->run(spreadBound);
-    BOOST_TEST(countSuspecting(*fleet) == 0U);
+    checkSpreadAndRefutation(*fleet);
 }
 
 // Guards against a restarted VM that sends waiting requests before it knows the reports.
