--- a/bench/FleetBench.cpp
+++ b/bench/FleetBench.cpp
@@ -32,7 +32,7 @@
 {
     fleet::FleetPoll poll;
     for (std::size_t i = 0; i < count; ++i) {
-        poll.crashReports.push_back({ ~i, ~i, false, 20'000 });
+        poll.crashReports.push_back({ ~i, ~i, ~i, false, 20'000 });
         poll.limits.push_back({ upstreamName(i), 12.5, false, 20'000, 2, 0 });
     }
     return poll;
--- a/include/fleet/CrashReport.h
+++ b/include/fleet/CrashReport.h
@@ -14,11 +14,13 @@
     // Identifies the incarnation of the upstream, so that several reports of one crash
     // count once.
     std::uint64_t crash = 0;
+    // Identifies the request, so that the parts which were suspected together are known.
+    std::uint64_t request = 0;
     // A request with this part has been answered since, so the part is not the cause.
     bool isRefuted = false;
     // Since the crash, when the report was sent.
     std::uint32_t ageMilliseconds = 0;
-    MSGPACK_DEFINE(part, crash, isRefuted, ageMilliseconds)
+    MSGPACK_DEFINE(part, crash, request, isRefuted, ageMilliseconds)
 };
 
 } // namespace arbutus::fleet
--- a/include/fleet/CrashReportRegistry.h
+++ b/include/fleet/CrashReportRegistry.h
@@ -18,9 +18,16 @@
     // After this time a part counts as new again.
     static constexpr std::chrono::hours reportLifetime { 24 };
 
+    // A request under which an upstream ended.
+    struct Origin {
+        std::uint64_t crash = 0;
+        std::uint64_t request = 0;
+        friend bool operator==(const Origin& left, const Origin& right) { return left.crash == right.crash && left.request == right.request; }
+    };
     // The reports of one part that are not refuted.
     struct Suspicion {
-        std::size_t crashes = 0;
+        // One for each crash.
+        std::vector<Origin> origins;
         // Since the last of them; 0 without any.
         std::chrono::milliseconds age {};
     };
@@ -48,6 +55,7 @@
         friend bool operator<(const Key& left, const Key& right) { return left.part != right.part ? left.part < right.part : left.crash < right.crash; }
     };
     struct Stored {
+        std::uint64_t request = 0;
         base::TimePoint crashedAt;
         base::TimePoint expiresAt;
         bool isRefuted = false;
--- a/include/routing/CrashGuard.h
+++ b/include/routing/CrashGuard.h
@@ -2,6 +2,7 @@
 
 #include "include/base/Random.h"
 #include "include/base/Time.h"
+#include "include/fleet/CrashReportRegistry.h"
 
 #include <chrono>
 #include <cstddef>
@@ -26,12 +27,14 @@
 public:
     // Identifies a part of a prompt or a whole request.
     using Part = std::uint64_t;
+    using Origin = fleet::CrashReportRegistry::Origin;
+    using Suspicion = fleet::CrashReportRegistry::Suspicion;
     using Parts = std::vector<Part>;
 
     // Observations that the other entry VMs must learn.
     struct PartCrashed {
         Part part = 0;
-        std::uint64_t crash = 0;
+        Origin origin;
     };
     struct PartAnswered {
         Part part = 0;
@@ -44,6 +47,13 @@
     };
     using Observation = std::variant<PartCrashed, PartAnswered, UpstreamAnswered>;
 
+    // The time from a crash to a trial of a part.
+    struct TrialDelay {
+        std::chrono::milliseconds min;
+        // Of a random time on top, so that the VMs do not all try at once.
+        std::chrono::milliseconds rangePerEntryVm;
+    };
+
     explicit CrashGuard(std::uint64_t seed)
         : random_(seed)
     {
@@ -77,9 +87,8 @@
     // Call when an upstream has begun to answer and ended before any of the answer arrived.
     void upstreamCrashed(const Parts&, std::uint64_t crash, base::TimePoint now);
 
-    // Sets what the entry VMs together hold against a part: crashes that nobody refutes,
-    // and the time since the last one.
-    void setSuspicion(Part, std::size_t crashes, std::chrono::milliseconds age, base::TimePoint now);
+    // Sets what the entry VMs together hold against a part.
+    void setSuspicion(Part, const Suspicion&, base::TimePoint now);
     // Returns the observations since the last call.
     std::vector<Observation> takeObservations() { return std::exchange(observations_, {}); }
     // Ends old suspicions, and forgets answers that are too old to refute a crash. Call
@@ -90,9 +99,11 @@
 
 private:
     struct Held {
-        std::size_t crashes = 0;
+        std::vector<Origin> origins;
         base::TimePoint settlesAt;
-        // nullopt: no trial until the suspicion ends.
+        // When a request may run that tells the part from the others of its crashes.
+        base::TimePoint distinctionAt;
+        // When any request may run; nullopt: not until the suspicion ends.
         std::optional<base::TimePoint> trialAt;
         base::TimePoint endsAt;
         // Set while a trial is running.
@@ -101,7 +112,15 @@
 
     // Whether there are enough crashes to hold requests back.
     static bool isConclusive(Part, const Held&);
-    void hold(Part, std::size_t crashes, base::TimePoint crashedAt);
+    void hold(Part, std::vector<Origin>, base::TimePoint crashedAt);
+    // When a request with a held part may run.
+    std::optional<base::TimePoint> trialTime(Part, const Held&, const Parts& request) const;
+    // Whether the outcome of the request tells the part from the others that may be the
+    // cause of its crashes, because it lacks one of these.
+    bool isDistinctive(Part, const Held&, const Parts& request) const;
+    // Whether another part of the crashed request may be the cause and is not in `request`.
+    bool hasAbsentRival(Part, const Origin&, const Parts& request) const;
+    base::TimePoint drawTime(const TrialDelay&, base::TimePoint crashedAt);
     // Ends the oldest suspicion except that of `newest`.
     void evictOne(Part newest);
     bool wasAnsweredAround(Part, base::TimePoint crashedAt) const;
--- a/src/fleet/CrashReportRegistry.cpp
+++ b/src/fleet/CrashReportRegistry.cpp
@@ -18,7 +18,7 @@
 bool CrashReportRegistry::apply(const CrashReport& report, base::TimePoint now)
 {
     auto crashedAt = now - std::chrono::milliseconds(report.ageMilliseconds);
-    auto [found, isNew] = reports_.try_emplace({ report.part, report.crash }, Stored { crashedAt, crashedAt + reportLifetime, report.isRefuted, 0 });
+    auto [found, isNew] = reports_.try_emplace({ report.part, report.crash }, Stored { report.request, crashedAt, crashedAt + reportLifetime, report.isRefuted, 0 });
     auto& stored = found->second;
     stored.crashedAt = std::min(stored.crashedAt, crashedAt);
     bool isNewlyRefuted = report.isRefuted && (isNew || !stored.isRefuted);
@@ -45,14 +45,14 @@
 void CrashReportRegistry::refute(std::uint64_t part, base::TimePoint now)
 {
     for (auto it = reports_.lower_bound({ part, 0 }); it != reports_.end() && it->first.part == part; ++it)
-        apply({ part, it->first.crash, true, millisecondsSince(it->second.crashedAt, now) }, now);
+        apply({ part, it->first.crash, it->second.request, true, millisecondsSince(it->second.crashedAt, now) }, now);
 }
 
 void CrashReportRegistry::refuteCrash(std::uint64_t crash, base::TimePoint answeredRequestSentAt, base::TimePoint now)
 {
     for (const auto& [key, stored] : reports_) {
         if (key.crash == crash && !stored.isRefuted && stored.crashedAt < answeredRequestSentAt)
-            apply({ key.part, key.crash, true, millisecondsSince(stored.crashedAt, now) }, now);
+            apply({ key.part, key.crash, stored.request, true, millisecondsSince(stored.crashedAt, now) }, now);
     }
 }
 
@@ -69,7 +69,7 @@
         return changes;
     for (const auto& [key, stored] : reports_) {
         if (stored.revision > revision)
-            changes.push_back({ key.part, key.crash, stored.isRefuted, millisecondsSince(stored.crashedAt, now) });
+            changes.push_back({ key.part, key.crash, stored.request, stored.isRefuted, millisecondsSince(stored.crashedAt, now) });
     }
     return changes;
 }
@@ -81,10 +81,10 @@
     for (auto it = reports_.lower_bound({ part, 0 }); it != reports_.end() && it->first.part == part; ++it) {
         if (it->second.isRefuted)
             continue;
-        newest = result.crashes ? std::max(newest, it->second.crashedAt) : it->second.crashedAt;
-        ++result.crashes;
+        newest = result.origins.empty() ? it->second.crashedAt : std::max(newest, it->second.crashedAt);
+        result.origins.push_back({ it->first.crash, it->second.request });
     }
-    if (result.crashes)
+    if (!result.origins.empty())
         result.age = std::chrono::milliseconds(millisecondsSince(newest, now));
     return result;
 }
--- a/src/node/EntryNode.cpp
+++ b/src/node/EntryNode.cpp
@@ -93,7 +93,7 @@
     return true;
 }
 
-void EntryNode::record(const routing::CrashGuard::PartCrashed& observation) { crashReports_.apply({ observation.part, observation.crash, false, 0 }, clock_.now()); }
+void EntryNode::record(const routing::CrashGuard::PartCrashed& observation) { crashReports_.apply({ observation.part, observation.origin.crash, observation.origin.request, false, 0 }, clock_.now()); }
 
 void EntryNode::record(const routing::CrashGuard::PartAnswered& observation) { crashReports_.refute(observation.part, clock_.now()); }
 
@@ -113,8 +113,8 @@
         return;
     for (const auto& report : crashReports_.changesSince(crashRevision_, clock_.now())) {
         auto suspicion = crashReports_.suspicion(report.part, clock_.now());
-        guard.setSuspicion(report.part, suspicion.crashes, suspicion.age, now);
-        logger.info("The suspicion against a prompt part changed.", { { "part", report.part }, { "crashes", suspicion.crashes }, { "age_ms", suspicion.age.count() } });
+        guard.setSuspicion(report.part, suspicion, now);
+        logger.info("The suspicion against a prompt part changed.", { { "part", report.part }, { "crashes", suspicion.origins.size() }, { "age_ms", suspicion.age.count() } });
     }
     crashRevision_ = crashReports_.revision();
 }
--- a/src/routing/CrashGuard.cpp
+++ b/src/routing/CrashGuard.cpp
@@ -1,9 +1,6 @@
 #include "include/routing/CrashGuard.h"
 
 #include "include/base/Digest.h"
-#include "include/fleet/CrashReportRegistry.h"
-
-#include <fmt/format.h>
 
 #include <algorithm>
 #include <array>
@@ -30,33 +27,45 @@
 // no trial. Sound parts are mostly cleared by answers to other requests, so a trial mostly
 // costs an upstream. The VMs learn of the outcome of a trial after some 100 ms. So each
 // draws its own time from a range that grows with their number.
-struct TrialDelay {
-    std::chrono::milliseconds min;
-    std::chrono::milliseconds rangePerEntryVm;
-};
 static constexpr std::array trialDelays {
-    TrialDelay { std::chrono::minutes(1), std::chrono::seconds(5) },
-    TrialDelay { std::chrono::minutes(15), std::chrono::minutes(1) },
-    TrialDelay { std::chrono::hours(2), std::chrono::minutes(10) },
+    CrashGuard::TrialDelay { std::chrono::minutes(1), std::chrono::seconds(5) },
+    CrashGuard::TrialDelay { std::chrono::minutes(15), std::chrono::minutes(1) },
+    CrashGuard::TrialDelay { std::chrono::hours(2), std::chrono::minutes(10) },
 };
 // Answers to requests that were on their way at the crash clear sound parts within this
 // time, so callers are not told to stay away for longer before.
 static constexpr std::chrono::seconds settlingTime(2);
+// A request with only some of the suspected parts of a crashed one may run earlier, because
+// its outcome tells which of them is the cause. After more crashes they are not told apart.
+static constexpr CrashGuard::TrialDelay distinctionDelay { std::chrono::seconds(3), std::chrono::seconds(1) };
+static constexpr std::size_t maxDistinguishedCrashes = 2;
 // Bounds what callers are told, who may know better when to come back.
 static constexpr std::chrono::minutes longestHoldTime(5);
 
-// The lowest bit tells whole requests from parts.
+// The lowest bit tells whole requests from parts, the next four hold the position of a
+// part, beginning at 1, or 0 for any position.
 static constexpr CrashGuard::Part wholeRequestBit = 1;
+static constexpr std::size_t maxPosition = 15;
+static constexpr int textShift = 5;
 
 static bool isWholeRequest(CrashGuard::Part part) { return part & wholeRequestBit; }
+static bool haveSameText(CrashGuard::Part left, CrashGuard::Part right) { return left >> textShift == right >> textShift; }
+
+// Returns the whole request among its parts, 0 without one.
+static CrashGuard::Part requestAmong(const CrashGuard::Parts& parts)
+{
+    auto found = std::find_if(parts.begin(), parts.end(), isWholeRequest);
+    return found == parts.end() ? 0 : *found;
+}
 
 CrashGuard::Parts CrashGuard::identify(const std::vector<std::string>& sharedParts)
 {
     Parts parts;
     parts.reserve(2 * sharedParts.size() + 1);
     for (std::size_t i = 0; i < sharedParts.size(); ++i) {
-        parts.push_back(base::hash64(sharedParts[i]) & ~wholeRequestBit);
-        parts.push_back(base::hash64(fmt::format("{}@{}", sharedParts[i], i)) & ~wholeRequestBit);
+        Part anywhere = base::hash64(sharedParts[i]) >> textShift << textShift;
+        parts.push_back(anywhere);
+        parts.push_back(anywhere | std::min(i + 1, maxPosition) << 1);
     }
     return parts;
 }
@@ -69,7 +78,7 @@
     return hash | wholeRequestBit;
 }
 
-bool CrashGuard::isConclusive(Part part, const Held& held) { return held.crashes >= (isWholeRequest(part) ? minCrashesOfRequest : 1); }
+bool CrashGuard::isConclusive(Part part, const Held& held) { return held.origins.size() >= (isWholeRequest(part) ? minCrashesOfRequest : 1); }
 
 std::uint64_t CrashGuard::identifyCrash(const std::string& upstream, std::int64_t startedAtMilliseconds) { return base::hash64(upstream, static_cast<std::uint64_t>(startedAtMilliseconds)); }
 
@@ -83,7 +92,7 @@
         const auto& held = found->second;
         if (!isConclusive(part, held))
             continue;
-        auto end = held.trialAt;
+        auto end = trialTime(part, held, parts);
         if (end && held.trialDeadline)
             end = std::max(*end, *held.trialDeadline);
         if (end && now >= *end)
@@ -141,32 +150,59 @@
 
 void CrashGuard::upstreamCrashed(const Parts& parts, std::uint64_t crash, base::TimePoint now)
 {
+    const Origin origin { crash, requestAmong(parts) };
     bool hasUnanswered = std::any_of(parts.begin(), parts.end(), [this](Part part) { return !isWholeRequest(part) && !answeredAt_.count(part); });
     for (auto part : parts) {
         if (wasAnsweredAround(part, now) || (hasUnanswered && answeredAt_.count(part)))
             continue;
-        observations_.push_back(PartCrashed { part, crash });
+        observations_.push_back(PartCrashed { part, origin });
         // Other VMs may have seen the same crash, so setSuspicion() counts it.
-        hold(part, 1, now);
-        if (auto& trialAt = held_[part].trialAt)
-            trialAt = std::max(*trialAt, now + trialDelays.front().min);
+        if (!held_.count(part))
+            hold(part, { origin }, now);
+        auto& held = held_[part];
+        held.distinctionAt = std::max(held.distinctionAt, now + distinctionDelay.min);
+        if (held.trialAt)
+            held.trialAt = std::max(*held.trialAt, now + trialDelays.front().min);
     }
 }
 
-void CrashGuard::hold(Part part, std::size_t crashes, base::TimePoint crashedAt)
+std::optional<base::TimePoint> CrashGuard::trialTime(Part part, const Held& held, const Parts& request) const { return isDistinctive(part, held, request) ? held.distinctionAt : held.trialAt; }
+
+bool CrashGuard::isDistinctive(Part part, const Held& held, const Parts& request) const
+{
+    if (isWholeRequest(part) || held.origins.size() > maxDistinguishedCrashes)
+        return false;
+    return std::all_of(held.origins.begin(), held.origins.end(), [&](const Origin& origin) { return hasAbsentRival(part, origin, request); });
+}
+
+bool CrashGuard::hasAbsentRival(Part part, const Origin& origin, const Parts& request) const
+{
+    return std::any_of(held_.begin(), held_.end(), [&](const auto& entry) {
+        const auto& [rival, held] = entry;
+        if (isWholeRequest(rival) || haveSameText(rival, part) || std::find(held.origins.begin(), held.origins.end(), origin) == held.origins.end())
+            return false;
+        return std::none_of(request.begin(), request.end(), [rival = rival](Part present) { return haveSameText(present, rival); });
+    });
+}
+
+base::TimePoint CrashGuard::drawTime(const TrialDelay& delay, base::TimePoint crashedAt)
+{
+    auto range = static_cast<double>(delay.rangePerEntryVm.count()) * std::max(1U, entryVmCount_);
+    return crashedAt + delay.min + std::chrono::milliseconds(static_cast<std::int64_t>(random_.between(0, range)));
+}
+
+void CrashGuard::hold(Part part, std::vector<Origin> origins, base::TimePoint crashedAt)
 {
     auto& held = held_[part];
-    if (crashes <= held.crashes)
+    if (origins.size() == held.origins.size())
         return;
-    held = { crashes, crashedAt + settlingTime, std::nullopt, crashedAt + fleet::CrashReportRegistry::reportLifetime, std::nullopt };
+    auto crashes = origins.size();
+    held = { std::move(origins), crashedAt + settlingTime, drawTime(distinctionDelay, crashedAt), std::nullopt, crashedAt + fleet::CrashReportRegistry::reportLifetime, std::nullopt };
     refutableUntil_ = std::max(refutableUntil_, crashedAt + refutableTime);
     if (held_.size() > maxHeldParts)
         evictOne(part);
-    if (crashes > trialDelays.size())
-        return;
-    const auto& delay = trialDelays[crashes - 1];
-    auto range = static_cast<double>(delay.rangePerEntryVm.count()) * std::max(1U, entryVmCount_);
-    held.trialAt = crashedAt + delay.min + std::chrono::milliseconds(static_cast<std::int64_t>(random_.between(0, range)));
+    if (crashes <= trialDelays.size())
+        held.trialAt = drawTime(trialDelays[crashes - 1], crashedAt);
 }
 
 void CrashGuard::evictOne(Part newest)
@@ -179,14 +215,14 @@
     held_.erase(oldest);
 }
 
-void CrashGuard::setSuspicion(Part part, std::size_t crashes, std::chrono::milliseconds age, base::TimePoint now)
+void CrashGuard::setSuspicion(Part part, const Suspicion& suspicion, base::TimePoint now)
 {
-    if (!crashes)
+    if (suspicion.origins.empty())
         held_.erase(part);
-    else if (wasAnsweredAround(part, now - age))
+    else if (wasAnsweredAround(part, now - suspicion.age))
         observations_.push_back(PartAnswered { part });
     else
-        hold(part, crashes, now - age);
+        hold(part, suspicion.origins, now - suspicion.age);
 }
 
 void CrashGuard::tick(base::TimePoint now)
--- a/tests/CrashGuardTest.cpp
+++ b/tests/CrashGuardTest.cpp
@@ -11,6 +11,15 @@
 
 static CrashGuard::Parts parts(const std::vector<std::string>& names) { return CrashGuard::identify(names); }
 
+static CrashGuard::Suspicion suspicion(std::size_t crashes, milliseconds age = {})
+{
+    CrashGuard::Suspicion result;
+    for (std::uint64_t crash = 0; crash < crashes; ++crash)
+        result.origins.push_back({ crash, 0 });
+    result.age = age;
+    return result;
+}
+
 static bool mayRun(const CrashGuard& guard, const std::vector<std::string>& names, base::TimePoint now) { return !guard.holdTime(parts(names), now); }
 
 BOOST_AUTO_TEST_CASE(PartThatAppearsInAnyRequestIsHeldBack)
@@ -53,7 +62,7 @@
     guard.upstreamCrashed(parts({ "common" }), 7, start + seconds(1));
     BOOST_TEST(mayRun(guard, { "common" }, start + seconds(1)));
     BOOST_TEST(guard.takeObservations().empty());
-    guard.setSuspicion(parts({ "common" }).front(), 1, milliseconds(200), start + seconds(2));
+    guard.setSuspicion(parts({ "common" }).front(), suspicion(1, milliseconds(200)), start + seconds(2));
     BOOST_TEST(mayRun(guard, { "common" }, start + seconds(2)));
     BOOST_TEST(guard.takeObservations().size() == 1U);
 }
@@ -69,7 +78,7 @@
         guard.attemptEnded(parts({ "deadly" }));
         guard.upstreamCrashed(parts({ "deadly" }), crash, now);
         for (auto part : parts({ "deadly" }))
-            guard.setSuspicion(part, crash + 1, {}, now);
+            guard.setSuspicion(part, suspicion(crash + 1), now);
         return true;
     }
     return false;
@@ -92,6 +101,38 @@
     BOOST_TEST(guard.heldPartCount() == 0U);
 }
 
+// Guards against refusing all callers of a first part that a deadly request had as well.
+BOOST_AUTO_TEST_CASE(SoundPartBesideTheDeadlyOneIsClearedSoon)
+{
+    CrashGuard guard(1);
+    for (std::uint64_t crash = 0; crash < 2; ++crash) {
+        guard.upstreamCrashed(parts({ "common", "deadly" }), crash, start);
+        for (auto part : parts({ "common", "deadly" }))
+            guard.setSuspicion(part, suspicion(crash + 1), start);
+    }
+    BOOST_TEST(!mayRun(guard, { "common", "other" }, start + seconds(2)));
+    auto now = start + seconds(5);
+    BOOST_TEST(!mayRun(guard, { "common", "deadly" }, now));
+    BOOST_TEST(mayRun(guard, { "common", "other" }, now));
+    BOOST_TEST(guard.attemptStarted(parts({ "common", "other" }), now));
+    BOOST_TEST(!mayRun(guard, { "common" }, now));
+    guard.answerBegan(parts({ "common", "other" }), now);
+    BOOST_TEST(mayRun(guard, { "common" }, now));
+    BOOST_TEST(!mayRun(guard, { "other", "deadly" }, start + std::chrono::minutes(14)));
+}
+
+BOOST_AUTO_TEST_CASE(OnlyThePartsOfOneRequestAreToldApart)
+{
+    CrashGuard guard(1);
+    for (const auto* name : { "first", "second" }) {
+        auto request = parts({ name });
+        request.push_back(CrashGuard::identifyRequest("desk", "/a", "key", name));
+        guard.upstreamCrashed(request, 7, start);
+    }
+    BOOST_TEST(!mayRun(guard, { "first" }, start + seconds(59)));
+    BOOST_TEST(!mayRun(guard, { "second" }, start + seconds(59)));
+}
+
 // Guards against sound callers that stay away for long because of a suspicion of a second.
 BOOST_AUTO_TEST_CASE(CallersAreToldToAskAgainSoonWhileThePartMayBeCleared)
 {
@@ -116,7 +157,7 @@
         guards.emplace_back(seed * entryVms + i);
         guards.back().setEntryVmCount(entryVms);
         for (auto part : parts({ "deadly" }))
-            guards.back().setSuspicion(part, 1, {}, start);
+            guards.back().setSuspicion(part, suspicion(1), start);
     }
     int trials = 0;
     std::optional<base::TimePoint> outcomeAt;
@@ -176,10 +217,10 @@
     guard.upstreamCrashed(request, 0, start);
     BOOST_TEST(!guard.holdTime(request, start).has_value());
     BOOST_TEST(!guard.attemptStarted(request, start));
-    guard.setSuspicion(request.back(), 2, {}, start);
+    guard.setSuspicion(request.back(), suspicion(2), start);
     BOOST_TEST(guard.holdTime(request, start).has_value());
     BOOST_TEST(!guard.holdTime(other, start).has_value());
-    guard.setSuspicion(request.back(), 3, {}, start);
+    guard.setSuspicion(request.back(), suspicion(3), start);
     BOOST_TEST(guard.holdTime(request, start + std::chrono::minutes(14)).has_value());
 }
 
--- a/tests/CrashReportSpreadTest.cpp
+++ b/tests/CrashReportSpreadTest.cpp
@@ -21,10 +21,10 @@
 
 static std::size_t countSuspecting(FleetNetwork& fleet)
 {
-    return static_cast<std::size_t>(std::count_if(fleet.entry.begin(), fleet.entry.end(), [&](const auto& vm) { return vm.crashReports.suspicion(part, fleet.clock.now()).crashes; }));
+    return static_cast<std::size_t>(std::count_if(fleet.entry.begin(), fleet.entry.end(), [&](const auto& vm) { return vm.crashReports.suspicion(part, fleet.clock.now()).origins.size() > 0; }));
 }
 
-static void report(FleetNetwork& fleet, std::size_t vm, std::uint64_t crash) { fleet.entry[vm].crashReports.apply({ part, crash, false, 0 }, fleet.clock.now()); }
+static void report(FleetNetwork& fleet, std::size_t vm, std::uint64_t crash) { fleet.entry[vm].crashReports.apply({ part, crash, 0, false, 0 }, fleet.clock.now()); }
 
 BOOST_AUTO_TEST_CASE(CrashSeenByOneEntryVmIsKnownToAll)
 {
@@ -45,7 +45,7 @@
     report(*fleet, 3, 2);
     fleet->run(spreadBound);
     for (const auto& vm : fleet->entry)
-        BOOST_TEST(vm.crashReports.suspicion(part, fleet->clock.now()).crashes == 2U);
+        BOOST_TEST(vm.crashReports.suspicion(part, fleet->clock.now()).origins.size() == 2U);
 }
 
 BOOST_AUTO_TEST_CASE(ReportsSurviveRestartsAndLostContact)
@@ -71,7 +71,7 @@
 {
     auto fleet = makeFleet();
     constexpr std::uint32_t hourOld = 3600 * 1000;
-    fleet->entry[5].crashReports.apply({ part, 1, false, hourOld }, fleet->clock.now());
+    fleet->entry[5].crashReports.apply({ part, 1, 0, false, hourOld }, fleet->clock.now());
     fleet->run(spreadBound);
     BOOST_TEST(countSuspecting(*fleet) == fleet->entry.size());
     fleet->entry[7].crashReports.refute(part, fleet->clock.now());
@@ -125,9 +125,9 @@
     base::TimePoint now {};
     constexpr std::size_t bound = 512;
     for (std::uint64_t crash = 0; crash < 2 * bound; ++crash)
-        registry.apply({ part, crash, crash % 2 == 0, 0 }, now);
+        registry.apply({ part, crash, 0, crash % 2 == 0, 0 }, now);
     BOOST_TEST(registry.size() == bound);
-    BOOST_TEST(registry.suspicion(part, now).crashes == bound);
+    BOOST_TEST(registry.suspicion(part, now).origins.size() == bound);
     registry.expire(now + CrashReportRegistry::reportLifetime);
     BOOST_TEST(registry.size() == 0U);
 }
@@ -137,9 +137,9 @@
 {
     CrashReportRegistry registry;
     base::TimePoint now { Milliseconds(5000) };
-    BOOST_TEST(registry.apply({ part, 1, false, 100 }, now));
-    BOOST_TEST(!registry.apply({ part, 1, false, 0 }, now));
-    BOOST_TEST(registry.apply({ part, 1, true, 0 }, now));
-    BOOST_TEST(!registry.apply({ part, 1, false, 900 }, now));
-    BOOST_TEST(registry.suspicion(part, now).crashes == 0U);
+    BOOST_TEST(registry.apply({ part, 1, 0, false, 100 }, now));
+    BOOST_TEST(!registry.apply({ part, 1, 0, false, 0 }, now));
+    BOOST_TEST(registry.apply({ part, 1, 0, true, 0 }, now));
+    BOOST_TEST(!registry.apply({ part, 1, 0, false, 900 }, now));
+    BOOST_TEST(registry.suspicion(part, now).origins.size() == 0U);
 }
--- a/tests/DeadlyPromptTest.cpp
+++ b/tests/DeadlyPromptTest.cpp
@@ -65,7 +65,7 @@
     std::uint64_t crash = 0;
     for (const auto& observation : fixture.proxy.crashGuard().takeObservations()) {
         if (const auto* crashed = std::get_if<routing::CrashGuard::PartCrashed>(&observation))
-            crash = crashed->crash;
+            crash = crashed->origin.crash;
     }
     BOOST_REQUIRE(crash);
     while (!contains(fixture.sendPrompt("common"), "id: 1"))
@@ -100,7 +100,7 @@
             clearTimer.expires_after(std::chrono::milliseconds(100));
             clearTimer.async_wait([&fixture](const boost::system::error_code&) {
                 for (auto part : routing::CrashGuard::identify({ "deadly" }))
-                    fixture.proxy.crashGuard().setSuspicion(part, 0, {}, std::chrono::steady_clock::now());
+                    fixture.proxy.crashGuard().setSuspicion(part, {}, std::chrono::steady_clock::now());
             });
             return;
         }
@@ -114,12 +114,15 @@
 {
     DeadlyPromptFixture fixture;
     // The crashes that the reports of all entry VMs add up to.
-    std::map<routing::CrashGuard::Part, std::size_t> crashes;
+    std::map<routing::CrashGuard::Part, routing::CrashGuard::Suspicion> suspicions;
     auto countCrashes = [&] {
         auto& guard = fixture.proxy.crashGuard();
         for (const auto& observation : guard.takeObservations()) {
-            if (const auto* crashed = std::get_if<routing::CrashGuard::PartCrashed>(&observation))
-                guard.setSuspicion(crashed->part, ++crashes[crashed->part], {}, std::chrono::steady_clock::now());
+            const auto* crashed = std::get_if<routing::CrashGuard::PartCrashed>(&observation);
+            if (!crashed)
+                continue;
+            suspicions[crashed->part].origins.push_back(crashed->origin);
+            guard.setSuspicion(crashed->part, suspicions[crashed->part], std::chrono::steady_clock::now());
         }
     };
     fixture.script = [](Peer& connection, const std::string&, int) {
