--- a/bench/FleetBench.cpp
+++ b/bench/FleetBench.cpp
@@ -50,6 +50,7 @@
     fmt::print("crash reports,{},bytes a report,{:.1f}\n", count, bytes);
     fmt::print("crash reports,{},us for the changes of a poll without any,{:.2f}\n", count, microsecondsEach([&](int) { registry.changesSince(registry.revision(), now); }));
     fmt::print("crash reports,{},us to merge a known report,{:.2f}\n", count, microsecondsEach([&](int i) { registry.apply(poll.crashReports[static_cast<std::size_t>(i) % count], now); }));
+    fmt::print("crash reports,{},us to look for the crashes of an upstream that answers,{:.2f}\n", count, microsecondsEach([&](int) { registry.refuteCrash(1, now, now); }));
 }
 
 static void benchHoldTime(std::size_t count)
@@ -59,7 +60,9 @@
     for (std::size_t i = 0; i < count; ++i)
         guard.upstreamCrashed(routing::identifyParts({ upstreamName(i) }), i, now);
     std::vector<std::string> names { "common", "other", "third" };
+    std::vector<std::string> suspected { "common", upstreamName(0) };
     fmt::print("held parts,{},us to check a request of three parts,{:.2f}\n", guard.heldPartCount(), microsecondsEach([&](int) { guard.holdTime(routing::identifyParts(names), now); }));
+    fmt::print("held parts,{},us to check a request with a suspected part,{:.2f}\n", guard.heldPartCount(), microsecondsEach([&](int) { guard.holdTime(routing::identifyParts(suspected), now); }));
 }
 
 static void benchPermits(std::size_t entryVms, std::size_t upstreams)
