--- a/include/routing/LayerPathSelector.h
+++ b/include/routing/LayerPathSelector.h
@@ -76,8 +76,8 @@
     void setModel(routes::LayeredModel model) { model_ = std::move(model); }
     const routes::LayeredModel& model() const { return model_; }
 
-    // Adds or replaces an engine. An engine that is not ready, holds no layers or has
-    // an unknown accelerator kind is removed.
+    // Adds or replaces an engine. An engine that is not ready, holds no layers or some
+    // that the model lacks, or has an unknown accelerator kind is removed.
     void setEngine(const fleet::UpstreamRecord&);
     void removeEngine(const std::string& upstream);
     // Sets the load that other entry VMs report, by engine.
--- a/src/control/Frames.cpp
+++ b/src/control/Frames.cpp
@@ -1,6 +1,7 @@
 #include "include/control/Frames.h"
 
 #include "include/base/Logger.h"
+#include "src/state/Unpack.h"
 
 #include <msgpack.hpp>
 
@@ -27,7 +28,7 @@
 {
     // msgpack throws an exception for every malformed input.
     try {
-        return msgpack::unpack(bytes.data(), bytes.size()).get().as<T>();
+        return msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr, state::unpackLimit(bytes.size())).get().as<T>();
     } catch (const std::exception& exception) {
         return makeError(ErrorKind::MalformedFrame, exception.what());
     }
--- a/src/placement/LayerPlanner.cpp
+++ b/src/placement/LayerPlanner.cpp
@@ -1,5 +1,7 @@
 #include "include/placement/LayerPlanner.h"
 
+#include "src/state/Unpack.h"
+
 #include <algorithm>
 #include <cmath>
 #include <numeric>
@@ -40,7 +42,7 @@
 base::Result<LayerPlans> decodePlans(std::string_view bytes)
 {
     try {
-        return msgpack::unpack(bytes.data(), bytes.size())->as<LayerPlans>();
+        return msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr, state::unpackLimit(bytes.size()))->as<LayerPlans>();
     } catch (const std::exception&) {
         return base::makeError(base::ErrorKind::MalformedFrame, "the layer plans are malformed");
     }
--- a/src/routing/LayerPathSelector.cpp
+++ b/src/routing/LayerPathSelector.cpp
@@ -36,7 +36,8 @@
 void LayerPathSelector::setEngine(const UpstreamRecord& record)
 {
     const auto* kind = model_.findAcceleratorKind(record.accelerator);
-    if (!kind || record.state != fleet::UpstreamState::Ready || record.layers.count() <= 0) {
+    bool hasLayers = record.layers.from >= 0 && record.layers.count() > 0 && record.layers.to <= model_.layers;
+    if (!kind || record.state != fleet::UpstreamState::Ready || !hasLayers) {
         removeEngine(record.id);
         return;
     }
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -74,8 +74,8 @@
     text.replace(text.find("draining"), 8, "sleeping");
     BOOST_TEST(decodeHeartbeat("i-1", text).has_error());
     BOOST_TEST(decodeHeartbeat("i-1", "\x80\xff").has_error());
-    BOOST_TEST(decodeDeregistration("{\"born\":5}") == 5);
-    BOOST_TEST(decodeDeregistration("") == 0);
+    BOOST_TEST(decodeDeregistration("{\"born\":5}").value() == 5);
+    BOOST_TEST(decodeDeregistration("").value() == 0);
 }
 
 // Guards against forwarding a caller's API key to an upstream, and against encoding the
