Do not cut off answers that a slow caller is still reading

Cause: a connection counted as idle once its response had been handed over, although its bytes were still pending, so a planned stop (after 200 ms) and the idle timeout closed it in the middle of an answer; the process also ended while responses were being written or just after new requests had arrived. A caller that paused its reading for 2 s was cut off by TCP_USER_TIMEOUT, while one that reads a byte now and then could hold its connection for good.

Change: pending bytes are unfinished work; a stop waits for it, and for a tick without new requests, within the stop grace. Callers may pause for 10 s, and must have read the end of an answer 30 s after it was made.

--- a/include/http1/ServerConnection.h
+++ b/include/http1/ServerConnection.h
@@ -90,12 +90,13 @@
 
     std::size_t pendingBytes() const { return socket_->pendingBytes(); }
     bool isOpen() const { return socket_->isOpen(); }
-    bool isIdle() const { return !isHandling_ && !reader_ && input_.empty(); }
+    // Whether no request is being read or handled and all responses have been written.
+    bool isIdle() const { return !isHandling_ && !reader_ && input_.empty() && !pendingBytes(); }
     base::TimePoint idleSince() const { return idleSince_; }
     void closeIdle();
 
-    // Rejects a request with 408 after its read deadline, and closes a connection that
-    // has been idle for too long.
+    // Rejects a request with 408 after its read deadline. Closes a connection that has been
+    // idle for too long, or whose caller takes too long to read the end of a response.
     void checkTimeouts(base::TimePoint now);
 
 private:
@@ -139,6 +140,8 @@
     void tick(base::TimePoint now);
     // Closes connections that have been idle since before `before`.
     void closeIdle(base::TimePoint before);
+    // Whether a request is being read or handled, or a response being written.
+    bool hasUnfinishedWork() const;
     void closeAll();
     std::size_t connectionCount() const { return connections_.size(); }
 
--- a/include/net/StreamSocket.h
+++ b/include/net/StreamSocket.h
@@ -39,6 +39,8 @@
 // holds no read buffer, and a message takes a single read call.
 class StreamSocket : public std::enable_shared_from_this<StreamSocket> {
 public:
+    static constexpr std::chrono::milliseconds defaultStallTimeout { 2000 };
+
     explicit StreamSocket(boost::asio::io_context& context)
         : socket_(context)
     {
@@ -50,8 +52,9 @@
     void setListener(StreamListener* listener) { listener_ = listener; }
     void detach() { listener_ = nullptr; }
 
-    // Takes ownership of an accepted connection and starts reading.
-    void adopt(boost::asio::ip::tcp::socket);
+    // Takes ownership of an accepted connection and starts reading. The connection ends if
+    // the peer accepts no byte for `stallTimeout` while some are pending.
+    void adopt(boost::asio::ip::tcp::socket, std::chrono::milliseconds stallTimeout = defaultStallTimeout);
     // Starts to connect; reports connected() or ended().
     void connect(const boost::asio::ip::tcp::endpoint&);
 
@@ -73,7 +76,7 @@
     void reset();
 
 private:
-    void configure();
+    void configure(std::chrono::milliseconds stallTimeout);
     void readWhenReady();
     void readAvailable();
     void writeWhenReady();
--- a/src/http1/ServerConnection.cpp
+++ b/src/http1/ServerConnection.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <array>
 
 namespace arbutus::http1 {
@@ -10,6 +11,11 @@
 // Bytes of pipelined requests that are buffered while a request is being handled.
 static constexpr std::size_t maxPipelinedBytes = std::size_t { 64 } << 10;
 
+// A caller may pause its reading for longer than an upstream would.
+static constexpr std::chrono::seconds callerStallTimeout(10);
+// From the end of a response until the caller has read it.
+static constexpr std::chrono::seconds maxDeliveryTime(30);
+
 struct ReasonPhrase {
     int status;
     std::string_view text;
@@ -47,7 +53,7 @@
 {
     now_ = idleSince_ = now;
     socket_->setListener(this);
-    socket_->adopt(std::move(accepted));
+    socket_->adopt(std::move(accepted), callerStallTimeout);
 }
 
 void ServerConnection::onBytes(std::string_view bytes)
@@ -193,6 +199,7 @@
     auto self = shared_from_this();
     active_.reset();
     isHandling_ = false;
+    idleSince_ = std::chrono::steady_clock::now();
     // An HTTP/1.0 body may be ended by an orderly close, so only a reset shows that it is
     // truncated.
     if (hasBegunResponse_ && isVersion10_)
@@ -241,7 +248,10 @@
         rejectRequest(408);
         return;
     }
-    if (isIdle() && now >= idleSince_ + handler_.limits().idleTimeout)
+    bool isDelivering = !isHandling_ && pendingBytes();
+    if (isDelivering && now >= idleSince_ + maxDeliveryTime)
+        socket_->reset();
+    else if (isIdle() && now >= idleSince_ + handler_.limits().idleTimeout)
         socket_->close();
 }
 
@@ -306,6 +316,11 @@
     }
 }
 
+bool Server::hasUnfinishedWork() const
+{
+    return std::any_of(connections_.begin(), connections_.end(), [](const auto& connection) { return connection->isOpen() && !connection->isIdle(); });
+}
+
 void Server::closeAll()
 {
     boost::system::error_code ignored;
--- a/src/net/StreamSocket.cpp
+++ b/src/net/StreamSocket.cpp
@@ -12,7 +12,6 @@
 using boost::system::error_code;
 
 static constexpr std::size_t readBufferBytes = std::size_t { 64 } << 10;
-static constexpr std::chrono::milliseconds tcpUserTimeout(2000);
 // Idle connections are probed, because a host that lost power sends no reset.
 static constexpr int keepAliveIdleSeconds = 2;
 static constexpr int keepAliveIntervalSeconds = 1;
@@ -33,20 +32,20 @@
     set(IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
 }
 
-void StreamSocket::configure()
+void StreamSocket::configure(std::chrono::milliseconds stallTimeout)
 {
     error_code ignored;
     socket_.non_blocking(true, ignored);
     socket_.set_option(tcp::no_delay(true), ignored);
-    setTcpUserTimeout(socket_, tcpUserTimeout);
+    setTcpUserTimeout(socket_, stallTimeout);
     setKeepAlive(socket_);
     isOpen_ = true;
 }
 
-void StreamSocket::adopt(tcp::socket accepted)
+void StreamSocket::adopt(tcp::socket accepted, std::chrono::milliseconds stallTimeout)
 {
     socket_ = std::move(accepted);
-    configure();
+    configure(stallTimeout);
     readWhenReady();
 }
 
@@ -59,7 +58,7 @@
         boost::asio::post(socket_.get_executor(), [self = shared_from_this()] { self->closeAndNotify(EndReason::Reset); });
         return;
     }
-    configure();
+    configure(defaultStallTimeout);
     socket_.async_connect(endpoint, [self = shared_from_this()](const error_code& failure) {
         if (!self->isOpen_)
             return;
--- a/src/node/EntryNode.cpp
+++ b/src/node/EntryNode.cpp
@@ -162,7 +162,11 @@
     // whose requests would be cut off at the end of the stop grace.
     proxy_.setDrainDeadline(*stoppingSince_ + options_.stopGrace - stopMargin);
     callerServer_->closeIdle(now - stopIdleTimeout);
-    if (proxy_.openExchangeCount() && now < *stoppingSince_ + options_.stopGrace - stopMargin)
+    // A request that arrived since the last tick shows that others may be on their way.
+    bool isQuiet = proxy_.counters().requests == requestsAtLastCheck_;
+    requestsAtLastCheck_ = proxy_.counters().requests;
+    bool isFinished = isQuiet && !proxy_.openExchangeCount() && !callerServer_->hasUnfinishedWork();
+    if (!isFinished && now < *stoppingSince_ + options_.stopGrace - stopMargin)
         return;
     if (proxy_.openExchangeCount())
         logger.warning("Cutting off the remaining requests because the stop grace is nearly over.", { { "requests", proxy_.openExchangeCount() } });
--- a/src/node/EntryNode.h
+++ b/src/node/EntryNode.h
@@ -74,6 +74,7 @@
     fleet::FleetPoller fleetPoller_;
     net::RepeatingTimer timer_;
     unsigned ticks_ = 0;
+    std::uint64_t requestsAtLastCheck_ = 0;
     std::optional<base::TimePoint> stoppingSince_;
     std::function<void()> onStopped_;
 };
