Let permits expire while a process is delayed or suspended

Cause: an entry VM dated the permits for limited upstreams when it read the answer, and by the steady clock. A process that had been paused with the answer in its buffer, or a machine that had been suspended, used permits that had run out and been given to others meanwhile.

Change: permits are dated by the poll that asked for them, and all times of the limiter are of CLOCK_BOOTTIME.

--- a/include/base/Clock.h
+++ b/include/base/Clock.h
@@ -24,6 +24,9 @@
     WallTime onWallNow() const override;
 };
 
+// Returns the time of CLOCK_BOOTTIME.
+TimePoint bootNow();
+
 // Reads CLOCK_BOOTTIME, which keeps advancing while the machine is suspended, so
 // a lease that expires during a suspend is detected as expired on resume.
 class BootClock final : public Clock {
--- a/include/fleet/FleetPoller.h
+++ b/include/fleet/FleetPoller.h
@@ -44,7 +44,8 @@
     using LoadProvider = std::function<std::vector<UpstreamInFlightLoad>()>;
     using CrashReportsHandler = std::function<void()>;
     using LimitProvider = std::function<RequestLimitReports()>;
-    using LimitHandler = std::function<void(const RequestLimitReports&)>;
+    // The permits in the reports were granted by `grantedBy`.
+    using LimitHandler = std::function<void(const RequestLimitReports&, base::TimePoint grantedBy)>;
 
     FleetPoller(const base::Clock&, SendPoll, Options, UpstreamRegistry&, CrashReportRegistry&, Post);
     ~FleetPoller();
@@ -94,6 +95,8 @@
         std::uint32_t entryVmCount = 0;
         // The peer's revision of crash reports that this VM knows.
         std::uint64_t crashRevision = 0;
+        // When the latest poll was sent.
+        base::TimePoint polledAt;
         // The own revision that the outstanding poll brings the peer to, and the one that it
         // has confirmed.
         std::uint64_t sentCrashRevision = 0;
--- a/include/forwarding/ReverseProxy.h
+++ b/include/forwarding/ReverseProxy.h
@@ -89,8 +89,9 @@
     // Returns what the control VMs must learn of the upstreams' limits, and the permits that
     // this VM wants. Call once for each poll.
     fleet::RequestLimitReports takeLimitReports();
-    // Merges the limits and permits of a control VM's answer.
-    void applyLimitReports(const fleet::RequestLimitReports&);
+    // Merges the limits and permits of a control VM's answer. The permits were granted by
+    // `grantedBy`, a time of base::bootNow().
+    void applyLimitReports(const fleet::RequestLimitReports&, base::TimePoint grantedBy);
 
     // Holds back requests with parts that crash upstreams. The caller exchanges its
     // observations with the other entry VMs.
--- a/include/routing/RequestRateLimiter.h
+++ b/include/routing/RequestRateLimiter.h
@@ -19,7 +19,8 @@
 // the upstreams have named for all entry VMs together. A limited upstream gets a request
 // only for a permit. A control VM divides the permits (fleet::RequestPermitAllocator);
 // the caller exchanges the reports with it. While no control VM answers, the VM uses an
-// equal part of each limit. Not thread-safe.
+// equal part of each limit. All times are of base::bootNow(), so that permits expire while
+// the machine is suspended. Not thread-safe.
 class RequestRateLimiter {
 public:
     // `phase`, from 0 to 1, should differ between the entry VMs: it tells when they use
@@ -47,8 +48,9 @@
     // Returns what a control VM must learn, with the permits wanted while `waiting`
     // requests of the service wait.
     fleet::RequestLimitReports takeReports(std::size_t waiting, base::TimePoint now);
-    // Merges a control VM's report about an upstream of this service.
-    void apply(const fleet::RequestLimitReport&, base::TimePoint now);
+    // Merges a control VM's report about an upstream of this service, whose permits were
+    // granted by `grantedBy`. That may be long ago if this process was delayed.
+    void apply(const fleet::RequestLimitReport&, base::TimePoint grantedBy, base::TimePoint now);
     // Call for each answer of the control VM that divides the permits.
     void allocatorAnswered(base::TimePoint now) { allocatorAnsweredAt_ = now; }
     void removeUpstream(const std::string& upstream) { limits_.erase(upstream); }
--- a/src/base/Clock.cpp
+++ b/src/base/Clock.cpp
@@ -11,13 +11,15 @@
     return std::chrono::time_point_cast<std::chrono::microseconds>(std::chrono::system_clock::now());
 }
 
-TimePoint BootClock::onNow() const
+TimePoint bootNow()
 {
     timespec now {};
     ::clock_gettime(CLOCK_BOOTTIME, &now);
     return TimePoint(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
 }
 
+TimePoint BootClock::onNow() const { return bootNow(); }
+
 WallTime BootClock::onWallNow() const
 {
     return std::chrono::time_point_cast<std::chrono::microseconds>(std::chrono::system_clock::now());
--- a/src/fleet/FleetPoller.cpp
+++ b/src/fleet/FleetPoller.cpp
@@ -16,6 +16,8 @@
 // based on stale load. The load is at most this old, plus the network delay.
 static constexpr std::chrono::milliseconds loadPollWait(120);
 static constexpr std::chrono::milliseconds answerTimeout(1200);
+// Beyond the wait that a poll asks for, on a calm network.
+static constexpr std::chrono::milliseconds maxAnswerDelay(200);
 static constexpr std::chrono::milliseconds retryDelay(200);
 // The preferred control VM sends new configurations. Others are asked, one at a time,
 // only if none has arrived after this delay.
@@ -149,6 +151,7 @@
     if (limitProvider_ && poll.wantsPeerLoad)
         poll.limits = limitProvider_();
     auto done = [this, ip, isAlive = std::weak_ptr<bool>(isAlive_), post = post_](base::Result<std::string> answer) {
+    peer.polledAt = clock_.now();
         post([this, ip, isAlive, answer = std::move(answer)] {
             if (auto alive = isAlive.lock(); alive && *alive)
                 handlePollResult(ip, answer);
@@ -193,7 +196,7 @@
         for (auto& load : answer.peerLoad)
             peerLoad_[load.upstream] = std::move(load);
         if (limitHandler_)
-            limitHandler_(answer.limits);
+            limitHandler_(answer.limits, peer.polledAt + loadPollWait + maxAnswerDelay);
     }
     if (!answer.packedRoutes.empty())
         adoptRoutes(answer);
--- a/src/forwarding/Exchange.cpp
+++ b/src/forwarding/Exchange.cpp
@@ -1,5 +1,6 @@
 #include "src/forwarding/Exchange.h"
 
+#include "include/base/Clock.h"
 #include "include/base/Logger.h"
 
 #include <algorithm>
@@ -93,7 +94,7 @@
     const auto& name = routes::pickService(*route_, proxy_.random_.unit());
     service_ = &proxy_.service(name);
     service_->retryBudget.recordRequest(request_.arrivedAt);
-    service_->rateLimiter.requestArrived(request_.arrivedAt);
+    service_->rateLimiter.requestArrived(base::bootNow());
     auto timeout = std::min(route_->timeout, requestMetadata_.callerTimeout.value_or(route_->timeout));
     deadline_ = request_.arrivedAt + timeout;
     if (requestMetadata_.size)
@@ -166,7 +167,7 @@
 
 bool Exchange::waitForPermit(int priority, TimePoint now)
 {
-    bool isWaitUseful = !service_->waitQueue.isEmpty() || service_->rateLimiter.isLimiting(now);
+    bool isWaitUseful = !pauseOfAllUpstreams(now) && (!service_->waitQueue.isEmpty() || service_->rateLimiter.isLimiting(base::bootNow()));
     if (!isWaitUseful || service_->waitQueue.size() >= queueLookahead)
         return false;
     waiterId_ = service_->waitQueue.enqueue(priority);
--- a/src/forwarding/ExchangeAttempts.cpp
+++ b/src/forwarding/ExchangeAttempts.cpp
@@ -1,5 +1,6 @@
 #include "src/forwarding/Exchange.h"
 
+#include "include/base/Clock.h"
 #include "include/base/Logger.h"
 
 #include <fmt/format.h>
@@ -49,7 +50,8 @@
 std::set<std::string> Exchange::unavailableUpstreams(TimePoint now) const
 {
     auto upstreams = avoidedUpstreams_;
-    service_->rateLimiter.addExhausted(upstreams, now);
+    service_->rateLimiter.addExhausted(upstreams, base::bootNow());
+    service_->pauses.addPaused(upstreams, now);
     return upstreams;
 }
 
@@ -84,7 +86,7 @@
     sentAt_ = progressAt_ = std::chrono::steady_clock::now();
     ++sendCount_;
     ++runCount_;
-    service_->rateLimiter.sent(upstreamId_, sentAt_);
+    service_->rateLimiter.sent(upstreamId_, base::bootNow());
     isTrial_ = proxy_.crashGuard_.attemptStarted(promptParts_, sentAt_);
     responseHead_.reset();
     bufferedBody_.clear();
--- a/src/forwarding/ExchangeResponse.cpp
+++ b/src/forwarding/ExchangeResponse.cpp
@@ -1,5 +1,6 @@
 #include "src/forwarding/Exchange.h"
 
+#include "include/base/Clock.h"
 #include "include/base/Logger.h"
 
 namespace arbutus::forwarding {
@@ -44,7 +45,9 @@
     auto limit = responseMetadata_.requestsPerSecond;
     if (!limit && !(responseHead_->isSuccess() && responseMetadata_.isSigned))
         return;
-    if (service_->rateLimiter.observe(upstreamId_, limit, sentAt_, std::chrono::steady_clock::now()))
+    auto now = base::bootNow();
+    auto sinceSent = base::TimePoint(std::chrono::steady_clock::now()) - sentAt_;
+    if (service_->rateLimiter.observe(upstreamId_, limit, now - sinceSent, now))
         logger.info("An upstream named another limit of requests.", { { "upstream", upstreamId_ }, { "request", requestMetadata_.requestId }, { "is_limited", limit.has_value() }, { "per_second", limit.value_or(0) } });
 }
 
--- a/src/forwarding/ReverseProxy.cpp
+++ b/src/forwarding/ReverseProxy.cpp
@@ -1,5 +1,7 @@
 #include "include/forwarding/ReverseProxy.h"
 
+#include "include/base/Clock.h"
+#include "include/base/Logger.h"
 #include "include/fleet/FleetMessages.h"
 #include "src/forwarding/Exchange.h"
 
@@ -143,22 +145,22 @@
 {
     fleet::RequestLimitReports reports;
     for (auto& [name, state] : services_) {
-        auto ofService = state.rateLimiter.takeReports(state.waitQueue.size(), std::chrono::steady_clock::now());
+        auto ofService = state.rateLimiter.takeReports(state.waitQueue.size(), base::bootNow());
         reports.insert(reports.end(), std::make_move_iterator(ofService.begin()), std::make_move_iterator(ofService.end()));
     }
     return reports;
 }
 
-void ReverseProxy::applyLimitReports(const fleet::RequestLimitReports& reports)
+void ReverseProxy::applyLimitReports(const fleet::RequestLimitReports& reports, base::TimePoint grantedBy)
 {
-    auto now = std::chrono::steady_clock::now();
+    auto now = base::bootNow();
     for (auto& [name, state] : services_)
         state.rateLimiter.allocatorAnswered(now);
     for (const auto& report : reports) {
         auto upstream = knownUpstreams_.find(report.upstream);
         auto service = upstream == knownUpstreams_.end() ? services_.end() : services_.find(upstream->second.service);
         if (service != services_.end())
-            service->second.rateLimiter.apply(report, now);
+            service->second.rateLimiter.apply(report, grantedBy, now);
     }
 }
 
--- a/src/routing/RequestRateLimiter.cpp
+++ b/src/routing/RequestRateLimiter.cpp
@@ -132,7 +132,7 @@
     return reports;
 }
 
-void RequestRateLimiter::apply(const fleet::RequestLimitReport& report, base::TimePoint now)
+void RequestRateLimiter::apply(const fleet::RequestLimitReport& report, base::TimePoint grantedBy, base::TimePoint now)
 {
     if (report.isLifted && !limits_.count(report.upstream))
         return;
@@ -143,7 +143,7 @@
         trimPermits(limit, perSecondBefore);
     }
     for (std::uint32_t i = 0; i < std::min(report.permits, maxWantedPermits); ++i)
-        limit.permits.push_back(now + RequestPermitAllocator::permitLifetime);
+        limit.permits.push_back(std::min(grantedBy, now) + RequestPermitAllocator::permitLifetime);
 }
 
 } // namespace arbutus::routing
--- a/tests/LimitSpreadTest.cpp
+++ b/tests/LimitSpreadTest.cpp
@@ -39,10 +39,10 @@
     void connect(std::size_t i)
     {
         limiters[i] = RequestRateLimiter(random_.unit());
-        network.entry[i].poller->setLimitHooks([this, i] { return limiters[i].takeReports(0, network.clock.now()); }, [this, i](const auto& reports) {
+        network.entry[i].poller->setLimitHooks([this, i] { return limiters[i].takeReports(0, network.clock.now()); }, [this, i](const auto& reports, base::TimePoint grantedBy) {
             limiters[i].allocatorAnswered(network.clock.now());
             for (const auto& report : reports)
-                limiters[i].apply(report, network.clock.now()); });
+                limiters[i].apply(report, grantedBy, network.clock.now()); });
     }
 
     void run(Milliseconds duration)
--- a/tests/NamedLimitTest.cpp
+++ b/tests/NamedLimitTest.cpp
@@ -1,3 +1,4 @@
+#include "include/base/Clock.h"
 #include "tests/ForwardingFixture.h"
 
 using namespace arbutus;
@@ -23,7 +24,7 @@
     fixture.configure();
     fixture.script = [](Peer& connection, const std::string&, int) { connection.socket->write(limitedResponse("0.3")); };
     BOOST_TEST(contains(fixture.sendRequest("r1", "done"), "200 OK"));
-    auto grant = [&fixture] { fixture.proxy.applyLimitReports({ { "u0", 0.3, false, 0, 1, 0 } }); };
+    auto grant = [&fixture] { fixture.proxy.applyLimitReports({ { "u0", 0.3, false, 0, 1, 0 } }, base::bootNow()); };
     grant();
     BOOST_TEST(contains(fixture.sendRequest("r1", "done"), "200 OK"));
     auto refused = fixture.sendRequest("r1", "detail");
@@ -49,7 +50,7 @@
     fixture.configure();
     fixture.script = [](Peer& connection, const std::string&, int number) { connection.socket->write(number == 1 ? limitedResponse("0.3") : "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nId: r1\r\nContent-Length: 0\r\n\r\n"); };
     BOOST_TEST(contains(fixture.sendRequest("r1", "done"), "200 OK"));
-    fixture.proxy.applyLimitReports({ { "u0", 0.3, false, 0, 1, 0 } });
+    fixture.proxy.applyLimitReports({ { "u0", 0.3, false, 0, 1, 0 } }, base::bootNow());
     BOOST_TEST(contains(fixture.sendRequest("r1", "detail"), "503"));
     BOOST_TEST(contains(fixture.sendRequest("r1", "detail"), "503"));
     BOOST_TEST(fixture.requests.size() == 2U);
