--- a/tests/LimitSpreadTest.cpp
+++ b/tests/LimitSpreadTest.cpp
@@ -264,3 +264,20 @@
     fleet.run(seconds(2));
     BOOST_TEST(fleet.servedPerSecond(liftedAt) >= 0.9 * 80);
 }
+
+// Guards against a process that was paused with an answer unread and then uses permits which
+// have run out and been given to others meanwhile.
+BOOST_AUTO_TEST_CASE(PermitsThatRanOutBeforeTheyWereReadAreNotUsed)
+{
+    base::VirtualClock clock;
+    for (auto pause : { std::chrono::milliseconds(100), std::chrono::milliseconds(700), std::chrono::milliseconds(5000) }) {
+        RequestRateLimiter limiter(0.5);
+        auto grantedBy = clock.now();
+        clock.advance(pause);
+        limiter.allocatorAnswered(clock.now());
+        fleet::RequestLimitReport report { upstream, 0.5, false, 0, 1, 0 };
+        limiter.apply(report, grantedBy, clock.now());
+        bool isUsable = pause < fleet::RequestPermitAllocator::permitLifetime;
+        BOOST_TEST(limiter.isLimiting(clock.now()) != isUsable);
+    }
+}
