Do not take a repeated refusal, or a bare 503, for "not run"

Cause: a late copy of an answer is told from the answer to the current request by the request's id. A second attempt of a request on the same kept connection has the same id, so a faulty upstream that wrote its refusal once more made the caller read "not run" for what it ran. And a 408, 429 or 503 of an upstream without its statement that it has not run the request was passed on, which callers take for that statement.

--- a/include/forwarding/UpstreamConnection.h
+++ b/include/forwarding/UpstreamConnection.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -56,7 +57,7 @@
     // Called when a response is complete and the connection can carry another request.
     using ReusableCallback = std::function<void(const std::shared_ptr<UpstreamConnection>&)>;
 
-    UpstreamConnection(boost::asio::io_context&, const net::Endpoint&, ReusableCallback);
+    UpstreamConnection(boost::asio::io_context&, const net::Endpoint&, std::uint64_t number, ReusableCallback);
     ~UpstreamConnection() override;
 
     // Sends a request, and connects first if necessary. The connection must be new or
@@ -75,6 +76,8 @@
     base::TimePoint idleSince() const { return idleSince_; }
     // Sets how long the upstream keeps an idle connection open; nullopt if unknown.
     void setKeepAlive(std::optional<std::chrono::seconds> keepAlive) { keepAlive_ = keepAlive; }
+    // Distinguishes the connections of one pool.
+    std::uint64_t number() const { return number_; }
     // Returns whether the connection has been idle for less than `keepAliveFraction` of
     // the upstream's keep-alive time.
     bool isFresh(base::TimePoint now, double keepAliveFraction) const;
@@ -98,6 +101,7 @@
     // Holds the request until the connection is established.
     std::string request_;
     std::string input_;
+    const std::uint64_t number_;
     std::unique_ptr<http1::ResponseReader> reader_;
     bool hasNoResponseBody_ = false;
     bool isSkippingStaleResponse_ = false;
@@ -120,7 +124,10 @@
 
     // Returns an idle connection, or a new one if there is none. Closes connections that
     // have been idle for more than `keepAliveFraction` of the upstream's keep-alive time.
-    std::shared_ptr<UpstreamConnection> acquire(const net::Endpoint&, double keepAliveFraction, base::TimePoint now);
+    // Never returns one of those in `excluded`, which are identified by their numbers.
+    std::shared_ptr<UpstreamConnection> acquire(const net::Endpoint&, double keepAliveFraction, base::TimePoint now, const std::set<std::uint64_t>& excluded = {});
+    // Returns a new connection.
+    std::shared_ptr<UpstreamConnection> create(const net::Endpoint&);
     // Closes idle connections that are near their keep-alive time. Call about once a second.
     void tick(base::TimePoint now);
     // Closes idle connections to an address that now belongs to another upstream process.
--- a/src/forwarding/ControlCall.cpp
+++ b/src/forwarding/ControlCall.cpp
@@ -4,10 +4,9 @@
 
 // Control responses are small. A longer one fails the call.
 static constexpr std::size_t maxResponseBodyBytes = std::size_t { 64 } << 10;
-static constexpr double keepAliveFraction = 0.7;
 
-ControlCall::ControlCall(UpstreamConnectionPool& pool, const net::Endpoint& endpoint, Callback callback, base::TimePoint now)
-    : connection_(pool.acquire(endpoint, keepAliveFraction, now))
+ControlCall::ControlCall(std::shared_ptr<UpstreamConnection> connection, Callback callback)
+    : connection_(std::move(connection))
     , callback_(std::move(callback))
 {
 }
--- a/src/forwarding/ControlCall.h
+++ b/src/forwarding/ControlCall.h
@@ -17,7 +17,8 @@
     // Receives the response, or nullopt if the call failed or timed out.
     using Callback = std::function<void(const std::optional<Response>&)>;
 
-    ControlCall(UpstreamConnectionPool&, const net::Endpoint&, Callback, base::TimePoint now);
+    // `connection` must be new or idle.
+    ControlCall(std::shared_ptr<UpstreamConnection> connection, Callback);
     ~ControlCall() override;
 
     // Sends a serialized request that has no separate body.
--- a/src/forwarding/Exchange.h
+++ b/src/forwarding/Exchange.h
@@ -196,3 +196,6 @@
 };
 
 } // namespace arbutus::forwarding
+    // A late copy of the answer to an earlier attempt has the id of this request, so it could
+    // not be told from the answer to a later attempt on the same connection.
+    std::set<std::uint64_t> usedConnections_;
--- a/src/forwarding/ExchangeAttempts.cpp
+++ b/src/forwarding/ExchangeAttempts.cpp
@@ -93,7 +93,8 @@
     isStream_ = false;
     hasEvents_ = false;
     eventSplitter_.discardPartial();
-    connection_ = proxy_.pool_.acquire(endpoint, isRepeatable() ? repeatableKeepAliveFraction : unrepeatableKeepAliveFraction, sentAt_);
+    connection_ = proxy_.pool_.acquire(endpoint, isRepeatable() ? repeatableKeepAliveFraction : unrepeatableKeepAliveFraction, sentAt_, usedConnections_);
+    usedConnections_.insert(connection_->number());
     connection_->send(requestHead(), request_.body, request_.head.method == "HEAD", *this, std::min(deadline_, sentAt_ + connectTimeout));
 }
 
--- a/src/forwarding/ExchangeResponse.cpp
+++ b/src/forwarding/ExchangeResponse.cpp
@@ -3,6 +3,9 @@
 #include "include/base/Clock.h"
 #include "include/base/Logger.h"
 
+#include <algorithm>
+#include <array>
+
 namespace arbutus::forwarding {
 
 using routes::RequestKind;
@@ -167,6 +170,12 @@
         finish();
         return;
     }
+static bool promisesNotRun(int status)
+{
+    static constexpr std::array<int, 4> statuses { 408, 421, 429, 503 };
+    return std::find(statuses.begin(), statuses.end(), status) != statuses.end();
+}
+
     if (responseMetadata_.isNotRun) {
         endAttempt(AttemptOutcome::NotRun);
         return;
@@ -187,6 +196,12 @@
     releaseReservation(CallResult::Answered);
     if (caller_)
         caller_->send(response);
+    // Callers take these statuses for a promise that the request has not run, which only the
+    // upstream can make.
+    if (promisesNotRun(responseHead_->status)) {
+        endAttempt(AttemptOutcome::Failed);
+        return;
+    }
     ++proxy_.counters_.completed;
     finish();
 }
--- a/src/forwarding/UpstreamConnection.cpp
+++ b/src/forwarding/UpstreamConnection.cpp
@@ -12,9 +12,10 @@
 // A faulty upstream may send a late response without end.
 static constexpr std::size_t maxStaleResponseBytes = std::size_t { 1 } << 20;
 
-UpstreamConnection::UpstreamConnection(boost::asio::io_context& context, const net::Endpoint& endpoint, ReusableCallback reusableCallback)
+UpstreamConnection::UpstreamConnection(boost::asio::io_context& context, const net::Endpoint& endpoint, std::uint64_t number, ReusableCallback reusableCallback)
     : socket_(std::make_shared<net::StreamSocket>(context))
     , endpoint_(endpoint)
+    , number_(number)
     , reusableCallback_(std::move(reusableCallback))
 {
 }
@@ -172,16 +173,24 @@
     return std::chrono::duration<double>(now - idleSince_) < limit * keepAliveFraction;
 }
 
-std::shared_ptr<UpstreamConnection> UpstreamConnectionPool::acquire(const net::Endpoint& endpoint, double keepAliveFraction, base::TimePoint now)
+std::shared_ptr<UpstreamConnection> UpstreamConnectionPool::acquire(const net::Endpoint& endpoint, double keepAliveFraction, base::TimePoint now, const std::set<std::uint64_t>& excluded)
 {
     auto& idle = idle_[endpoint];
-    while (!idle.empty()) {
-        auto connection = std::move(idle.back());
-        idle.pop_back();
+    // The connection that was used last is the freshest.
+    for (auto i = idle.size(); i-- > 0;) {
+        if (excluded.count(idle[i]->number()))
+            continue;
+        auto connection = std::move(idle[i]);
+        idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
         if (connection->isIdle() && connection->isFresh(now, keepAliveFraction))
             return connection;
     }
-    return std::make_shared<UpstreamConnection>(context_, endpoint, [this](const std::shared_ptr<UpstreamConnection>& connection) { idle_[connection->endpoint()].push_back(connection); });
+    return create(endpoint);
+}
+
+std::shared_ptr<UpstreamConnection> UpstreamConnectionPool::create(const net::Endpoint& endpoint)
+{
+    return std::make_shared<UpstreamConnection>(context_, endpoint, ++lastNumber_, [this](const std::shared_ptr<UpstreamConnection>& connection) { idle_[connection->endpoint()].push_back(connection); });
 }
 
 void UpstreamConnectionPool::tick(base::TimePoint now)
--- a/src/node/EngineClient.cpp
+++ b/src/node/EngineClient.cpp
@@ -11,6 +11,7 @@
 static constexpr std::chrono::milliseconds commandTimeout(1000);
 static constexpr std::chrono::milliseconds pollInterval(1000);
 static constexpr std::chrono::milliseconds pollTimeout(600);
+static constexpr double keepAliveFraction = 0.7;
 
 EngineClient::EngineClient(boost::asio::io_context& context, const PlatformCodec& codec, fleet::UpstreamRegistry& registry, std::string registrar, StatusChangeCallback statusChangeCallback)
     : codec_(codec)
@@ -23,17 +24,14 @@
 
 EngineClient::~EngineClient() { *isAlive_ = false; }
 
-void EngineClient::startCall(const net::Endpoint& endpoint, std::string request, std::chrono::milliseconds timeout, forwarding::ControlCall::Callback done)
+void EngineClient::startCall(std::shared_ptr<forwarding::UpstreamConnection> connection, std::string request, std::chrono::milliseconds timeout, forwarding::ControlCall::Callback done)
 {
-    auto now = base::TimePoint(std::chrono::steady_clock::now());
-    auto call = std::make_shared<forwarding::ControlCall>(
-        pool_, endpoint, [done = std::move(done), isAlive = std::weak_ptr<bool>(isAlive_)](const auto& answer) {
-            if (auto alive = isAlive.lock(); alive && *alive)
-                done(answer);
-        },
-        now);
+    auto call = std::make_shared<forwarding::ControlCall>(std::move(connection), [done = std::move(done), isAlive = std::weak_ptr<bool>(isAlive_)](const auto& answer) {
+        if (auto alive = isAlive.lock(); alive && *alive)
+            done(answer);
+    });
     calls_.push_back(call);
-    call->send(std::move(request), now + timeout);
+    call->send(std::move(request), base::TimePoint(std::chrono::steady_clock::now()) + timeout);
 }
 
 void EngineClient::endOverdueCalls()
@@ -46,7 +44,9 @@
 void EngineClient::sendCommand(const placement::LayerCommand& command, std::uint64_t term, CommandCallback done)
 {
     logger.info("Sending a layer command to an engine.", { { "upstream", command.upstream }, { "address", command.endpoint.text() }, { "from", command.layers.from }, { "to", command.layers.to } });
-    startCall(command.endpoint, codec_.layerCommandRequest(command, term), commandTimeout, [this, upstream = command.upstream, done = std::move(done)](const auto& answer) {
+    // Answers to calls do not name their call, so a late copy of an earlier answer on a kept
+    // connection would pass for the answer to this command.
+    startCall(pool_.create(command.endpoint), codec_.layerCommandRequest(command, term), commandTimeout, [this, upstream = command.upstream, done = std::move(done)](const auto& answer) {
         auto result = answer ? codec_.decodeLayerCommandStatus(answer->status) : placement::LayerCommandResult::Unknown;
         if (result != placement::LayerCommandResult::Accepted)
             logger.info("A layer command was not accepted.", { { "upstream", upstream }, { "status", answer ? answer->status : 0 } });
@@ -77,7 +77,8 @@
 
 void EngineClient::pollEngine(const fleet::UpstreamRecord& engine)
 {
-    startCall(engine.endpoint(), codec_.engineStatusRequest(engine), pollTimeout, [this, id = engine.id, startedAtMilliseconds = engine.startedAtMilliseconds](const auto& answer) {
+    auto connection = pool_.acquire(engine.endpoint(), keepAliveFraction, std::chrono::steady_clock::now());
+    startCall(std::move(connection), codec_.engineStatusRequest(engine), pollTimeout, [this, id = engine.id, startedAtMilliseconds = engine.startedAtMilliseconds](const auto& answer) {
         if (!answer || answer->status != 200)
             return;
         auto status = codec_.decodeEngineStatus(answer->body);
--- a/src/node/EngineClient.h
+++ b/src/node/EngineClient.h
@@ -35,7 +35,7 @@
 
 private:
     void pollEngine(const fleet::UpstreamRecord&);
-    void startCall(const net::Endpoint&, std::string request, std::chrono::milliseconds timeout, forwarding::ControlCall::Callback);
+    void startCall(std::shared_ptr<forwarding::UpstreamConnection>, std::string request, std::chrono::milliseconds timeout, forwarding::ControlCall::Callback);
 
     const PlatformCodec& codec_;
     fleet::UpstreamRegistry& registry_;
