Announce no configuration after a restart before a leader is found

An entry VM that was restarted at the same time brought it into force, with keys that had been withdrawn.

Change: the poll server announces none until the VM has had contact with a leader. An entry VM that was not restarted never goes back and is not affected.

Test: the case of polls in UpstreamRegistryTest; it fails without the change.

--- a/include/fleet/FleetPollServer.h
+++ b/include/fleet/FleetPollServer.h
@@ -41,6 +41,9 @@
     }
 
     void setRoutes(std::uint64_t version, std::shared_ptr<const std::string> document) { routesPublisher_.setRoutes(version, std::move(document)); }
+    // Call once this VM has contact with a leader. Until then no route configuration is
+    // announced: after a restart, the stored one may have been replaced.
+    void leaderFound() { hasFoundLeader_ = true; }
     void setReplicas(std::vector<std::uint32_t> ips) { replicas_ = std::move(ips); }
 
     // Calls the reply now, or keeps it until answerPendingPolls() calls it. A poll that
@@ -58,6 +61,8 @@
         Reply reply;
         base::TimePoint deadline;
     };
+    // Returns the version that pollers may be told, or 0.
+    std::uint64_t announcedRoutesVersion() const { return hasFoundLeader_ ? routesPublisher_.version() : 0; }
     bool hasUpdates(const FleetPoll&, base::TimePoint now) const;
     bool shouldSendRoutes(const FleetPoll&, base::TimePoint now) const;
     void sendAnswer(const FleetPoll&, const Reply&, base::TimePoint now);
@@ -71,6 +76,7 @@
     const std::uint64_t epoch_;
     RoutesPublisher routesPublisher_;
     std::vector<std::uint32_t> replicas_;
+    bool hasFoundLeader_ = false;
     std::list<PendingPoll> pendingPolls_;
     PeerLoadTable peerLoad_;
     RequestPermitAllocator permitAllocator_;
--- a/src/fleet/FleetPollServer.cpp
+++ b/src/fleet/FleetPollServer.cpp
@@ -4,12 +4,12 @@
 
 bool FleetPollServer::shouldSendRoutes(const FleetPoll& poll, base::TimePoint now) const
 {
-    return poll.wantsRoutes && poll.routesVersion < routesPublisher_.version() && routesPublisher_.maySend(now);
+    return poll.wantsRoutes && poll.routesVersion < announcedRoutesVersion() && routesPublisher_.maySend(now);
 }
 
 bool FleetPollServer::hasUpdates(const FleetPoll& poll, base::TimePoint now) const
 {
-    bool hasNewRoutes = poll.wantsRoutes ? shouldSendRoutes(poll, now) : poll.routesVersion < routesPublisher_.version();
+    bool hasNewRoutes = poll.wantsRoutes ? shouldSendRoutes(poll, now) : poll.routesVersion < announcedRoutesVersion();
     return poll.epoch != epoch_ || poll.revision < registry_.revision() || poll.crashRevision < crashReports_.revision() || hasNewRoutes;
 }
 
@@ -21,7 +21,7 @@
     result.upstreams = registry_.changesSince(poll.epoch == epoch_ ? poll.revision : 0);
     result.crashRevision = crashReports_.revision();
     result.crashReports = crashReports_.changesSince(poll.epoch == epoch_ ? poll.crashRevision : 0, now);
-    result.routesVersion = routesPublisher_.version();
+    result.routesVersion = announcedRoutesVersion();
     if (shouldSendRoutes(poll, now)) {
         auto packed = routesPublisher_.pack(poll.routesBase, now);
         result.packedRoutes = *packed.bytes;
--- a/src/node/ControlNode.cpp
+++ b/src/node/ControlNode.cpp
@@ -231,6 +231,8 @@
     bool hasBecomeLeader = !isLeader() && view.status.role == consensus::Role::Leader;
     bool hasNewRoutes = view.routesVersion != replicaView_.routesVersion;
     replicaView_ = view;
+    if (isConnected())
+        fleetPollServer_.leaderFound();
     if (hasNewRoutes)
         publishRoutes();
     if (hasBecomeLeader) {
--- a/tests/FleetNetwork.h
+++ b/tests/FleetNetwork.h
@@ -69,6 +69,7 @@
             ips.push_back(firstIp + static_cast<std::uint32_t>(peer));
         vm.server = std::make_unique<FleetPollServer>(vm.registry, vm.crashReports, ++lastEpoch_, RoutesPublisher::maxLinkShare * vm.uplink.bytesPerSecond);
         vm.server->setReplicas(ips);
+        vm.server->leaderFound();
     }
 
     // Replaces the entry VM by one that knows nothing.
--- a/tests/UpstreamRegistryTest.cpp
+++ b/tests/UpstreamRegistryTest.cpp
@@ -241,6 +241,10 @@
     pollServer.poll(poll, reply, clock.now());
     pollServer.setRoutes(4, std::make_shared<const std::string>("document"));
     pollServer.answerPendingPolls(clock.now());
+    // Before a leader is found, a stored configuration may have been replaced.
+    BOOST_TEST(answers.size() == 2);
+    pollServer.leaderFound();
+    pollServer.answerPendingPolls(clock.now());
     BOOST_REQUIRE(answers.size() == 3);
     BOOST_TEST(base::decompressDelta({}, answers[2].packedRoutes, 100).value() == "document");
 
