Keep the wishes that upstreams state in their answers: leaving, and a pause

Cause: two rules of the users are new. An upstream that leaves says so in its answers; one that turns a request away may name a time for which it wants none from this VM. Neither was read.

Change: any head that identifies its request is read, also that of a running stream, of a refusal and of a late answer that is skipped. A leave holds for the process that was known when the request was sent; it is applied at once and told to the control VMs with the polls of 10 s, which tell the others. In the registry it is final for the process, also past a time without heartbeats, and merges with older and newer records. If every upstream of a service pauses, callers are refused at once with a Retry-After behind the first pause that ends.

--- a/include/fleet/FleetMessages.h
+++ b/include/fleet/FleetMessages.h
@@ -48,7 +48,9 @@
     // Only together with `wantsPeerLoad`: what the sender knows of limits, and the permits
     // that it wants.
     RequestLimitReports limits;
-    MSGPACK_DEFINE(sender, isEntry, epoch, revision, routesVersion, wantsRoutes, routesBase, wantsPeerLoad, maxWaitMilliseconds, load, crashRevision, crashReports, limits)
+    // Upstreams that have recently announced their leave to the sender.
+    std::vector<UpstreamProcess> leaving;
+    MSGPACK_DEFINE(sender, isEntry, epoch, revision, routesVersion, wantsRoutes, routesBase, wantsPeerLoad, maxWaitMilliseconds, load, crashRevision, crashReports, limits, leaving)
 };
 
 // The answer to a FleetPoll.
--- a/include/fleet/FleetPollServer.h
+++ b/include/fleet/FleetPollServer.h
@@ -32,7 +32,7 @@
 
     // `epoch` must differ at every start of the process. The registries must outlive this
     // object. Route configurations take at most `routesBytesPerSecond`.
-    FleetPollServer(const UpstreamRegistry& registry, CrashReportRegistry& crashReports, std::uint64_t epoch, double routesBytesPerSecond)
+    FleetPollServer(UpstreamRegistry& registry, CrashReportRegistry& crashReports, std::uint64_t epoch, double routesBytesPerSecond)
         : registry_(registry)
         , crashReports_(crashReports)
         , epoch_(epoch)
@@ -47,7 +47,7 @@
     void setReplicas(std::vector<std::uint32_t> ips) { replicas_ = std::move(ips); }
 
     // Calls the reply now, or keeps it until answerPendingPolls() calls it. A poll that
-    // brings crash reports also has the pending ones answered.
+    // brings crash reports or leaves also has the pending ones answered.
     void poll(FleetPoll, Reply, base::TimePoint now);
     // Answers every pending poll that has changes to receive or whose deadline has passed.
     void answerPendingPolls(base::TimePoint now);
@@ -68,15 +68,16 @@
     void sendAnswer(const FleetPoll&, const Reply&, base::TimePoint now);
     FleetAnswer answer(const FleetPoll&, base::TimePoint now);
 
-    // Returns whether the poll brings anything new.
+    // Each returns whether the poll brings anything new.
     bool applyCrashReports(const FleetPoll&, base::TimePoint now);
+    bool applyLeaves(const FleetPoll&, base::TimePoint now);
 
-    const UpstreamRegistry& registry_;
+    UpstreamRegistry& registry_;
     CrashReportRegistry& crashReports_;
     const std::uint64_t epoch_;
     RoutesPublisher routesPublisher_;
-    std::vector<std::uint32_t> replicas_;
     bool hasFoundLeader_ = false;
+    std::vector<std::uint32_t> replicas_;
     std::list<PendingPoll> pendingPolls_;
     PeerLoadTable peerLoad_;
     RequestPermitAllocator permitAllocator_;
--- a/include/fleet/FleetPoller.h
+++ b/include/fleet/FleetPoller.h
@@ -5,6 +5,7 @@
 #include "include/fleet/FleetMessages.h"
 #include "include/fleet/UpstreamRegistry.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -68,6 +69,10 @@
     // may be answered only after other VMs have sent such requests.
     void sendCrashReports();
 
+    // Tells the control VMs, with the polls of the next seconds, that an upstream has
+    // announced its leave to this VM.
+    void reportLeave(UpstreamProcess);
+
     // Returns whether the control VM at `ip` has answered at or after `since`.
     bool hasHeardFrom(std::uint32_t ip, base::TimePoint since) const;
     // Returns the largest number of entry VMs that any control VM reports, at least 1.
@@ -90,13 +95,13 @@
         std::optional<base::TimePoint> newerRoutesSince;
         // Whether the outstanding poll asks for a route configuration.
         bool isFetchingRoutes = false;
+        // When the latest poll was sent.
+        base::TimePoint polledAt;
         // Whether the outstanding poll asks for the load of the other entry VMs.
         bool isFetchingPeerLoad = false;
         std::uint32_t entryVmCount = 0;
         // The peer's revision of crash reports that this VM knows.
         std::uint64_t crashRevision = 0;
-        // When the latest poll was sent.
-        base::TimePoint polledAt;
         // The own revision that the outstanding poll brings the peer to, and the one that it
         // has confirmed.
         std::uint64_t sentCrashRevision = 0;
@@ -105,6 +110,11 @@
         base::TimePoint lastListedAt;
     };
 
+    struct LeaveReport {
+        UpstreamProcess process;
+        base::TimePoint expiresAt;
+    };
+
     // Adds a peer, or refreshes its listing time. The own address is not added.
     void addOrRefreshPeer(std::uint32_t ip);
     void poll(std::uint32_t ip, Peer&);
@@ -137,6 +147,7 @@
     bool needsWholeRoutes_ = false;
     RoutesDelivery delivery_;
     std::map<std::string, UpstreamInFlightLoad> peerLoad_;
+    std::deque<LeaveReport> leaveReports_;
     std::shared_ptr<bool> isAlive_ = std::make_shared<bool>(true);
 };
 
--- a/include/fleet/UpstreamRecord.h
+++ b/include/fleet/UpstreamRecord.h
@@ -26,6 +26,14 @@
 
 namespace arbutus::fleet {
 
+// Identifies one process of an upstream. Processes with the same id are ordered by start.
+struct UpstreamProcess {
+    std::string id;
+    // Start time in Unix milliseconds.
+    std::int64_t startedAtMilliseconds = 0;
+    MSGPACK_DEFINE(id, startedAtMilliseconds)
+};
+
 // A half-open range of layers [from, to).
 struct LayerRange {
     int from = 0;
@@ -60,8 +68,11 @@
     double slowdownFactor = 1;
     // Increases with every change that the registrar learns by polling the engine's status.
     std::uint64_t statusSequence = 0;
+    // Whether this process has announced, to anyone, that it leaves. It never becomes ready
+    // again.
+    bool isLeaving = false;
 
-    MSGPACK_DEFINE(id, startedAtMilliseconds, sequence, registrar, service, ip, port, dataCentre, state, slots, accelerator, layers, slowdownFactor, statusSequence)
+    MSGPACK_DEFINE(id, startedAtMilliseconds, sequence, registrar, service, ip, port, dataCentre, state, slots, accelerator, layers, slowdownFactor, statusSequence, isLeaving)
 
     net::Endpoint endpoint() const { return { ip, port }; }
     // Orders the records of one upstream from old to new.
--- a/include/fleet/UpstreamRegistry.h
+++ b/include/fleet/UpstreamRegistry.h
@@ -29,6 +29,10 @@
     // slowdown factor and answers for another incarnation. Returns whether a change must be
     // published.
     bool applyStatus(const std::string& id, std::int64_t startedAtMilliseconds, double slowdownFactor, const LayerRange&, base::TimePoint now);
+    // Records that a process of an upstream has announced its leave to another VM. Does
+    // nothing if another process of the upstream is known. Returns whether that is news,
+    // which must be published.
+    bool markLeaving(const UpstreamProcess&, base::TimePoint now);
     // Marks an upstream as gone and advances its sequence by one. An unknown upstream is
     // stored as gone, so that a late heartbeat does not restore it. Does nothing if a
     // newer incarnation is known. `startedAtMilliseconds` is 0 if unknown.
--- a/include/forwarding/HeaderCodec.h
+++ b/include/forwarding/HeaderCodec.h
@@ -34,6 +34,11 @@
     // Address of the engine that caused the failure, if the response names one.
     std::optional<std::string> faultyEngineAddress;
     std::optional<std::chrono::seconds> keepAlive;
+    // The upstream finishes its requests and accepts no new ones.
+    bool isLeaving = false;
+    // For how long the upstream, which has turned this request away, wants no other from this
+    // VM. Above 0 and bounded.
+    std::optional<std::chrono::milliseconds> pause;
     // How many requests a second the upstream accepts from all entry VMs together; nullopt
     // if it has no limit.
     std::optional<double> requestsPerSecond;
--- a/include/forwarding/ReverseProxy.h
+++ b/include/forwarding/ReverseProxy.h
@@ -12,6 +12,7 @@
 #include "include/routing/RequestRateLimiter.h"
 #include "include/routing/ServiceBalancer.h"
 #include "include/routing/StartupQueue.h"
+#include "include/routing/UpstreamPauses.h"
 #include "include/routing/WindowedRetryBudget.h"
 
 #include <list>
@@ -59,6 +60,7 @@
     routing::WindowedRetryBudget retryBudget;
     routing::CapacityQueue waitQueue;
     routing::RequestRateLimiter rateLimiter;
+    routing::UpstreamPauses pauses;
 
     // isReachable() returns false without a new check until this time.
     base::TimePoint nextReachabilityCheckAt;
@@ -97,6 +99,10 @@
     // observations with the other entry VMs.
     routing::CrashGuard& crashGuard() { return crashGuard_; }
 
+    // Returns the upstreams that have announced their leave in answers since the last call.
+    // They get no new requests; the caller tells the other VMs.
+    std::vector<fleet::UpstreamProcess> takeLeavingUpstreams() { return std::exchange(leavingUpstreams_, {}); }
+
     // Closes each caller connection after its current request.
     void stop() { isStopping_ = true; }
     // Refuses new requests, as not run, if they may not finish before `deadline`: all
@@ -121,8 +127,12 @@
     ServiceState& service(const std::string& name);
     void applyUpstream(const fleet::UpstreamRecord&);
     void detachUpstream(const fleet::UpstreamRecord&);
-    // Forgets what an earlier process of the upstream has named.
-    void forgetLimit(const fleet::UpstreamRecord&);
+    // Forgets the limit and the pause that an earlier process of the upstream has named.
+    void forgetWishes(const fleet::UpstreamRecord&);
+    // Returns the record of an upstream if `process` is the one that is known, else null.
+    fleet::UpstreamRecord* findProcess(const fleet::UpstreamProcess& process);
+    void upstreamLeaves(const fleet::UpstreamProcess&);
+    void upstreamPauses(const fleet::UpstreamProcess&, base::TimePoint until);
 
     boost::asio::io_context& context_;
     const HeaderCodec& headerCodec_;
@@ -135,6 +145,7 @@
     std::map<std::string, ServiceState> services_;
     // The last state of each upstream that is not gone, by upstream id.
     std::map<std::string, fleet::UpstreamRecord> knownUpstreams_;
+    std::vector<fleet::UpstreamProcess> leavingUpstreams_;
     std::uint64_t upstreamRevision_ = 0;
     std::uint32_t entryVmCount_ = 1;
     std::list<std::shared_ptr<Exchange>> exchanges_;
--- a/include/forwarding/UpstreamConnection.h
+++ b/include/forwarding/UpstreamConnection.h
@@ -37,6 +37,9 @@
     virtual ~ResponseListener() = default;
 
     ResponseMatch matchResponse(const http1::ResponseHead& head) const { return onMatchResponse(head); }
+    // Called for each head that identifies its request, also that of a late response which
+    // is then skipped.
+    void observe(const http1::ResponseHead& head) { onObserve(head); }
     void head(const http1::ResponseHead& head) { onHead(head); }
     void body(std::string_view bytes) { onBody(bytes); }
     void done() { onDone(); }
@@ -44,6 +47,7 @@
 
 private:
     virtual ResponseMatch onMatchResponse(const http1::ResponseHead&) const = 0;
+    virtual void onObserve(const http1::ResponseHead&) { }
     virtual void onHead(const http1::ResponseHead&) = 0;
     virtual void onBody(std::string_view) = 0;
     virtual void onDone() = 0;
@@ -71,13 +75,13 @@
     void checkTimeout(base::TimePoint now);
 
     const net::Endpoint& endpoint() const { return endpoint_; }
+    // Distinguishes the connections of one pool.
+    std::uint64_t number() const { return number_; }
     bool isIdle() const { return isConnected_ && !listener_ && socket_->isOpen(); }
     bool isOpen() const { return socket_->isOpen() || !isStarted_; }
     base::TimePoint idleSince() const { return idleSince_; }
     // Sets how long the upstream keeps an idle connection open; nullopt if unknown.
     void setKeepAlive(std::optional<std::chrono::seconds> keepAlive) { keepAlive_ = keepAlive; }
-    // Distinguishes the connections of one pool.
-    std::uint64_t number() const { return number_; }
     // Returns whether the connection has been idle for less than `keepAliveFraction` of
     // the upstream's keep-alive time.
     bool isFresh(base::TimePoint now, double keepAliveFraction) const;
@@ -96,12 +100,12 @@
 
     std::shared_ptr<net::StreamSocket> socket_;
     const net::Endpoint endpoint_;
+    const std::uint64_t number_;
     const ReusableCallback reusableCallback_;
     ResponseListener* listener_ = nullptr;
     // Holds the request until the connection is established.
     std::string request_;
     std::string input_;
-    const std::uint64_t number_;
     std::unique_ptr<http1::ResponseReader> reader_;
     bool hasNoResponseBody_ = false;
     bool isSkippingStaleResponse_ = false;
@@ -137,6 +141,7 @@
 private:
     boost::asio::io_context& context_;
     std::map<net::Endpoint, std::vector<std::shared_ptr<UpstreamConnection>>> idle_;
+    std::uint64_t lastNumber_ = 0;
 };
 
 } // namespace arbutus::forwarding
--- a/include/routing/LayerPathSelector.h
+++ b/include/routing/LayerPathSelector.h
@@ -89,8 +89,9 @@
     // Returns the cheapest path without suspect engines and those in `avoided`, or
     // nullopt if no complete path has enough capacity.
     std::optional<LayerPath> choose(const StreamSize&, const std::set<std::string>& avoided, base::TimePoint now) const;
-    // Whether any complete path without suspect engines exists, regardless of capacity.
-    bool hasPath(base::TimePoint now) const;
+    // Whether any complete path without suspect engines and those in `avoided` exists,
+    // regardless of capacity.
+    bool hasPath(const std::set<std::string>& avoided, base::TimePoint now) const;
     // Adds a stream to the load of the engines on its path, or removes it. Both calls
     // must get the same arguments.
     void reserve(const LayerPath&, const StreamSize&);
--- a/src/fleet/FleetPollServer.cpp
+++ b/src/fleet/FleetPollServer.cpp
@@ -55,9 +55,19 @@
     return isChanged;
 }
 
+bool FleetPollServer::applyLeaves(const FleetPoll& poll, base::TimePoint now)
+{
+    bool isChanged = false;
+    for (const auto& process : poll.leaving)
+        isChanged = registry_.markLeaving(process, now) || isChanged;
+    return isChanged;
+}
+
 void FleetPollServer::poll(FleetPoll poll, Reply reply, base::TimePoint now)
 {
-    if (applyCrashReports(poll, now))
+    bool hasNewReports = applyCrashReports(poll, now);
+    bool hasNewLeaves = applyLeaves(poll, now);
+    if (hasNewReports || hasNewLeaves)
         answerPendingPolls(now);
     if (poll.isEntry) {
         peerLoad_.record(poll.sender, poll.load, now);
--- a/src/fleet/FleetPoller.cpp
+++ b/src/fleet/FleetPoller.cpp
@@ -23,6 +23,9 @@
 // only if none has arrived after this delay.
 static constexpr std::chrono::milliseconds routesFallbackDelay(250);
 static constexpr std::size_t maxRoutesDocumentBytes = std::size_t { 16 } << 20;
+// Long enough for several polls of each control VM, also one that has just started.
+static constexpr std::chrono::seconds leaveReportLifetime(10);
+static constexpr std::size_t maxLeaveReports = 256;
 // A control VM that no answer lists any more is removed after this time.
 static constexpr std::chrono::seconds listingLifetime(20);
 
@@ -78,12 +81,21 @@
 {
     dropStalePeers();
     crashReports_.expire(clock_.now());
+    while (!leaveReports_.empty() && clock_.now() >= leaveReports_.front().expiresAt)
+        leaveReports_.pop_front();
     for (auto& [ip, peer] : peers_) {
         if (!peer.isPolling && clock_.now() >= peer.nextPollAt)
             poll(ip, peer);
     }
 }
 
+void FleetPoller::reportLeave(UpstreamProcess process)
+{
+    leaveReports_.push_back({ std::move(process), clock_.now() + leaveReportLifetime });
+    if (leaveReports_.size() > maxLeaveReports)
+        leaveReports_.pop_front();
+}
+
 void FleetPoller::sendCrashReports()
 {
     auto preferred = std::find_if(peers_.begin(), peers_.end(), [this](const auto& entry) { return isPreferred(entry.first); });
@@ -139,6 +151,7 @@
     // the peer would answer every poll at once.
     poll.routesVersion = poll.wantsRoutes ? routesVersion_ : std::max(routesVersion_, peer.routesVersion);
     poll.routesBase = needsWholeRoutes_ ? 0 : routesVersion_;
+    peer.polledAt = clock_.now();
     peer.isFetchingRoutes = poll.wantsRoutes;
     poll.wantsPeerLoad = peer.isFetchingPeerLoad = options_.isEntry && isPreferred(ip);
     auto maxWait = poll.wantsPeerLoad ? loadPollWait : maxPollWait;
@@ -146,12 +159,13 @@
     poll.crashRevision = peer.crashRevision;
     poll.crashReports = crashReports_.changesSince(peer.confirmedCrashRevision, clock_.now());
     peer.sentCrashRevision = crashReports_.revision();
+    for (const auto& report : leaveReports_)
+        poll.leaving.push_back(report.process);
     if (loadProvider_)
         poll.load = loadProvider_();
     if (limitProvider_ && poll.wantsPeerLoad)
         poll.limits = limitProvider_();
     auto done = [this, ip, isAlive = std::weak_ptr<bool>(isAlive_), post = post_](base::Result<std::string> answer) {
-    peer.polledAt = clock_.now();
         post([this, ip, isAlive, answer = std::move(answer)] {
             if (auto alive = isAlive.lock(); alive && *alive)
                 handlePollResult(ip, answer);
--- a/src/fleet/UpstreamRegistry.cpp
+++ b/src/fleet/UpstreamRegistry.cpp
@@ -14,7 +14,7 @@
 bool UpstreamRecord::differsFrom(const UpstreamRecord& older) const
 {
     auto content = [](const UpstreamRecord& record) {
-        return std::tie(record.startedAtMilliseconds, record.registrar, record.service, record.ip, record.port, record.dataCentre, record.state, record.slots, record.accelerator, record.slowdownFactor);
+        return std::tie(record.startedAtMilliseconds, record.registrar, record.service, record.ip, record.port, record.dataCentre, record.state, record.slots, record.accelerator, record.slowdownFactor, record.isLeaving);
     };
     return content(*this) != content(older) || layers != older.layers;
 }
@@ -64,6 +64,7 @@
     auto found = upstreams_.find(record.id);
     if (found == upstreams_.end()) {
         UpstreamRecord stored = record;
+        stored.isLeaving = record.isLeaving || record.state == UpstreamState::Draining;
         if (isPresent(record.state) && isSuperseded(record))
             stored.state = UpstreamState::Gone;
         if (isPresent(stored.state))
@@ -72,19 +73,22 @@
         return true;
     }
     auto& tracked = found->second;
+    bool isSameIncarnation = record.startedAtMilliseconds == tracked.record.startedAtMilliseconds;
+    // Processes learn of a leave independently, so an older record may bring it.
+    bool isNewsOfLeave = record.isLeaving && markLeaving({ record.id, record.startedAtMilliseconds }, now);
     if (record.recordVersion() <= tracked.record.recordVersion()) {
         // A VM that marks an upstream unresponsive or gone keeps the sequence of the last
         // heartbeat.
         bool isLaterState = record.recordVersion() == tracked.record.recordVersion() && static_cast<int>(record.state) > static_cast<int>(tracked.record.state);
         if (!isLaterState)
-            return republish(tracked, record, now);
+            return republish(tracked, record, now) || isNewsOfLeave;
     }
-    bool isSameIncarnation = record.startedAtMilliseconds == tracked.record.startedAtMilliseconds;
     // An incarnation never leaves the gone state and never returns from draining to ready.
     if (isSameIncarnation && tracked.record.state == UpstreamState::Gone)
-        return false;
+        return isNewsOfLeave;
     UpstreamRecord next = record;
-    if (isSameIncarnation && tracked.record.state == UpstreamState::Draining && record.state == UpstreamState::Ready)
+    next.isLeaving = record.isLeaving || record.state == UpstreamState::Draining || (isSameIncarnation && tracked.record.isLeaving);
+    if (next.isLeaving && next.state == UpstreamState::Ready)
         next.state = UpstreamState::Draining;
     if (isPresent(next.state) && isSuperseded(next))
         next.state = UpstreamState::Gone;
@@ -93,7 +97,7 @@
     tracked.lastHeardAt = now;
     if (!next.differsFrom(tracked.record)) {
         tracked.record.sequence = next.sequence;
-        return false;
+        return isNewsOfLeave;
     }
     store(next, now);
     return true;
@@ -131,6 +135,23 @@
     return true;
 }
 
+bool UpstreamRegistry::markLeaving(const UpstreamProcess& process, base::TimePoint now)
+{
+    auto found = upstreams_.find(process.id);
+    if (found == upstreams_.end())
+        return false;
+    auto& tracked = found->second;
+    bool isNews = tracked.record.startedAtMilliseconds == process.startedAtMilliseconds && !tracked.record.isLeaving;
+    if (!isNews)
+        return false;
+    tracked.record.isLeaving = true;
+    if (tracked.record.state == UpstreamState::Ready)
+        tracked.record.state = UpstreamState::Draining;
+    tracked.revision = ++revision_;
+    tracked.changedAt = now;
+    return true;
+}
+
 void UpstreamRegistry::deregister(const std::string& id, std::int64_t startedAtMilliseconds, const std::string& registrar, base::TimePoint now)
 {
     auto found = upstreams_.find(id);
--- a/src/forwarding/Exchange.cpp
+++ b/src/forwarding/Exchange.cpp
@@ -65,7 +65,8 @@
         chooseService();
     }
     auto now = std::chrono::steady_clock::now();
-    if (proxy_.startupQueue_.isOpen(now) && !service_->isReachable(now) && waitForStartup())
+    bool mayBecomeReachable = proxy_.startupQueue_.isOpen(now) && !service_->isReachable(now) && !pauseOfAllUpstreams(now);
+    if (mayBecomeReachable && waitForStartup())
         return;
     leaveStartupQueue();
     sendOrEnqueue();
@@ -158,7 +159,7 @@
         queueDeadline_ = deadline_;
         return true;
     }
-    if (!service_->pathSelector->hasPath(now))
+    if (pauseOfAllUpstreams(now) || !service_->pathSelector->hasPath({}, now))
         return false;
     waiterId_ = service_->waitQueue.tryEnqueue(isResuming ? resumedRequestPriority : priority, now);
     queueDeadline_ = now + maxQueueWait;
@@ -232,11 +233,28 @@
     finish();
 }
 
+std::optional<std::chrono::milliseconds> Exchange::pauseOfAllUpstreams(TimePoint now) const
+{
+    auto end = service_->pauses.earliestEnd(now);
+    if (!end)
+        return std::nullopt;
+    std::set<std::string> paused;
+    service_->pauses.addPaused(paused, now);
+    bool isAnyUsable = service_->pathSelector ? service_->pathSelector->hasPath(paused, now) : service_->balancer->choose(paused, now).has_value();
+    if (isAnyUsable)
+        return std::nullopt;
+    return std::chrono::ceil<std::chrono::milliseconds>(*end - now);
+}
+
 std::chrono::milliseconds Exchange::retryAfterDelay() const
 {
+    auto now = base::TimePoint(std::chrono::steady_clock::now());
     auto expected = routeTable_ ? defaultRetryAfter : unconfiguredRetryAfter;
-    if (service_)
-        expected = service_->waitQueue.suggestedRetryDelay(std::chrono::steady_clock::now());
+    if (service_) {
+        if (auto pause = pauseOfAllUpstreams(now))
+            return std::chrono::duration_cast<std::chrono::milliseconds>(*pause * proxy_.random_.between(1, retryAfterSpreadMax));
+        expected = service_->waitQueue.suggestedRetryDelay(now);
+    }
     return std::chrono::duration_cast<std::chrono::milliseconds>(expected * proxy_.random_.between(retryAfterSpreadMin, retryAfterSpreadMax));
 }
 
--- a/src/forwarding/Exchange.h
+++ b/src/forwarding/Exchange.h
@@ -50,6 +50,7 @@
     void onCallerDisconnected() override;
     void onDrained() override;
     ResponseMatch onMatchResponse(const http1::ResponseHead&) const override;
+    void onObserve(const http1::ResponseHead&) override;
     void onHead(const http1::ResponseHead&) override;
     void onBody(std::string_view) override;
     void onDone() override;
@@ -93,6 +94,8 @@
     // Closes the upstream's connection in the middle of a response and ends the attempt.
     void rejectResponse(AttemptOutcome);
     void endAttempt(AttemptOutcome);
+    // Returns the start of the known process of an upstream, or 0 if it is unknown.
+    std::int64_t startOf(const std::string& upstream) const;
     // Identifies the crash that would end the known incarnation of an upstream.
     std::uint64_t crashOf(const std::string& upstream) const;
     // Tells the crash guard that the upstreams of the attempt work.
@@ -135,6 +138,9 @@
     // Returns when a refused caller should retry, randomized so that callers do not all
     // retry at once.
     std::chrono::milliseconds retryAfterDelay() const;
+    // Returns how long the service's upstreams want no requests; nullopt if any of them
+    // accepts some now or none has asked for a pause.
+    std::optional<std::chrono::milliseconds> pauseOfAllUpstreams(base::TimePoint now) const;
     void refuse(const base::Error&);
     void refuse(const base::Error&, std::chrono::milliseconds retryDelay);
     void finish();
@@ -161,6 +167,8 @@
     // The current attempt.
     std::shared_ptr<UpstreamConnection> connection_;
     std::string upstreamId_;
+    // The process of the upstream that was known when the attempt was sent.
+    std::int64_t upstreamStartedAtMilliseconds_ = 0;
     routing::LayerPath path_;
     base::TimePoint sentAt_;
     base::TimePoint progressAt_;
@@ -190,12 +198,12 @@
     // Counts the attempts that may have run.
     int runCount_ = 0;
     std::set<std::string> avoidedUpstreams_;
+    // A late copy of the answer to an earlier attempt has the id of this request, so it could
+    // not be told from the answer to a later attempt on the same connection.
+    std::set<std::uint64_t> usedConnections_;
     EventSplitter eventSplitter_;
     RelayMode relayMode_ = RelayMode::None;
     std::optional<http1::Response> failedResponse_;
 };
 
 } // namespace arbutus::forwarding
-    // A late copy of the answer to an earlier attempt has the id of this request, so it could
-    // not be told from the answer to a later attempt on the same connection.
-    std::set<std::uint64_t> usedConnections_;
--- a/src/forwarding/ExchangeAttempts.cpp
+++ b/src/forwarding/ExchangeAttempts.cpp
@@ -84,6 +84,7 @@
 void Exchange::sendTo(const net::Endpoint& endpoint)
 {
     sentAt_ = progressAt_ = std::chrono::steady_clock::now();
+    upstreamStartedAtMilliseconds_ = startOf(upstreamId_);
     ++sendCount_;
     ++runCount_;
     service_->rateLimiter.sent(upstreamId_, base::bootNow());
@@ -225,13 +226,14 @@
     return names[static_cast<std::size_t>(outcome)];
 }
 
-std::uint64_t Exchange::crashOf(const std::string& upstream) const
+std::int64_t Exchange::startOf(const std::string& upstream) const
 {
     auto known = proxy_.knownUpstreams_.find(upstream);
-    auto startedAt = known == proxy_.knownUpstreams_.end() ? 0 : known->second.startedAtMilliseconds;
-    return routing::CrashGuard::identifyCrash(upstream, startedAt);
+    return known == proxy_.knownUpstreams_.end() ? 0 : known->second.startedAtMilliseconds;
 }
 
+std::uint64_t Exchange::crashOf(const std::string& upstream) const { return routing::CrashGuard::identifyCrash(upstream, startOf(upstream)); }
+
 void Exchange::reportWorkingUpstreams()
 {
     if (path_.empty())
--- a/src/forwarding/ExchangeResponse.cpp
+++ b/src/forwarding/ExchangeResponse.cpp
@@ -29,6 +29,16 @@
     return *metadata.requestId == requestMetadata_.requestId ? ResponseMatch::Current : ResponseMatch::Stale;
 }
 
+void Exchange::onObserve(const http1::ResponseHead& head)
+{
+    auto metadata = proxy_.headerCodec_.readResponse(head);
+    fleet::UpstreamProcess process { upstreamId_, upstreamStartedAtMilliseconds_ };
+    if (metadata.isLeaving)
+        proxy_.upstreamLeaves(process);
+    if (metadata.pause)
+        proxy_.upstreamPauses(process, std::chrono::steady_clock::now() + *metadata.pause);
+}
+
 void Exchange::onHead(const http1::ResponseHead& head)
 {
     auto self = shared_from_this();
@@ -160,6 +170,12 @@
     finish();
 }
 
+static bool promisesNotRun(int status)
+{
+    static constexpr std::array<int, 4> statuses { 408, 421, 429, 503 };
+    return std::find(statuses.begin(), statuses.end(), status) != statuses.end();
+}
+
 void Exchange::finishPlainResponse()
 {
     if (relayMode_ == RelayMode::Plain) {
@@ -170,12 +186,6 @@
         finish();
         return;
     }
-static bool promisesNotRun(int status)
-{
-    static constexpr std::array<int, 4> statuses { 408, 421, 429, 503 };
-    return std::find(statuses.begin(), statuses.end(), status) != statuses.end();
-}
-
     if (responseMetadata_.isNotRun) {
         endAttempt(AttemptOutcome::NotRun);
         return;
@@ -186,6 +196,12 @@
         endAttempt(AttemptOutcome::Failed);
         return;
     }
+    // Callers take these statuses for a promise that the request has not run, which only the
+    // upstream can make.
+    if (promisesNotRun(responseHead_->status)) {
+        endAttempt(AttemptOutcome::Failed);
+        return;
+    }
     auto response = responseFrom(*responseHead_);
     response.body = std::move(bufferedBody_);
     if (responseHead_->status >= 500) {
@@ -196,12 +212,6 @@
     releaseReservation(CallResult::Answered);
     if (caller_)
         caller_->send(response);
-    // Callers take these statuses for a promise that the request has not run, which only the
-    // upstream can make.
-    if (promisesNotRun(responseHead_->status)) {
-        endAttempt(AttemptOutcome::Failed);
-        return;
-    }
     ++proxy_.counters_.completed;
     finish();
 }
--- a/src/forwarding/ReverseProxy.cpp
+++ b/src/forwarding/ReverseProxy.cpp
@@ -12,6 +12,8 @@
 namespace arbutus::forwarding {
 
 static constexpr std::chrono::seconds poolTickInterval(1);
+static constexpr base::Logger logger("gate");
+
 // Limits the rate of path searches when many requests wait for the same service.
 static constexpr std::chrono::milliseconds reachabilityCheckInterval(30);
 // Leaves most of the usual first-event latency objective for the engines.
@@ -21,7 +23,7 @@
 {
     if (now < nextReachabilityCheckAt)
         return false;
-    bool isFound = pathSelector ? pathSelector->hasPath(now) : balancer && !balancer->isEmpty();
+    bool isFound = pathSelector ? pathSelector->hasPath({}, now) : balancer && !balancer->isEmpty();
     if (!isFound)
         nextReachabilityCheckAt = now + reachabilityCheckInterval;
     return isFound;
@@ -60,7 +62,7 @@
     if (found == services_.end()) {
         routing::WindowedRetryBudget retryBudget(options_.retryBudget.ratio, options_.retryBudget.slack, options_.retryBudget.window);
         retryBudget.setEntryVmCount(entryVmCount_);
-        found = services_.emplace(name, ServiceState { name, nullptr, nullptr, retryBudget, routing::CapacityQueue(maxExpectedQueueWait), routing::RequestRateLimiter(random_.unit()), {} }).first;
+        found = services_.emplace(name, ServiceState { name, nullptr, nullptr, retryBudget, routing::CapacityQueue(maxExpectedQueueWait), routing::RequestRateLimiter(random_.unit()), {}, {} }).first;
         found->second.rateLimiter.setEntryVmCount(entryVmCount_);
     }
     auto& state = found->second;
@@ -97,13 +99,13 @@
         bool isNewProcess = known == knownUpstreams_.end() || known->second.startedAtMilliseconds != upstream.startedAtMilliseconds;
         if (isNewProcess) {
             pool_.evict(upstream.endpoint());
-            forgetLimit(upstream);
+            forgetWishes(upstream);
         }
         if (known != knownUpstreams_.end() && known->second.service != upstream.service)
             detachUpstream(known->second);
         if (upstream.state == fleet::UpstreamState::Gone) {
             knownUpstreams_.erase(upstream.id);
-            forgetLimit(upstream);
+            forgetWishes(upstream);
         } else {
             knownUpstreams_[upstream.id] = upstream;
         }
@@ -123,10 +125,40 @@
         found->second.balancer->setUpstream(upstream);
 }
 
-void ReverseProxy::forgetLimit(const fleet::UpstreamRecord& upstream)
+void ReverseProxy::forgetWishes(const fleet::UpstreamRecord& upstream)
 {
-    if (auto found = services_.find(upstream.service); found != services_.end())
+    if (auto found = services_.find(upstream.service); found != services_.end()) {
         found->second.rateLimiter.removeUpstream(upstream.id);
+        found->second.pauses.removeUpstream(upstream.id);
+    }
+}
+
+fleet::UpstreamRecord* ReverseProxy::findProcess(const fleet::UpstreamProcess& process)
+{
+    auto known = knownUpstreams_.find(process.id);
+    bool isKnown = known != knownUpstreams_.end() && known->second.startedAtMilliseconds == process.startedAtMilliseconds;
+    return isKnown ? &known->second : nullptr;
+}
+
+void ReverseProxy::upstreamLeaves(const fleet::UpstreamProcess& process)
+{
+    auto* upstream = findProcess(process);
+    if (!upstream || upstream->isLeaving)
+        return;
+    upstream->isLeaving = true;
+    logger.info("An upstream has announced its leave in an answer.", { { "upstream", process.id }, { "started_at_ms", process.startedAtMilliseconds } });
+    if (upstream->state == fleet::UpstreamState::Ready)
+        upstream->state = fleet::UpstreamState::Draining;
+    applyUpstream(*upstream);
+    leavingUpstreams_.push_back(process);
+}
+
+void ReverseProxy::upstreamPauses(const fleet::UpstreamProcess& process, base::TimePoint until)
+{
+    const auto* upstream = findProcess(process);
+    auto found = upstream ? services_.find(upstream->service) : services_.end();
+    if (found != services_.end())
+        found->second.pauses.pause(process.id, until);
 }
 
 void ReverseProxy::detachUpstream(const fleet::UpstreamRecord& upstream)
@@ -134,7 +166,7 @@
     auto found = services_.find(upstream.service);
     if (found == services_.end())
         return;
-    forgetLimit(upstream);
+    forgetWishes(upstream);
     if (found->second.pathSelector)
         found->second.pathSelector->removeEngine(upstream.id);
     if (found->second.balancer)
--- a/src/forwarding/UpstreamConnection.cpp
+++ b/src/forwarding/UpstreamConnection.cpp
@@ -103,7 +103,10 @@
 
 bool UpstreamConnection::handleHead()
 {
-    switch (listener_->matchResponse(reader_->head())) {
+    auto match = listener_->matchResponse(reader_->head());
+    if (match != ResponseMatch::Unknown)
+        listener_->observe(reader_->head());
+    switch (match) {
     case ResponseMatch::Current:
         listener_->head(reader_->head());
         break;
--- a/src/node/EntryNode.cpp
+++ b/src/node/EntryNode.cpp
@@ -127,6 +127,10 @@
 void EntryNode::tick()
 {
     auto now = base::TimePoint(std::chrono::steady_clock::now());
+    for (const auto& process : proxy_.takeLeavingUpstreams()) {
+        registry_.markLeaving(process, clock_.now());
+        fleetPoller_.reportLeave(process);
+    }
     if (registry_.revision() != registryRevision_) {
         registryRevision_ = registry_.revision();
         proxy_.setUpstreams(registry_);
--- a/src/routing/LayerPathSelector.cpp
+++ b/src/routing/LayerPathSelector.cpp
@@ -196,7 +196,7 @@
     return search(usableEngines(avoided, now), size, true);
 }
 
-bool LayerPathSelector::hasPath(base::TimePoint now) const { return search(usableEngines({}, now), {}, false).has_value(); }
+bool LayerPathSelector::hasPath(const std::set<std::string>& avoided, base::TimePoint now) const { return search(usableEngines(avoided, now), {}, false).has_value(); }
 
 void LayerPathSelector::reserve(const LayerPath& path, const StreamSize& size)
 {
--- a/tests/ForwardingFixture.h
+++ b/tests/ForwardingFixture.h
@@ -35,6 +35,9 @@
             metadata.requestId = *id;
         metadata.isSigned = head.fields.has("Signed");
         metadata.isNotRun = head.fields.has("Not-Run");
+        metadata.isLeaving = head.fields.has("Leaving");
+        if (const auto* pause = head.fields.find("Pause"))
+            metadata.pause = std::chrono::milliseconds(std::stoi(*pause));
         if (const auto* limit = head.fields.find("Limit"))
             metadata.requestsPerSecond = http1::parseDecimal(*limit);
         return metadata;
@@ -177,12 +180,13 @@
         for (int i = 0; i < 20; ++i)
             context.run_for(std::chrono::milliseconds(1));
         caller->socket->write("POST /order HTTP/1.1\r\nHost: desk\r\nId: " + id + "\r\n" + extraFields + "Content-Length: 2\r\n\r\nab");
+        auto requestsBefore = proxy.counters().requests;
         auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(3);
         bool hasArrived = false;
         while (!caller->hasEnded && caller->received.find(terminator) == std::string::npos && std::chrono::steady_clock::now() < deadline) {
             context.run_for(std::chrono::milliseconds(5));
             proxy.tick(std::chrono::steady_clock::now());
-            if (!hasArrived && proxy.counters().requests) {
+            if (!hasArrived && proxy.counters().requests > requestsBefore) {
                 hasArrived = true;
                 if (afterArrival)
                     afterArrival();
--- a/tests/LayerPathSelectorTest.cpp
+++ b/tests/LayerPathSelectorTest.cpp
@@ -150,7 +150,7 @@
     BOOST_TEST(selector.choose({ 700, 200 }, {}, clock.now()).has_value());
     selector.setPeerLoad({ { "f2", { 28, 40.0 * 24'500 } } });
     BOOST_TEST(!selector.choose({ 700, 200 }, {}, clock.now()).has_value());
-    BOOST_TEST(selector.hasPath(clock.now()));
+    BOOST_TEST(selector.hasPath({}, clock.now()));
 }
 
 // Guards against a slow or suspect engine that keeps receiving streams.
--- a/tests/UpstreamRegistryTest.cpp
+++ b/tests/UpstreamRegistryTest.cpp
@@ -293,3 +293,56 @@
     BOOST_TEST(table.loadExcluding("entry-0").empty());
     BOOST_TEST(table.entryVmCount() == 0U);
 }
+
+// Guards against an upstream that has announced its leave and gets new requests because
+// another VM, which has not heard of it, still reports it as ready.
+BOOST_AUTO_TEST_CASE(AnnouncedLeaveIsFinalForItsProcess)
+{
+    base::VirtualClock clock;
+    UpstreamRegistry registry;
+    BOOST_TEST(!registry.markLeaving({ "a", 100 }, clock.now()));
+    registry.applyHeartbeat(makeRecord("a", 100, 5), "c1", clock.now());
+    BOOST_TEST(!registry.markLeaving({ "a", 99 }, clock.now()));
+    BOOST_TEST(!registry.markLeaving({ "a", 101 }, clock.now()));
+    BOOST_TEST((stateOf(registry, "a") == UpstreamState::Ready));
+    BOOST_TEST(registry.markLeaving({ "a", 100 }, clock.now()));
+    BOOST_TEST(!registry.markLeaving({ "a", 100 }, clock.now()));
+    BOOST_TEST((stateOf(registry, "a") == UpstreamState::Draining));
+    registry.applyHeartbeat(makeRecord("a", 100, 6), "c1", clock.now());
+    BOOST_TEST((stateOf(registry, "a") == UpstreamState::Draining));
+
+    clock.advance(std::chrono::seconds(10));
+    registry.markUnresponsive(
+        clock.now(), [](const auto&) { return true; }, clock.now());
+    BOOST_TEST((stateOf(registry, "a") == UpstreamState::Unresponsive));
+    registry.applyHeartbeat(makeRecord("a", 100, 7), "c1", clock.now());
+    BOOST_TEST((stateOf(registry, "a") == UpstreamState::Draining));
+
+    registry.applyHeartbeat(makeRecord("a", 200, 1), "c1", clock.now());
+    BOOST_TEST((stateOf(registry, "a") == UpstreamState::Ready));
+}
+
+BOOST_AUTO_TEST_CASE(LeaveSpreadsWithOlderAndNewerRecords)
+{
+    base::VirtualClock clock;
+    UpstreamRegistry told;
+    told.applyHeartbeat(makeRecord("a", 100, 5), "c1", clock.now());
+    told.markLeaving({ "a", 100 }, clock.now());
+    for (std::uint64_t knownSequence : { 4, 5, 6 }) {
+        UpstreamRegistry registry;
+        registry.applyHeartbeat(makeRecord("a", 100, knownSequence), "c2", clock.now());
+        auto before = registry.revision();
+        BOOST_TEST(registry.apply(*told.find("a"), clock.now()));
+        BOOST_TEST((stateOf(registry, "a") == UpstreamState::Draining));
+        BOOST_TEST(registry.revision() > before);
+        BOOST_TEST(!registry.apply(*told.find("a"), clock.now()));
+    }
+    UpstreamRegistry unaware;
+    unaware.apply(*told.find("a"), clock.now());
+    unaware.applyHeartbeat(makeRecord("a", 100, 9), "c2", clock.now());
+    BOOST_TEST((stateOf(unaware, "a") == UpstreamState::Draining));
+    UpstreamRegistry later;
+    later.applyHeartbeat(makeRecord("a", 200, 1), "c2", clock.now());
+    BOOST_TEST(!later.apply(*told.find("a"), clock.now()));
+    BOOST_TEST((stateOf(later, "a") == UpstreamState::Ready));
+}
