Draw the copies that a stream may take, and keep room for streams of other VMs

Cause: each entry VM decides alone on a load of the others that is 120 to 350 ms old, and all take the copy that looks best.

Change: a stream may begin at copies drawn at random, the fewer the more streams the other VMs are expected to place before this VM learns of them (own arrivals x other VMs x age of the load), and only where room is left for a part of those. If none of the drawn ones has room, all are tried with room for more unseen streams. The load of the others is applied when it arrives instead of every 200 ms.

--- a/include/fleet/FleetPoller.h
+++ b/include/fleet/FleetPoller.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <utility>
 
 namespace arbutus::fleet {
 
@@ -80,6 +81,8 @@
     // Returns the in-flight load of the other entry VMs by upstream, from the latest
     // answer of the preferred control VM.
     const std::map<std::string, UpstreamInFlightLoad>& peerLoad() const { return peerLoad_; }
+    // Returns whether the peer load has been updated since the last call.
+    bool takePeerLoadChange() { return std::exchange(hasNewPeerLoad_, false); }
     // Returns the addresses of all polled control VMs.
     std::vector<std::uint32_t> knownReplicas() const;
 
@@ -147,6 +150,7 @@
     bool needsWholeRoutes_ = false;
     RoutesDelivery delivery_;
     std::map<std::string, UpstreamInFlightLoad> peerLoad_;
+    bool hasNewPeerLoad_ = false;
     std::deque<LeaveReport> leaveReports_;
     std::shared_ptr<bool> isAlive_ = std::make_shared<bool>(true);
 };
--- a/include/routing/LayerPathSelector.h
+++ b/include/routing/LayerPathSelector.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "include/base/Random.h"
 #include "include/base/Time.h"
 #include "include/fleet/UpstreamRecord.h"
 #include "include/routes/RouteConfiguration.h"
+#include "include/routing/DecayedRate.h"
 
 #include <map>
 #include <memory>
@@ -67,9 +69,11 @@
         SearchPosition previous;
     };
 
-    LayerPathSelector(routes::LayeredModel model, std::string dataCentre)
+    // Different VMs need different seeds, so that they do not choose alike.
+    LayerPathSelector(routes::LayeredModel model, std::string dataCentre, std::uint64_t seed)
         : model_(std::move(model))
         , dataCentre_(std::move(dataCentre))
+        , random_(seed)
     {
     }
 
@@ -80,15 +84,21 @@
     // that the model lacks, or has an unknown accelerator kind is removed.
     void setEngine(const fleet::UpstreamRecord&);
     void removeEngine(const std::string& upstream);
+    // Sets the number of entry VMs that place streams on the same engines.
+    void setEntryVmCount(std::uint32_t count) { entryVmCount_ = count; }
+    // Call when a request for the service arrives at this VM.
+    void requestArrived(base::TimePoint now) { arrivals_.add(1, now); }
     // Sets the load that other entry VMs report, by engine.
     void setPeerLoad(std::map<std::string, InFlightLoad> load) { peerLoad_ = std::move(load); }
 
     // Excludes an engine from selection until `until`. Call after a failure on it.
     void markSuspect(const std::string& upstream, base::TimePoint until);
 
-    // Returns the cheapest path without suspect engines and those in `avoided`, or
-    // nullopt if no complete path has enough capacity.
-    std::optional<LayerPath> choose(const StreamSize&, const std::set<std::string>& avoided, base::TimePoint now) const;
+    // Returns the cheapest of some paths without suspect engines and those in `avoided`, or
+    // nullopt if no complete path has enough capacity. The paths begin at copies drawn at
+    // random, the fewer the more streams the other VMs place unseen, and have room for those
+    // too. If none of them has, all paths are tried.
+    std::optional<LayerPath> choose(const StreamSize&, const std::set<std::string>& avoided, base::TimePoint now);
     // Whether any complete path without suspect engines and those in `avoided` exists,
     // regardless of capacity.
     bool hasPath(const std::set<std::string>& avoided, base::TimePoint now) const;
@@ -103,12 +113,21 @@
 private:
     InFlightLoad loadAt(const std::string& upstream) const;
     double cacheCapacity(const Engine&) const;
-    bool hasCapacity(const Engine&, int layers, const StreamSize&, const InFlightLoad&) const;
+    bool hasCapacity(const Engine&, int layers, const StreamSize&, const InFlightLoad&, double unseen) const;
     double tokenMilliseconds(const Engine&, int layers, const InFlightLoad&) const;
     double stageCost(const Engine&, int layers, const StreamSize&, const InFlightLoad&) const;
     double linkCost(const Engine* previous, const Engine& next, const StreamSize&) const;
     std::vector<const Engine*> usableEngines(const std::set<std::string>& avoided, base::TimePoint now) const;
-    std::optional<LayerPath> search(const std::vector<const Engine*>&, const StreamSize&, bool requiresCapacity) const;
+    // Returns how many streams the other entry VMs are expected to have placed since they
+    // reported their load.
+    double unseenStreams(base::TimePoint now) const;
+    // Returns the engines without some of those that a path may begin with, chosen at random.
+    // If all VMs took the best path that they know of, it would be full before they learn of
+    // each other's choice.
+    std::vector<const Engine*> drawCandidates(const std::vector<const Engine*>&, double unseen);
+    // Without `unseen`, the path needs no capacity; else it needs room for the stream and as
+    // many others of its size.
+    std::optional<LayerPath> search(const std::vector<const Engine*>&, const StreamSize&, std::optional<double> unseen) const;
 
     routes::LayeredModel model_;
     std::string dataCentre_;
@@ -116,6 +135,9 @@
     std::map<std::string, InFlightLoad> ownLoad_;
     std::map<std::string, InFlightLoad> peerLoad_;
     std::map<std::string, base::TimePoint> suspectUntil_;
+    base::Random random_;
+    std::uint32_t entryVmCount_ = 1;
+    DecayedRate arrivals_;
 };
 
 } // namespace arbutus::routing
--- a/src/fleet/FleetPoller.cpp
+++ b/src/fleet/FleetPoller.cpp
@@ -206,6 +206,7 @@
     for (const auto& record : answer.upstreams)
         registry_.apply(record, clock_.now());
     if (peer.isFetchingPeerLoad) {
+        hasNewPeerLoad_ = true;
         peerLoad_.clear();
         for (auto& load : answer.peerLoad)
             peerLoad_[load.upstream] = std::move(load);
--- a/src/forwarding/Exchange.cpp
+++ b/src/forwarding/Exchange.cpp
@@ -96,6 +96,8 @@
     service_ = &proxy_.service(name);
     service_->retryBudget.recordRequest(request_.arrivedAt);
     service_->rateLimiter.requestArrived(base::bootNow());
+    if (service_->pathSelector)
+        service_->pathSelector->requestArrived(request_.arrivedAt);
     auto timeout = std::min(route_->timeout, requestMetadata_.callerTimeout.value_or(route_->timeout));
     deadline_ = request_.arrivedAt + timeout;
     if (requestMetadata_.size)
--- a/src/forwarding/ReverseProxy.cpp
+++ b/src/forwarding/ReverseProxy.cpp
@@ -69,7 +69,7 @@
     const auto* service = routes_ ? routes_->service(name) : nullptr;
     bool isLayered = service && service->model;
     if (isLayered && !state.pathSelector) {
-        state.pathSelector = std::make_unique<routing::LayerPathSelector>(*service->model, options_.dataCentre);
+        state.pathSelector = std::make_unique<routing::LayerPathSelector>(*service->model, options_.dataCentre, random_.next());
         upstreamRevision_ = 0;
     }
     if (!isLayered && !state.balancer) {
@@ -217,6 +217,8 @@
     entryVmCount_ = count;
     crashGuard_.setEntryVmCount(count);
     for (auto& [name, state] : services_) {
+        if (state.pathSelector)
+            state.pathSelector->setEntryVmCount(count);
         state.retryBudget.setEntryVmCount(count);
         state.rateLimiter.setEntryVmCount(count);
     }
--- a/src/node/EntryNode.cpp
+++ b/src/node/EntryNode.cpp
@@ -135,12 +135,13 @@
         registryRevision_ = registry_.revision();
         proxy_.setUpstreams(registry_);
     }
+    if (fleetPoller_.takePeerLoadChange())
+        proxy_.setPeerLoad(fleetPoller_.peerLoad());
     proxy_.tick(now);
     exchangeCrashReports(now);
     if (++ticks_ % ticksPerSlowTick)
         return;
     fleetPoller_.tick();
-    proxy_.setPeerLoad(fleetPoller_.peerLoad());
     proxy_.setEntryVmCount(fleetPoller_.entryVmCount());
     callerServer_->tick(now);
     readinessServer_->tick(now);
--- a/src/routing/LayerPathSelector.cpp
+++ b/src/routing/LayerPathSelector.cpp
@@ -26,6 +26,15 @@
 // Streams on many different paths fragment the batches of the engines. Throughput
 // then drops until no stream finishes and all memory is full.
 static constexpr double splitRangeMilliseconds = 300;
+// Age of the load that other entry VMs report: the interval of the reports and their way.
+static constexpr std::chrono::milliseconds peerLoadAge(150);
+// How many streams the other entry VMs may send to a copy before this VM learns of them.
+static constexpr double maxUnseenPerCopy = 2;
+// A choice among fewer copies would often be a bad one.
+static constexpr double minCandidates = 2;
+// The part of the unseen streams that may have taken the same copy, when hardly any copy
+// has room.
+static constexpr double contestedShare = 0.4;
 // Maximum time per token. An event of several tokens must arrive within the gap that
 // a caller accepts.
 static constexpr double maxTokenMilliseconds = 50;
@@ -75,9 +84,9 @@
     return std::max(1.0, free * usableMemoryShare / (model_.cacheBytesPerToken / model_.layers));
 }
 
-bool LayerPathSelector::hasCapacity(const Engine& engine, int layers, const StreamSize& size, const InFlightLoad& load) const
+bool LayerPathSelector::hasCapacity(const Engine& engine, int layers, const StreamSize& size, const InFlightLoad& load, double unseen) const
 {
-    return load.cacheTokenLayers + reservedTokens(size) * layers <= cacheCapacity(engine);
+    return load.cacheTokenLayers + reservedTokens(size) * layers * (1 + unseen) <= cacheCapacity(engine);
 }
 
 double LayerPathSelector::tokenMilliseconds(const Engine& engine, int layers, const InFlightLoad& load) const
@@ -143,7 +152,7 @@
 // Finds the cheapest path from layer 0 to the last by dynamic programming over the
 // boundaries of the engines' layer ranges. The state includes the data centre,
 // because the cost of the next stage depends on it.
-std::optional<LayerPath> LayerPathSelector::search(const std::vector<const Engine*>& engines, const StreamSize& size, bool requiresCapacity) const
+std::optional<LayerPath> LayerPathSelector::search(const std::vector<const Engine*>& engines, const StreamSize& size, std::optional<double> unseen) const
 {
     std::set<int> boundaries { 0, model_.layers };
     std::vector<InFlightLoad> loads;
@@ -167,7 +176,7 @@
             for (auto next = boundaries.upper_bound(at.layer); next != boundaries.end() && *next <= engine.record.layers.to; ++next) {
                 int layers = *next - at.layer;
                 double tokenTime = step.tokenTime + tokenMilliseconds(engine, layers, loads[i]);
-                if (requiresCapacity && (!hasCapacity(engine, layers, size, loads[i]) || tokenTime > maxTokenMilliseconds))
+                if (unseen && (!hasCapacity(engine, layers, size, loads[i], *unseen) || tokenTime > maxTokenMilliseconds))
                     continue;
                 double cost = step.cost + stageCost(engine, layers, size, loads[i]) + linkCost(step.engine, engine, size) + splitRangeCost(engine.record.layers, { at.layer, *next });
                 auto [known, inserted] = best.try_emplace({ *next, engine.record.dataCentre }, SearchStep { cost, tokenTime, &engine, at });
@@ -191,12 +200,45 @@
     return path;
 }
 
-std::optional<LayerPath> LayerPathSelector::choose(const StreamSize& size, const std::set<std::string>& avoided, base::TimePoint now) const
+double LayerPathSelector::unseenStreams(base::TimePoint now) const
 {
-    return search(usableEngines(avoided, now), size, true);
+    double others = entryVmCount_ - 1.0;
+    return arrivals_.perSecond(now) * others * std::chrono::duration<double>(peerLoadAge).count();
 }
 
-bool LayerPathSelector::hasPath(const std::set<std::string>& avoided, base::TimePoint now) const { return search(usableEngines(avoided, now), {}, false).has_value(); }
+static bool beginsPaths(const LayerPathSelector::Engine& engine) { return engine.record.layers.from == 0; }
+
+std::vector<const LayerPathSelector::Engine*> LayerPathSelector::drawCandidates(const std::vector<const Engine*>& engines, double unseen)
+{
+    std::set<std::string> dataCentres;
+    double copies = 0;
+    for (const auto* engine : engines) {
+        dataCentres.insert(engine->record.dataCentre);
+        copies += beginsPaths(*engine) ? 1 : 0;
+    }
+    double remoteShare = std::max(maxUnseenPerCopy / std::max(1.0, unseen), minCandidates / std::max(1.0, copies));
+    // Mostly the VMs of its own data centre choose a copy.
+    double localShare = remoteShare * static_cast<double>(dataCentres.size());
+    std::vector<const Engine*> drawn;
+    for (const auto* engine : engines) {
+        double share = engine->record.dataCentre == dataCentre_ ? localShare : remoteShare;
+        if (!beginsPaths(*engine) || random_.unit() < share)
+            drawn.push_back(engine);
+    }
+    return drawn;
+}
+
+std::optional<LayerPath> LayerPathSelector::choose(const StreamSize& size, const std::set<std::string>& avoided, base::TimePoint now)
+{
+    auto engines = usableEngines(avoided, now);
+    double unseen = unseenStreams(now);
+    auto copies = static_cast<double>(std::count_if(engines.begin(), engines.end(), [](const auto* engine) { return beginsPaths(*engine); }));
+    if (auto path = search(drawCandidates(engines, unseen), size, std::min(maxUnseenPerCopy, 2 * unseen / std::max(1.0, copies))))
+        return path;
+    return search(engines, size, unseen * contestedShare);
+}
+
+bool LayerPathSelector::hasPath(const std::set<std::string>& avoided, base::TimePoint now) const { return search(usableEngines(avoided, now), {}, std::nullopt).has_value(); }
 
 void LayerPathSelector::reserve(const LayerPath& path, const StreamSize& size)
 {
--- a/tests/LayerPathSelectorTest.cpp
+++ b/tests/LayerPathSelectorTest.cpp
@@ -64,7 +64,7 @@
     base::VirtualClock clock;
     base::Random random(7);
     for (int round = 0; round < 300; ++round) {
-        LayerPathSelector selector(model(), "catania");
+        LayerPathSelector selector(model(), "catania", 1);
         for (int i = 0; i < 14; ++i) {
             int from = static_cast<int>(random.below(60));
             int to = from + 1 + static_cast<int>(random.below(40));
@@ -80,7 +80,7 @@
 BOOST_AUTO_TEST_CASE(AllModelCopiesAreUsedUnderLoad)
 {
     base::VirtualClock clock;
-    LayerPathSelector selector(model(), "catania");
+    LayerPathSelector selector(model(), "catania", 1);
     selector.setEngine(engine("f1", "fast", 0, 40));
     selector.setEngine(engine("f2", "fast", 40, 80));
     selector.setEngine(engine("s1", "slow", 0, 30));
@@ -112,7 +112,7 @@
 {
     base::VirtualClock clock;
     base::Random random(11);
-    LayerPathSelector selector(model(), "catania");
+    LayerPathSelector selector(model(), "catania", 1);
     const std::vector<std::vector<int>> copies { { 0, 40, 80 }, { 0, 30, 55, 80 }, { 0, 27, 52, 80 } };
     for (std::size_t copy = 0; copy < copies.size(); ++copy) {
         for (std::size_t i = 0; i + 1 < copies[copy].size(); ++i)
@@ -144,7 +144,7 @@
 BOOST_AUTO_TEST_CASE(PeerLoadCountsAgainstCapacity)
 {
     base::VirtualClock clock;
-    LayerPathSelector selector(model(), "catania");
+    LayerPathSelector selector(model(), "catania", 1);
     selector.setEngine(engine("f1", "fast", 0, 40));
     selector.setEngine(engine("f2", "fast", 40, 80));
     BOOST_TEST(selector.choose({ 700, 200 }, {}, clock.now()).has_value());
@@ -157,7 +157,7 @@
 BOOST_AUTO_TEST_CASE(SlowAndSuspectEnginesAreAvoided)
 {
     base::VirtualClock clock;
-    LayerPathSelector selector(model(), "catania");
+    LayerPathSelector selector(model(), "catania", 1);
     selector.setEngine(engine("a1", "fast", 0, 40));
     selector.setEngine(engine("b1", "fast", 0, 40));
     selector.setEngine(engine("end", "fast", 40, 80));
@@ -179,7 +179,7 @@
 BOOST_AUTO_TEST_CASE(PathsStayInOneDataCentre)
 {
     base::VirtualClock clock;
-    LayerPathSelector selector(model(), "palermo");
+    LayerPathSelector selector(model(), "palermo", 1);
     for (const std::string dataCentre : { "catania", "palermo" }) {
         selector.setEngine(engine(dataCentre + "1", "fast", 0, 40, dataCentre));
         selector.setEngine(engine(dataCentre + "2", "fast", 40, 80, dataCentre));
--- /dev/null
+++ b/tests/PathSpread.h
@@ -0,0 +1,239 @@
+#pragma once
+
+#include "include/base/Random.h"
+#include "include/routing/LayerPathSelector.h"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <map>
+#include <queue>
+#include <string>
+#include <vector>
+
+namespace arbutus {
+
+// Many entry VMs that place streams on the copies of a model, each by its own selector and
+// by reports of the others' load that are some time old. Virtual time; one engine a copy.
+class PathSpread {
+public:
+    struct Options {
+        std::size_t entryVms = 91;
+        std::size_t copies = 35;
+        std::size_t dataCentres = 5;
+        // Arrivals, relative to what the memory of all copies can hold on average.
+        double load = 0.8;
+        std::chrono::milliseconds duration { 12'000 };
+        std::uint64_t seed = 1;
+    };
+    struct Result {
+        std::size_t arrivals = 0;
+        // Streams that an engine turned away because its memory was full, with repetitions.
+        std::size_t rejections = 0;
+        // Streams for which the selector found no path.
+        std::size_t withoutPath = 0;
+        std::size_t started = 0;
+        // Started streams whose first event came within the objective.
+        std::size_t inObjective = 0;
+        double meanUse = 0;
+
+        double rejectedShare() const { return static_cast<double>(rejections) / static_cast<double>(std::max<std::size_t>(1, rejections + started)); }
+        double startedShare() const { return static_cast<double>(started) / static_cast<double>(std::max<std::size_t>(1, arrivals)); }
+        double inObjectiveShare() const { return static_cast<double>(inObjective) / static_cast<double>(std::max<std::size_t>(1, started)); }
+    };
+
+    explicit PathSpread(const Options& options)
+        : options_(options)
+        , random_(options.seed)
+    {
+        for (std::size_t i = 0; i < options.copies; ++i)
+            copies_.push_back({ recordOf(i), isFast(i) ? fastPrefill : slowPrefill, isFast(i) ? fastTokenTime : slowTokenTime, {}, 0, 0 });
+        for (std::size_t i = 0; i < options.entryVms; ++i) {
+            vms_.push_back({ std::make_unique<routing::LayerPathSelector>(model(), dataCentreOf(i), options.seed * 1000 + i), {} });
+            for (const auto& copy : copies_)
+                vms_.back().selector->setEngine(copy.record);
+        }
+    }
+
+    Result run()
+    {
+        double interval = meanHoldSeconds() / (options_.load * static_cast<double>(options_.copies) * streamsPerCopy);
+        auto nextArrival = now_;
+        auto nextReport = now_;
+        const auto end = now_ + options_.duration;
+        double useSum = 0;
+        std::size_t useCount = 0;
+        while (now_ < end) {
+            now_ += std::chrono::milliseconds(1);
+            endStreams();
+            while (now_ >= nextReport) {
+                nextReport += reportInterval;
+                report();
+                useSum += meanUse();
+                ++useCount;
+            }
+            while (now_ >= nextArrival) {
+                nextArrival += std::chrono::duration_cast<std::chrono::nanoseconds>(std::chrono::duration<double>(-std::log(1 - random_.unit()) * interval));
+                arrive();
+            }
+        }
+        result_.meanUse = useSum / static_cast<double>(std::max<std::size_t>(1, useCount));
+        return result_;
+    }
+
+private:
+    using Time = base::TimePoint;
+    using Milliseconds = std::chrono::milliseconds;
+
+    static constexpr double streamsPerCopy = 30;
+    static constexpr double promptTokens = 770;
+    static constexpr double answerTokens = 200;
+    static constexpr Milliseconds fastPrefill { 16 };
+    static constexpr Milliseconds slowPrefill { 50 };
+    static constexpr Milliseconds fastTokenTime { 10 };
+    static constexpr Milliseconds slowTokenTime { 25 };
+    static constexpr Milliseconds objective { 500 };
+    static constexpr Milliseconds reportInterval { 120 };
+    static constexpr int maxSends = 4;
+
+    struct Copy {
+        fleet::UpstreamRecord record;
+        Milliseconds prefill;
+        Milliseconds tokenTime;
+        Time prefillsUntil;
+        double usedTokens = 0;
+        std::size_t running = 0;
+    };
+    struct Vm {
+        std::unique_ptr<routing::LayerPathSelector> selector;
+        std::map<std::string, routing::InFlightLoad> reported;
+    };
+    struct Stream {
+        Time endsAt;
+        std::size_t vm = 0;
+        std::size_t copy = 0;
+        routing::LayerPath path;
+        routing::StreamSize size;
+        friend bool operator>(const Stream& left, const Stream& right) { return left.endsAt > right.endsAt; }
+    };
+
+    static routes::LayeredModel model()
+    {
+        routes::LayeredModel result;
+        result.layers = 80;
+        result.layerMegabytes = 1000;
+        result.cacheBytesPerToken = 1'000'000;
+        result.stepMilliseconds = 1;
+        result.prefillTokensPerSecond = 128'000;
+        result.acceleratorKinds = { { "fast", megabytes(), 10, 2.7 }, { "slow", megabytes(), 25, 8.3 } };
+        return result;
+    }
+    static double heldTokens() { return promptTokens + 0.65 * answerTokens; }
+    static double capacityTokens() { return streamsPerCopy * heldTokens(); }
+    // The selector uses 0.95 of the memory that the layers leave.
+    static double megabytes() { return 80'000 + capacityTokens() / 0.95; }
+    static bool isFast(std::size_t copy) { return copy % 3 == 0; }
+    double meanHoldSeconds() const { return answerTokens * (fastTokenTime + 2 * slowTokenTime).count() / 3.0 / 1000; }
+    std::string dataCentreOf(std::size_t i) const { return "dc" + std::to_string(i % options_.dataCentres); }
+
+    fleet::UpstreamRecord recordOf(std::size_t i) const
+    {
+        fleet::UpstreamRecord result;
+        result.id = "copy" + std::to_string(i);
+        result.accelerator = isFast(i) ? "fast" : "slow";
+        result.layers = { 0, 80 };
+        result.dataCentre = dataCentreOf(i);
+        result.ip = static_cast<std::uint32_t>(i + 1);
+        return result;
+    }
+
+    double meanUse() const
+    {
+        double sum = 0;
+        for (const auto& copy : copies_)
+            sum += copy.usedTokens / capacityTokens();
+        return sum / static_cast<double>(copies_.size());
+    }
+
+    // Each VM learns the others' load as of the previous report.
+    void report()
+    {
+        std::map<std::string, routing::InFlightLoad> sum;
+        for (const auto& vm : vms_) {
+            for (const auto& [id, load] : vm.reported) {
+                sum[id].running += load.running;
+                sum[id].cacheTokenLayers += load.cacheTokenLayers;
+            }
+        }
+        for (auto& vm : vms_) {
+            auto others = sum;
+            for (const auto& [id, load] : vm.reported) {
+                others[id].running -= load.running;
+                others[id].cacheTokenLayers -= load.cacheTokenLayers;
+            }
+            vm.selector->setPeerLoad(std::move(others));
+        }
+        for (auto& vm : vms_) {
+            vm.reported = vm.selector->ownLoad();
+            vm.selector->setEntryVmCount(static_cast<std::uint32_t>(vms_.size()));
+        }
+    }
+
+    void endStreams()
+    {
+        while (!streams_.empty() && streams_.top().endsAt <= now_) {
+            const auto& stream = streams_.top();
+            auto& copy = copies_[stream.copy];
+            copy.usedTokens -= heldTokens();
+            --copy.running;
+            vms_[stream.vm].selector->release(stream.path, stream.size);
+            streams_.pop();
+        }
+    }
+
+    void arrive()
+    {
+        ++result_.arrivals;
+        auto vmIndex = static_cast<std::size_t>(random_.below(vms_.size()));
+        auto& selector = *vms_[vmIndex].selector;
+        selector.requestArrived(now_);
+        routing::StreamSize size { promptTokens, answerTokens };
+        for (int sends = 0; sends < maxSends; ++sends) {
+            auto path = selector.choose(size, {}, now_);
+            if (!path) {
+                ++result_.withoutPath;
+                return;
+            }
+            auto copyIndex = static_cast<std::size_t>(path->front().endpoint.ip - 1);
+            if (start(copyIndex, vmIndex, *path, size))
+                return;
+            ++result_.rejections;
+            selector.markSuspect(path->front().upstream, now_ + Milliseconds(300));
+        }
+    }
+
+    bool start(std::size_t copyIndex, std::size_t vmIndex, const routing::LayerPath& path, const routing::StreamSize& size)
+    {
+        auto& copy = copies_[copyIndex];
+        if (copy.usedTokens + heldTokens() > capacityTokens() / 0.95)
+            return false;
+        copy.usedTokens += heldTokens();
+        ++copy.running;
+        copy.prefillsUntil = std::max(copy.prefillsUntil, now_) + copy.prefill;
+        ++result_.started;
+        result_.inObjective += copy.prefillsUntil - now_ <= objective ? 1 : 0;
+        vms_[vmIndex].selector->reserve(path, size);
+        streams_.push({ copy.prefillsUntil + copy.tokenTime * static_cast<int>(answerTokens), vmIndex, copyIndex, path, size });
+        return true;
+    }
+
+    const Options options_;
+    base::Random random_;
+    Time now_ { std::chrono::hours(1) };
+    std::vector<Copy> copies_;
+    std::vector<Vm> vms_;
+    std::priority_queue<Stream, std::vector<Stream>, std::greater<>> streams_;
+    Result result_;
+};
+
+} // namespace arbutus
