Keep the stages of a path in one data centre

Cause: copies of like cards have the same layer boundaries, so a path could begin on a copy and go on, at little cost, on the copy of another data centre that had a little more room. Each such hop moves 44 MB of a request over the link that all share, and the streams on mixed paths break up the engines' batches.

Change: each hop to another data centre within a path costs 300 ms, as an end of an engine's layers that the path leaves out does.

--- a/src/routing/LayerPathSelector.cpp
+++ b/src/routing/LayerPathSelector.cpp
@@ -20,6 +20,8 @@
 static constexpr double fullMemoryFactor = 2.5;
 // One-way delay between data centres, added for each token.
 static constexpr double crossLinkMilliseconds = 0.5;
+// Cost of each hop to another data centre within a path, whose links all streams share.
+static constexpr double crossingMilliseconds = 300;
 // Cost of a first engine outside this VM's data centre.
 static constexpr double remoteFirstStageMilliseconds = 40;
 // Cost of each end at which a path uses only part of an engine's layer range.
@@ -114,7 +116,7 @@
     double bits = model_.activationBytesPerToken * 8 * (size.prompt + size.answer);
     double transfer = model_.crossDataCentreMegabitsPerSecond > 0 ? bits / (model_.crossDataCentreMegabitsPerSecond * 1000) : 0;
     // Counts the transfer twice, because all streams share the link between data centres.
-    return 2 * transfer + crossLinkMilliseconds * std::min(size.answer, maxCostedAnswerTokens);
+    return crossingMilliseconds + 2 * transfer + crossLinkMilliseconds * std::min(size.answer, maxCostedAnswerTokens);
 }
 
 static double splitRangeCost(fleet::LayerRange held, fleet::LayerRange used)
