--- a/tests/CallerConnectionTest.cpp
+++ b/tests/CallerConnectionTest.cpp
@@ -27,15 +27,7 @@
 
     ServerFixture()
     {
-        constexpr int attempts = 20;
-        for (int i = 0; i < attempts && !server; ++i) {
-            tcp::acceptor probe(context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-            address = probe.local_endpoint();
-            probe.close();
-            if (auto made = http1::Server::Make(context, address, handler))
-                server = std::move(made).value();
-        }
-        BOOST_REQUIRE(server);
+        server = listenOnFreePort(context, handler, address);
         caller->socket->connect(address);
         run(std::chrono::milliseconds(20));
     }
--- a/tests/ForwardingFixture.h
+++ b/tests/ForwardingFixture.h
@@ -76,6 +76,23 @@
     void onEnd(net::EndReason) override { hasEnded = true; }
 };
 
+// Starts a server and sets `address` to its own. Retries because another process may bind the
+// free port before the server does.
+inline std::unique_ptr<http1::Server> listenOnFreePort(boost::asio::io_context& context, http1::RequestHandler& handler, tcp::endpoint& address)
+{
+    std::unique_ptr<http1::Server> server;
+    constexpr int attempts = 20;
+    for (int i = 0; i < attempts && !server; ++i) {
+        tcp::acceptor probe(context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+        address = probe.local_endpoint();
+        probe.close();
+        if (auto made = http1::Server::Make(context, address, handler))
+            server = std::move(made).value();
+    }
+    BOOST_REQUIRE(server);
+    return server;
+}
+
 // A proxy in front of upstreams with scripted responses.
 struct Fixture {
     using Script = std::function<void(Peer& connection, const std::string& request, int number)>;
@@ -112,7 +129,7 @@
         configuration.services = { { "service", "", 0, std::nullopt } };
         if (isConfigured)
             configure();
-        listen();
+        server = listenOnFreePort(context, proxy, address);
         accept();
     }
 
@@ -136,20 +153,6 @@
         proxy.setUpstreams(registry);
     }
 
-    // Retries because another process may bind the free port before the server does.
-    void listen()
-    {
-        constexpr int attempts = 20;
-        for (int i = 0; i < attempts && !server; ++i) {
-            tcp::acceptor probe(context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-            address = probe.local_endpoint();
-            probe.close();
-            if (auto made = http1::Server::Make(context, address, proxy))
-                server = std::move(made).value();
-        }
-        BOOST_REQUIRE(server);
-    }
-
     void accept()
     {
         upstreams.async_accept([this](const boost::system::error_code& error, tcp::socket socket) {
