A lost response names what was asked for, the upstream's start and what else was there

Change: the line has a digest of the content (method, host, target with the query, team, body), the crashes known against it, the start of the upstream's process and the number of other requests of this VM there. The digest of a stream now holds the team instead of its key, and the method; two keys of one team are one caller for the upstream.

--- a/include/routing/CrashGuard.h
+++ b/include/routing/CrashGuard.h
@@ -81,6 +81,8 @@
     void tick(base::TimePoint now);
 
     std::size_t heldPartCount() const { return held_.size(); }
+    // Returns how many crashes of different incarnations nobody refutes for a part.
+    std::size_t crashCount(PromptPart) const;
 
 private:
     struct Held {
--- a/include/routing/PromptPart.h
+++ b/include/routing/PromptPart.h
@@ -15,8 +15,17 @@
 // Identifies the shared parts of a prompt, each in any position and in its own, so that a
 // part which is harmless elsewhere can be suspected in one position.
 PromptParts identifyParts(const std::vector<std::string>& sharedParts);
-// Identifies a request by what its caller repeats when it sends it again.
-PromptPart identifyRequest(std::string_view host, std::string_view target, std::string_view apiKey, std::string_view body);
+// What a caller repeats when it sends a request again, and what tells it from other requests.
+struct RequestContent {
+    std::string_view method;
+    std::string_view host;
+    // With the query.
+    std::string_view target;
+    // Empty if the route is public.
+    std::string_view team;
+    std::string_view body;
+};
+PromptPart identifyRequest(const RequestContent&);
 
 bool isWholeRequest(PromptPart);
 // Whether both are the same part of a prompt, in whatever position.
--- a/src/forwarding/Exchange.cpp
+++ b/src/forwarding/Exchange.cpp
@@ -102,8 +102,9 @@
     deadline_ = ownDeadline();
     if (requestMetadata_.size)
         streamSize_ = *requestMetadata_.size;
+    content_ = routing::identifyRequest({ request_.head.method, requestMetadata_.host, request_.head.target, team_ ? std::string_view(team_->name) : std::string_view(), request_.body });
     if (route_->kind == RequestKind::Streaming)
-        promptParts_.push_back(routing::identifyRequest(requestMetadata_.host, request_.head.target, requestMetadata_.apiKey.value_or(""), request_.body));
+        promptParts_.push_back(content_);
 }
 
 std::optional<std::chrono::milliseconds> Exchange::holdTime() const
--- a/src/forwarding/Exchange.h
+++ b/src/forwarding/Exchange.h
@@ -109,7 +109,9 @@
     void reportWorkingUpstreams();
     // Tells the crash guard if the upstream ended before any of its answer arrived.
     void reportCrash();
-    // Logs how far the response was and which shared parts its request has.
+    // Returns how many other requests of this VM the upstream of the attempt has.
+    std::size_t countOthersAtUpstream() const;
+    // Logs how far the response was, and what may have caused the loss.
     void logLoss() const;
     // Drops the connection and releases the load that was reserved for the attempt.
     void releaseReservation(routing::CallResult);
@@ -171,6 +173,8 @@
     const routes::Team* team_ = nullptr;
     ServiceState* service_ = nullptr;
     routing::StreamSize streamSize_;
+    // Identifies the request as a whole, also when its caller sends it again.
+    routing::PromptPart content_ = 0;
     routing::PromptParts promptParts_;
     base::TimePoint deadline_;
     bool isFinished_ = false;
--- a/src/forwarding/ExchangeAttempts.cpp
+++ b/src/forwarding/ExchangeAttempts.cpp
@@ -254,10 +254,15 @@
     proxy_.crashGuard_.upstreamCrashed(promptParts_, crashOf(upstreamId_), std::chrono::steady_clock::now());
 }
 
+std::size_t Exchange::countOthersAtUpstream() const
+{
+    return static_cast<std::size_t>(std::count_if(proxy_.exchanges_.begin(), proxy_.exchanges_.end(), [this](const auto& other) { return other.get() != this && other->connection_ && other->upstreamId_ == upstreamId_; }));
+}
+
 void Exchange::logLoss() const
 {
     auto sinceSent = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - sentAt_);
-    logger.info("The response of an upstream was lost.", { { "request", requestMetadata_.requestId }, { "upstream", upstreamId_ }, { "engines", path_.size() }, { "since_sent_ms", sinceSent.count() }, { "had_head", responseHead_.has_value() }, { "had_bytes", eventSplitter_.partialBytes() }, { "last", eventSplitter_.lastEventId().value_or("") }, { "parts", fmt::format("{}", fmt::join(requestMetadata_.sharedPromptParts, ",")) } });
+    logger.info("The response of an upstream was lost.", { { "request", requestMetadata_.requestId }, { "content", content_ }, { "known_crashes", proxy_.crashGuard_.crashCount(content_) }, { "upstream", upstreamId_ }, { "upstream_started_at_ms", upstreamStartedAtMilliseconds_ }, { "others_there", countOthersAtUpstream() }, { "engines", path_.size() }, { "since_sent_ms", sinceSent.count() }, { "had_head", responseHead_.has_value() }, { "had_bytes", eventSplitter_.partialBytes() }, { "last", eventSplitter_.lastEventId().value_or("") }, { "parts", fmt::format("{}", fmt::join(requestMetadata_.sharedPromptParts, ",")) } });
 }
 
 void Exchange::endAttempt(AttemptOutcome outcome)
--- a/src/routing/CrashGuard.cpp
+++ b/src/routing/CrashGuard.cpp
@@ -193,6 +193,12 @@
         hold(part, suspicion.origins, now - suspicion.age);
 }
 
+std::size_t CrashGuard::crashCount(PromptPart part) const
+{
+    auto found = held_.find(part);
+    return found == held_.end() ? 0 : found->second.origins.size();
+}
+
 void CrashGuard::tick(base::TimePoint now)
 {
     for (auto it = answeredAt_.begin(); it != answeredAt_.end();)
--- a/src/routing/PromptPart.cpp
+++ b/src/routing/PromptPart.cpp
@@ -26,10 +26,10 @@
     return parts;
 }
 
-PromptPart identifyRequest(std::string_view host, std::string_view target, std::string_view apiKey, std::string_view body)
+PromptPart identifyRequest(const RequestContent& content)
 {
-    auto hash = base::hash64(host);
-    for (auto text : { target, apiKey, body })
+    auto hash = base::hash64(content.method);
+    for (auto text : { content.host, content.target, content.team, content.body })
         hash = base::hash64(text, hash);
     return hash | wholeRequestBit;
 }
--- a/tests/CrashGuardTest.cpp
+++ b/tests/CrashGuardTest.cpp
@@ -11,6 +11,8 @@
 
 static routing::PromptParts parts(const std::vector<std::string>& names) { return routing::identifyParts(names); }
 
+static routing::PromptPart wholeRequest(const std::string& body) { return routing::identifyRequest({ "POST", "desk", "/a", "team", body }); }
+
 static CrashGuard::Suspicion suspicion(std::size_t crashes, milliseconds age = {})
 {
     CrashGuard::Suspicion result;
@@ -126,7 +128,7 @@
     CrashGuard guard(1);
     for (const auto* name : { "first", "second" }) {
         auto request = parts({ name });
-        request.push_back(routing::identifyRequest("desk", "/a", "key", name));
+        request.push_back(wholeRequest(name));
         guard.upstreamCrashed(request, 7, start);
     }
     BOOST_TEST(!mayRun(guard, { "first" }, start + seconds(59)));
@@ -210,9 +212,9 @@
 {
     CrashGuard guard(1);
     auto request = parts({ "common" });
-    request.push_back(routing::identifyRequest("desk", "/a", "key", "deadly"));
+    request.push_back(wholeRequest("deadly"));
     auto other = parts({ "common" });
-    other.push_back(routing::identifyRequest("desk", "/a", "key", "sound"));
+    other.push_back(wholeRequest("sound"));
     guard.answerBegan(other, start);
     guard.upstreamCrashed(request, 0, start);
     BOOST_TEST(!guard.holdTime(request, start).has_value());
