A failing test: calls without a stream that crash upstreams are sent on

DeadlyCallTest/CallThatCrashesUpstreamsIsHeldBackWhenItIsSentAgain fails: six client attempts of one call end six (unsafe) or twelve (safe) upstreams, and no attempt is refused.

--- /dev/null
+++ b/tests/DeadlyCallTest.cpp
@@ -0,0 +1,98 @@
+#include "tests/ForwardingFixture.h"
+
+#include "include/fleet/CrashReportRegistry.h"
+
+#include <array>
+
+using namespace arbutus;
+using fleet::CrashReportRegistry;
+using routes::RequestKind;
+using routing::CrashGuard;
+
+// Upstreams that end while they run a call whose target has the word "deadly". Each that has
+// ended is replaced by a new one.
+struct DeadlyCallFixture : Fixture {
+    static constexpr int fleetSize = 3;
+
+    explicit DeadlyCallFixture(RequestKind kind)
+        : Fixture(kind, false)
+    {
+        upstreamCount = fleetSize;
+        configure();
+        script = [this](Peer& connection, const std::string& request, int) {
+            if (!contains(request, "deadly")) {
+                connection.socket->write(successResponse(valueOf(request, "Id: "), "sound"));
+                return;
+            }
+            ++deadlyRequests;
+            connection.socket->closeAfterWriting();
+            replace(valueOf(request, "Upstream: "));
+        };
+    }
+
+    static std::string valueOf(const std::string& request, const std::string& field)
+    {
+        auto begin = request.find(field) + field.size();
+        return request.substr(begin, request.find('\r', begin) - begin);
+    }
+
+    void replace(const std::string& id)
+    {
+        auto record = *registry.find(id);
+        registry.deregister(id, record.startedAtMilliseconds, "", {});
+        record.id = "u" + std::to_string(++upstreamCount);
+        ++record.startedAtMilliseconds;
+        registry.apply(record, {});
+        proxy.setUpstreams(registry);
+    }
+
+    // Sends a call and passes what was observed on as an entry VM does.
+    std::string call(const std::string& callTarget)
+    {
+        target = callTarget;
+        auto received = sendRequest("r" + std::to_string(++calls), "\r\n\r\n");
+        auto now = base::TimePoint(std::chrono::steady_clock::now());
+        for (const auto& observation : proxy.crashGuard().takeObservations()) {
+            if (const auto* crashed = std::get_if<CrashGuard::PartCrashed>(&observation))
+                reports.apply({ crashed->part, crashed->origin.crash, crashed->origin.request, false, 0 }, now);
+            else if (const auto* answered = std::get_if<CrashGuard::PartAnswered>(&observation))
+                reports.refute(answered->part, now);
+            else if (const auto* works = std::get_if<CrashGuard::UpstreamAnswered>(&observation))
+                reports.refuteCrash(works->crash, works->sentAt, now);
+        }
+        for (const auto& report : reports.changesSince(0, now))
+            proxy.crashGuard().setSuspicion(report.part, reports.suspicion(report.part, now), now);
+        return received;
+    }
+
+    CrashReportRegistry reports;
+    int calls = 0;
+    int deadlyRequests = 0;
+};
+
+static constexpr std::array callKinds { RequestKind::Safe, RequestKind::Unsafe };
+
+BOOST_AUTO_TEST_CASE(CallThatCrashesUpstreamsIsHeldBackWhenItIsSentAgain)
+{
+    constexpr int mostDeadlyRequests = 3;
+    for (auto kind : callKinds) {
+        DeadlyCallFixture fixture(kind);
+        std::string received;
+        for (int i = 0; i < 6; ++i)
+            received = fixture.call("/deadly?thing=1");
+        BOOST_TEST(fixture.deadlyRequests <= mostDeadlyRequests);
+        BOOST_TEST(contains(received, "503"));
+        BOOST_TEST(contains(received, "Retry-After: "));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(CallsWithOtherContentAreServedBesideADeadlyOne)
+{
+    for (auto kind : callKinds) {
+        DeadlyCallFixture fixture(kind);
+        for (int i = 0; i < 6; ++i) {
+            fixture.call("/deadly?thing=1");
+            BOOST_TEST(contains(fixture.call("/sound?thing=1"), "200"));
+        }
+    }
+}
--- a/tests/ForwardingFixture.h
+++ b/tests/ForwardingFixture.h
@@ -110,6 +110,7 @@
     Script script;
     routes::RouteConfiguration configuration;
     int upstreamCount = 2;
+    std::string target = "/order";
     // Sent with every request.
     std::string extraFields;
 
@@ -182,7 +183,7 @@
         // Waits for the connection before writing.
         for (int i = 0; i < 20; ++i)
             context.run_for(std::chrono::milliseconds(1));
-        caller->socket->write("POST /order HTTP/1.1\r\nHost: desk\r\nId: " + id + "\r\n" + extraFields + "Content-Length: 2\r\n\r\nab");
+        caller->socket->write("POST " + target + " HTTP/1.1\r\nHost: desk\r\nId: " + id + "\r\n" + extraFields + "Content-Length: 2\r\n\r\nab");
         auto requestsBefore = proxy.counters().requests;
         auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(3);
         bool hasArrived = false;
