The bytes of a lost answer are released when its attempt ends

Cause: what an attempt had brought was dropped when the next one was sent. A request that waits for other VMs, the retry budget or capacity kept it meanwhile, up to 256 KiB each; a stored failure of an upstream was not counted at all.

Change: the end of an attempt drops its partial answer and counts again; a stored failure counts.

--- a/src/forwarding/Exchange.h
+++ b/src/forwarding/Exchange.h
@@ -139,6 +139,8 @@
     // a slow caller. Little while all exchanges together hold much.
     std::size_t maxHeldBytes() const;
     void countHeldBytes();
+    // Drops what an attempt has brought that cannot be used.
+    void dropPartialAnswer();
     void relayEvents(std::string_view);
     void sendEvents(std::string_view);
     void relayPlainBody(std::string_view);
--- a/src/forwarding/ExchangeAttempts.cpp
+++ b/src/forwarding/ExchangeAttempts.cpp
@@ -90,10 +90,8 @@
     service_->rateLimiter.sent(upstreamId_, base::bootNow());
     isTrial_ = proxy_.crashGuard_.attemptStarted(promptParts_, sentAt_);
     responseHead_.reset();
-    bufferedBody_.clear();
     isStream_ = false;
     hasEvents_ = false;
-    eventSplitter_.discardPartial();
     connection_ = proxy_.pool_.acquire(endpoint, isRepeatable() ? repeatableKeepAliveFraction : unrepeatableKeepAliveFraction, sentAt_, usedConnections_);
     usedConnections_.insert(connection_->number());
     connection_->send(requestHead(), request_.body, request_.head.method == "HEAD", *this, std::min(deadline_, sentAt_ + connectTimeout));
@@ -277,6 +275,7 @@
     }
     logger.debug("An attempt ended without a usable response.", { { "request", requestMetadata_.requestId }, { "upstream", upstreamId_ }, { "end", nameOf(outcome) }, { "sends", sendCount_ } });
     releaseReservation(results[static_cast<std::size_t>(outcome)]);
+    dropPartialAnswer();
     // An engine without capacity may have some soon, so it is suspected for a short time
     // but not avoided for the rest of the request.
     if (outcome != AttemptOutcome::Withdrawn && (path_.empty() || outcome != AttemptOutcome::NotRun))
--- a/src/forwarding/ExchangeResponse.cpp
+++ b/src/forwarding/ExchangeResponse.cpp
@@ -80,7 +80,18 @@
 
 std::size_t Exchange::maxHeldBytes() const { return proxy_.heldBytes_ > maxTotalHeldBytes ? maxHeldBytesCrowded : maxHeldBytesAlone; }
 
-void Exchange::countHeldBytes() { heldBytes_.set(bufferedBody_.size() + eventSplitter_.partialBytes() + (caller_ ? caller_->pendingBytes() : 0)); }
+void Exchange::countHeldBytes()
+{
+    auto ofAnswer = bufferedBody_.size() + eventSplitter_.partialBytes() + (failedResponse_ ? failedResponse_->body.size() : 0);
+    heldBytes_.set(ofAnswer + (caller_ ? caller_->pendingBytes() : 0));
+}
+
+void Exchange::dropPartialAnswer()
+{
+    bufferedBody_ = std::string();
+    eventSplitter_.discardPartial();
+    countHeldBytes();
+}
 
 void Exchange::relayEvents(std::string_view bytes)
 {
--- a/tests/DeadlyPromptTest.cpp
+++ b/tests/DeadlyPromptTest.cpp
@@ -136,3 +136,18 @@
     BOOST_TEST(fixture.requests.size() == 2U);
     BOOST_TEST(contains(fixture.sendPrompt(""), "503"));
 }
+
+// Guards against requests that wait for other VMs and hold the bytes of lost answers meanwhile.
+BOOST_AUTO_TEST_CASE(BytesOfALostAnswerAreReleasedWhileItsRequestWaits)
+{
+    DeadlyPromptFixture fixture;
+    fixture.script = [](Peer& connection, const std::string&, int) {
+        connection.socket->write(streamHead + chunk(std::string(100'000, 'x')));
+        connection.socket->closeAfterWriting();
+    };
+    std::optional<std::size_t> heldWhileWaiting;
+    boost::asio::steady_timer timer(fixture.context, std::chrono::milliseconds(250));
+    timer.async_wait([&](const boost::system::error_code&) { heldWhileWaiting = fixture.proxy.heldBytes(); });
+    BOOST_TEST(contains(fixture.sendPrompt("deadly"), "502"));
+    BOOST_TEST(heldWhileWaiting.value_or(1) == 0U);
+}
