Calls without a stream that crash upstreams are held back by all entry VMs

Cause: a call without a stream had no identity beyond its id, which changes with each resend, and a crash was reported only after the head of a success. A plain upstream that ends under a call has sent none, so nobody counted, on one VM or over all.

Change: every request is identified by method, host, target, team and body. Two crashes of different processes under one content hold it back on all VMs, by the exchange of crash reports that exists; a VM counts its own crashes at once. Of calls with the same two crashes each is tried after 3 s and more, and one is served once another's third crash explains its own; answers of the last 2 s and later answers of the same process refute. Reports of single crashes make room first.

--- a/include/fleet/CrashReportRegistry.h
+++ b/include/fleet/CrashReportRegistry.h
@@ -63,6 +63,7 @@
     };
     using Reports = std::map<Key, Stored>;
 
+    bool isOnlyReport(Reports::const_iterator) const;
     void evictOne();
 
     Reports reports_;
--- a/include/routing/CrashGuard.h
+++ b/include/routing/CrashGuard.h
@@ -20,9 +20,9 @@
 
 // Holds back requests that may crash the upstreams: those whose prompt has a part under
 // which an upstream ended just as it began to answer, and those under which as a whole two
-// upstreams ended. An answer clears them. After some time, each VM tries a single request;
-// the more crashes, the later. What other entry VMs observe counts like own observations,
-// and is exchanged by the caller. Not thread-safe.
+// upstreams ended, whoever sent them. An answer clears them. After some time, each VM tries
+// a single request; the more crashes, the later. What other entry VMs observe counts like
+// own observations, and is exchanged by the caller. Not thread-safe.
 class CrashGuard {
 public:
     using Origin = fleet::CrashReportRegistry::Origin;
@@ -69,7 +69,8 @@
     // Call when an upstream has brought the first part of an answer to a request that was
     // sent at `sentAt`, with what identifyCrash() returns for it.
     void upstreamAnswered(std::uint64_t crash, base::TimePoint sentAt);
-    // Call when an upstream has begun to answer and ended before any of the answer arrived.
+    // Call when an upstream has ended before any of the answer to a stream request, which it
+    // had begun, or the whole answer to another call arrived.
     void upstreamCrashed(const PromptParts&, std::uint64_t crash, base::TimePoint now);
 
     // Sets what the entry VMs together hold against a part.
@@ -81,6 +82,8 @@
     void tick(base::TimePoint now);
 
     std::size_t heldPartCount() const { return held_.size(); }
+    // Whether requests with the part are held back now or may only be tried.
+    bool isHeldBack(PromptPart) const;
     // Returns how many crashes of different incarnations nobody refutes for a part.
     std::size_t crashCount(PromptPart) const;
 
@@ -97,8 +100,19 @@
         std::optional<base::TimePoint> trialDeadline;
     };
 
+    using AnswerTimes = std::unordered_map<PromptPart, base::TimePoint>;
+
     // Whether there are enough crashes to hold requests back.
     static bool isConclusive(PromptPart, const Held&);
+    // Whether requests with the part are held back, unless one may be tried.
+    bool isHeldBack(PromptPart, const Held&) const;
+    // Whether another request or part was there in all crashes of a request that was there
+    // in few, and in others as well.
+    bool isExplainedByAnother(PromptPart request, const Held&) const;
+    // Whether another request was there in all crashes of this one.
+    bool hasRivalRequest(PromptPart request, const Held&) const;
+    // Adds one crash to those of the part, unless it is known.
+    void countCrash(PromptPart, const Origin&, base::TimePoint now);
     void hold(PromptPart, std::vector<Origin>, base::TimePoint crashedAt);
     // When a request with a held part may run.
     std::optional<base::TimePoint> trialTime(PromptPart, const Held&, const PromptParts& request) const;
@@ -107,15 +121,17 @@
     bool isDistinctive(PromptPart, const Held&, const PromptParts& request) const;
     // Whether another part of the crashed request may be the cause and is not in `request`.
     bool hasAbsentRival(PromptPart, const Origin&, const PromptParts& request) const;
-    // Ends the oldest suspicion except that of `newest`.
+    // Ends the oldest suspicion except that of `newest`; one that holds nothing back first.
     void evictOne(PromptPart newest);
+    const AnswerTimes& answerTimesOf(PromptPart part) const { return isWholeRequest(part) ? requestAnsweredAt_ : partAnsweredAt_; }
     bool wasAnsweredAround(PromptPart, base::TimePoint crashedAt) const;
 
     base::Random random_;
     std::uint32_t entryVmCount_ = 1;
     std::map<PromptPart, Held> held_;
-    // When each part was last answered.
-    std::unordered_map<PromptPart, base::TimePoint> answeredAt_;
+    // When each shared part and each whole request was last answered.
+    AnswerTimes partAnsweredAt_;
+    AnswerTimes requestAnsweredAt_;
     std::vector<Observation> observations_;
     // Until then, answers of upstreams may show that they have not crashed.
     base::TimePoint refutableUntil_;
--- a/src/fleet/CrashReportRegistry.cpp
+++ b/src/fleet/CrashReportRegistry.cpp
@@ -33,13 +33,25 @@
     return true;
 }
 
-// Refuted reports go first, then the oldest one.
+// Whether no other crash is known of the part.
+bool CrashReportRegistry::isOnlyReport(Reports::const_iterator report) const
+{
+    auto next = std::next(report);
+    bool hasOther = (report != reports_.begin() && std::prev(report)->first.part == report->first.part) || (next != reports_.end() && next->first.part == report->first.part);
+    return !hasOther;
+}
+
+// Refuted reports go first, then single ones of their part, each the oldest one. A crash of
+// a busy upstream brings many single ones, and the part that comes again must be kept.
 void CrashReportRegistry::evictOne()
 {
-    reports_.erase(std::min_element(reports_.begin(), reports_.end(), [](const auto& left, const auto& right) {
-        const auto& [leftReport, rightReport] = std::tie(left.second, right.second);
-        return leftReport.isRefuted != rightReport.isRefuted ? leftReport.isRefuted : leftReport.crashedAt < rightReport.crashedAt;
-    }));
+    auto rank = [this](Reports::const_iterator report) { return std::make_tuple(!report->second.isRefuted, !isOnlyReport(report), report->second.crashedAt); };
+    auto first = reports_.cbegin();
+    for (auto it = std::next(first); it != reports_.cend(); ++it) {
+        if (rank(it) < rank(first))
+            first = it;
+    }
+    reports_.erase(first);
 }
 
 void CrashReportRegistry::refute(std::uint64_t part, base::TimePoint now)
--- a/src/forwarding/Exchange.cpp
+++ b/src/forwarding/Exchange.cpp
@@ -103,8 +103,7 @@
     if (requestMetadata_.size)
         streamSize_ = *requestMetadata_.size;
     content_ = routing::identifyRequest({ request_.head.method, requestMetadata_.host, request_.head.target, team_ ? std::string_view(team_->name) : std::string_view(), request_.body });
-    if (route_->kind == RequestKind::Streaming)
-        promptParts_.push_back(content_);
+    promptParts_.push_back(content_);
 }
 
 std::optional<std::chrono::milliseconds> Exchange::holdTime() const
@@ -116,7 +115,7 @@
 
 void Exchange::refuseHeldBack(std::chrono::milliseconds holdTime)
 {
-    refuse(makeError(ErrorKind::HeldBack, "a part of the prompt may crash upstreams"), std::chrono::duration_cast<std::chrono::milliseconds>(holdTime * proxy_.random_.between(1, retryAfterSpreadMax)));
+    refuse(makeError(ErrorKind::HeldBack, "the request may crash upstreams"), std::chrono::duration_cast<std::chrono::milliseconds>(holdTime * proxy_.random_.between(1, retryAfterSpreadMax)));
 }
 
 void Exchange::sendOrEnqueue()
--- a/src/forwarding/Exchange.h
+++ b/src/forwarding/Exchange.h
@@ -103,11 +103,10 @@
     void endAttempt(AttemptOutcome);
     // Returns the start of the known process of an upstream, or 0 if it is unknown.
     std::int64_t startOf(const std::string& upstream) const;
-    // Identifies the crash that would end the known incarnation of an upstream.
-    std::uint64_t crashOf(const std::string& upstream) const;
     // Tells the crash guard that the upstreams of the attempt work.
     void reportWorkingUpstreams();
-    // Tells the crash guard if the upstream ended before any of its answer arrived.
+    // Tells the crash guard if the upstream ended under the request, unless events of it have
+    // gone to the caller.
     void reportCrash();
     // Returns how many other requests of this VM the upstream of the attempt has.
     std::size_t countOthersAtUpstream() const;
--- a/src/forwarding/ExchangeAttempts.cpp
+++ b/src/forwarding/ExchangeAttempts.cpp
@@ -13,6 +13,7 @@
 
 using base::TimePoint;
 using routing::CallResult;
+using routing::CrashGuard;
 
 static constexpr base::Logger logger("gate");
 
@@ -233,23 +234,26 @@
     return known == proxy_.knownUpstreams_.end() ? 0 : known->second.startedAtMilliseconds;
 }
 
-std::uint64_t Exchange::crashOf(const std::string& upstream) const { return routing::CrashGuard::identifyCrash(upstream, startOf(upstream)); }
-
 void Exchange::reportWorkingUpstreams()
 {
     if (path_.empty())
-        proxy_.crashGuard_.upstreamAnswered(crashOf(upstreamId_), sentAt_);
+        proxy_.crashGuard_.upstreamAnswered(CrashGuard::identifyCrash(upstreamId_, upstreamStartedAtMilliseconds_), sentAt_);
     for (const auto& stage : path_)
-        proxy_.crashGuard_.upstreamAnswered(crashOf(stage.upstream), sentAt_);
+        proxy_.crashGuard_.upstreamAnswered(CrashGuard::identifyCrash(stage.upstream, startOf(stage.upstream)), sentAt_);
 }
 
 void Exchange::reportCrash()
 {
-    bool hadAnswer = eventSplitter_.hasDelivered() || requestMetadata_.lastEventId || relayMode_ != RelayMode::None;
-    bool hadBegun = responseHead_ && responseHead_->isSuccess();
-    if (promptParts_.empty() || hadAnswer || !hadBegun)
+    bool hadEvents = eventSplitter_.hasDelivered() || requestMetadata_.lastEventId || relayMode_ == RelayMode::Events;
+    if (hadEvents)
         return;
-    proxy_.crashGuard_.upstreamCrashed(promptParts_, crashOf(upstreamId_), std::chrono::steady_clock::now());
+    bool hadBegun = responseHead_ && responseHead_->isSuccess();
+    auto crash = CrashGuard::identifyCrash(upstreamId_, upstreamStartedAtMilliseconds_);
+    if (hadBegun)
+        proxy_.crashGuard_.upstreamCrashed(promptParts_, crash, std::chrono::steady_clock::now());
+    // An engine has many requests at once, and begins to answer those that it runs.
+    else if (path_.empty())
+        proxy_.crashGuard_.upstreamCrashed({ content_ }, crash, std::chrono::steady_clock::now());
 }
 
 std::size_t Exchange::countOthersAtUpstream() const
--- a/src/forwarding/ExchangeResponse.cpp
+++ b/src/forwarding/ExchangeResponse.cpp
@@ -47,6 +47,8 @@
     connection_->setKeepAlive(responseMetadata_.keepAlive);
     responseHead_ = head;
     recordNamedLimit();
+    if (path_.empty() && responseMetadata_.isSigned)
+        reportWorkingUpstreams();
     if (head.isSuccess() && (!responseMetadata_.isSigned || responseMetadata_.isEncoded)) {
         rejectResponse(AttemptOutcome::Lost);
         return;
--- a/src/node/EntryNode.cpp
+++ b/src/node/EntryNode.cpp
@@ -119,8 +119,11 @@
         return;
     for (const auto& report : crashReports_.changesSince(crashRevision_, clock_.now())) {
         auto suspicion = crashReports_.suspicion(report.part, clock_.now());
+        bool wasHeldBack = guard.isHeldBack(report.part);
         guard.setSuspicion(report.part, suspicion, now);
-        logger.info("The suspicion against a prompt part changed.", { { "part", report.part }, { "crashes", suspicion.origins.size() }, { "age_ms", suspicion.age.count() } });
+        bool isHeldBack = guard.isHeldBack(report.part);
+        if (wasHeldBack || isHeldBack)
+            logger.info("The suspicion against a prompt part or a request changed.", { { "part", report.part }, { "is_request", routing::isWholeRequest(report.part) }, { "is_held_back", isHeldBack }, { "crashes", suspicion.origins.size() }, { "age_ms", suspicion.age.count() } });
     }
     crashRevision_ = crashReports_.revision();
 }
--- a/src/routing/CrashGuard.cpp
+++ b/src/routing/CrashGuard.cpp
@@ -36,11 +36,15 @@
     TrialDelay { std::chrono::minutes(15), std::chrono::minutes(1) },
     TrialDelay { std::chrono::hours(2), std::chrono::minutes(10) },
 };
+// The same for whole requests, beginning with minCrashesOfRequest crashes. All entry VMs
+// together send a deadly one at most a few times a day.
+static constexpr std::array requestTrialDelays { trialDelays.front(), trialDelays.back() };
 // Answers to requests that were on their way at the crash clear sound parts within this
 // time, so callers are not told to stay away for longer before.
 static constexpr std::chrono::seconds settlingTime(2);
 // A request with only some of the suspected parts of a crashed one may run earlier, because
-// its outcome tells which of them is the cause. After more crashes they are not told apart.
+// its outcome tells which of them is the cause; so may one of several requests under which
+// the same upstreams ended. After more crashes they are not told apart.
 static constexpr TrialDelay distinctionDelay { std::chrono::seconds(3), std::chrono::seconds(1) };
 static constexpr std::size_t maxDistinguishedCrashes = 2;
 // Bounds what callers are told, who may know better when to come back.
@@ -52,8 +56,50 @@
     return crashedAt + delay.min + std::chrono::milliseconds(static_cast<std::int64_t>(random.between(0, range)));
 }
 
+static std::optional<TrialDelay> trialDelayAfter(PromptPart part, std::size_t crashes)
+{
+    auto first = isWholeRequest(part) ? minCrashesOfRequest : 1;
+    if (crashes < first)
+        return std::nullopt;
+    auto step = crashes - first;
+    if (isWholeRequest(part))
+        return step < requestTrialDelays.size() ? std::optional(requestTrialDelays[step]) : std::nullopt;
+    return step < trialDelays.size() ? std::optional(trialDelays[step]) : std::nullopt;
+}
+
 bool CrashGuard::isConclusive(PromptPart part, const Held& held) { return held.origins.size() >= (isWholeRequest(part) ? minCrashesOfRequest : 1); }
 
+// Whether an upstream ended under the one in each crash in which one ended under the other.
+static bool includesCrashes(const std::vector<CrashGuard::Origin>& outer, const std::vector<CrashGuard::Origin>& inner)
+{
+    return std::all_of(inner.begin(), inner.end(), [&outer](const auto& origin) {
+        return std::any_of(outer.begin(), outer.end(), [&origin](const auto& other) { return other.crash == origin.crash; });
+    });
+}
+
+bool CrashGuard::isHeldBack(PromptPart part, const Held& held) const { return isConclusive(part, held) && !isExplainedByAnother(part, held); }
+
+bool CrashGuard::isHeldBack(PromptPart part) const
+{
+    auto found = held_.find(part);
+    return found != held_.end() && isHeldBack(part, found->second);
+}
+
+bool CrashGuard::isExplainedByAnother(PromptPart request, const Held& held) const
+{
+    if (!isWholeRequest(request) || held.origins.size() > maxDistinguishedCrashes)
+        return false;
+    return std::any_of(held_.begin(), held_.end(), [&held](const auto& entry) {
+        const auto& origins = entry.second.origins;
+        return origins.size() > std::max(held.origins.size(), maxDistinguishedCrashes) && includesCrashes(origins, held.origins);
+    });
+}
+
+bool CrashGuard::hasRivalRequest(PromptPart request, const Held& held) const
+{
+    return std::any_of(held_.begin(), held_.end(), [request, &held](const auto& entry) { return entry.first != request && isWholeRequest(entry.first) && includesCrashes(entry.second.origins, held.origins); });
+}
+
 std::uint64_t CrashGuard::identifyCrash(const std::string& upstream, std::int64_t startedAtMilliseconds) { return base::hash64(upstream, static_cast<std::uint64_t>(startedAtMilliseconds)); }
 
 std::optional<std::chrono::milliseconds> CrashGuard::holdTime(const PromptParts& parts, base::TimePoint now) const
@@ -64,7 +110,7 @@
         if (found == held_.end())
             continue;
         const auto& held = found->second;
-        if (!isConclusive(part, held))
+        if (!isHeldBack(part, held))
             continue;
         auto end = trialTime(part, held, parts);
         if (end && held.trialDeadline)
@@ -84,7 +130,7 @@
 {
     bool isTrial = false;
     for (auto part : parts) {
-        if (auto found = held_.find(part); found != held_.end() && isConclusive(part, found->second)) {
+        if (auto found = held_.find(part); found != held_.end() && isHeldBack(part, found->second)) {
             found->second.trialDeadline = now + trialTimeout;
             isTrial = true;
         }
@@ -103,8 +149,9 @@
 void CrashGuard::answerBegan(const PromptParts& parts, base::TimePoint now)
 {
     for (auto part : parts) {
-        if (!isWholeRequest(part) && (answeredAt_.size() < maxAnsweredParts || answeredAt_.count(part)))
-            answeredAt_[part] = now;
+        auto& answeredAt = isWholeRequest(part) ? requestAnsweredAt_ : partAnsweredAt_;
+        if (answeredAt.size() < maxAnsweredParts || answeredAt.count(part))
+            answeredAt[part] = now;
         if (held_.erase(part))
             observations_.push_back(PartAnswered { part });
     }
@@ -118,21 +165,20 @@
 
 bool CrashGuard::wasAnsweredAround(PromptPart part, base::TimePoint crashedAt) const
 {
-    auto found = answeredAt_.find(part);
-    return found != answeredAt_.end() && found->second + refutingAnswerAge >= crashedAt;
+    const auto& answeredAt = answerTimesOf(part);
+    auto found = answeredAt.find(part);
+    return found != answeredAt.end() && found->second + refutingAnswerAge >= crashedAt;
 }
 
 void CrashGuard::upstreamCrashed(const PromptParts& parts, std::uint64_t crash, base::TimePoint now)
 {
     const Origin origin { crash, requestAmong(parts) };
-    bool hasUnanswered = std::any_of(parts.begin(), parts.end(), [this](PromptPart part) { return !isWholeRequest(part) && !answeredAt_.count(part); });
+    bool hasUnanswered = std::any_of(parts.begin(), parts.end(), [this](PromptPart part) { return !isWholeRequest(part) && !partAnsweredAt_.count(part); });
     for (auto part : parts) {
-        if (wasAnsweredAround(part, now) || (hasUnanswered && answeredAt_.count(part)))
+        if (wasAnsweredAround(part, now) || (hasUnanswered && partAnsweredAt_.count(part)))
             continue;
         observations_.push_back(PartCrashed { part, origin });
-        // Other VMs may have seen the same crash, so setSuspicion() counts it.
-        if (!held_.count(part))
-            hold(part, { origin }, now);
+        countCrash(part, origin, now);
         auto& held = held_[part];
         held.distinctionAt = std::max(held.distinctionAt, now + distinctionDelay.min);
         if (held.trialAt)
@@ -140,12 +186,26 @@
     }
 }
 
+void CrashGuard::countCrash(PromptPart part, const Origin& origin, base::TimePoint now)
+{
+    auto origins = held_[part].origins;
+    auto isBefore = [](const Origin& left, const Origin& right) { return left.crash < right.crash; };
+    auto place = std::lower_bound(origins.begin(), origins.end(), origin, isBefore);
+    // Another VM may have seen the same crash.
+    if (place != origins.end() && place->crash == origin.crash)
+        return;
+    origins.insert(place, origin);
+    hold(part, std::move(origins), now);
+}
+
 std::optional<base::TimePoint> CrashGuard::trialTime(PromptPart part, const Held& held, const PromptParts& request) const { return isDistinctive(part, held, request) ? held.distinctionAt : held.trialAt; }
 
 bool CrashGuard::isDistinctive(PromptPart part, const Held& held, const PromptParts& request) const
 {
-    if (isWholeRequest(part) || held.origins.size() > maxDistinguishedCrashes)
+    if (held.origins.size() > maxDistinguishedCrashes)
         return false;
+    if (isWholeRequest(part))
+        return hasRivalRequest(part, held);
     return std::all_of(held.origins.begin(), held.origins.end(), [&](const Origin& origin) { return hasAbsentRival(part, origin, request); });
 }
 
@@ -162,25 +222,26 @@
 void CrashGuard::hold(PromptPart part, std::vector<Origin> origins, base::TimePoint crashedAt)
 {
     auto& held = held_[part];
-    if (origins.size() == held.origins.size())
+    if (origins == held.origins)
         return;
     auto crashes = origins.size();
     held = { std::move(origins), crashedAt + settlingTime, drawTime(random_, distinctionDelay, entryVmCount_, crashedAt), std::nullopt, crashedAt + fleet::CrashReportRegistry::reportLifetime, std::nullopt };
     refutableUntil_ = std::max(refutableUntil_, crashedAt + refutableTime);
     if (held_.size() > maxHeldParts)
         evictOne(part);
-    if (crashes <= trialDelays.size())
-        held.trialAt = drawTime(random_, trialDelays[crashes - 1], entryVmCount_, crashedAt);
+    if (auto delay = trialDelayAfter(part, crashes))
+        held.trialAt = drawTime(random_, *delay, entryVmCount_, crashedAt);
 }
 
 void CrashGuard::evictOne(PromptPart newest)
 {
-    auto oldest = held_.end();
+    auto rank = [](const auto& entry) { return std::make_pair(isConclusive(entry.first, entry.second), entry.second.endsAt); };
+    auto first = held_.end();
     for (auto it = held_.begin(); it != held_.end(); ++it) {
-        if (it->first != newest && (oldest == held_.end() || it->second.endsAt < oldest->second.endsAt))
-            oldest = it;
+        if (it->first != newest && (first == held_.end() || rank(*it) < rank(*first)))
+            first = it;
     }
-    held_.erase(oldest);
+    held_.erase(first);
 }
 
 void CrashGuard::setSuspicion(PromptPart part, const Suspicion& suspicion, base::TimePoint now)
@@ -199,10 +260,17 @@
     return found == held_.end() ? 0 : found->second.origins.size();
 }
 
+template <typename AnswerTimes>
+static void forgetAnswers(AnswerTimes& answeredAt, base::TimePoint before)
+{
+    for (auto it = answeredAt.begin(); it != answeredAt.end();)
+        it = it->second <= before ? answeredAt.erase(it) : std::next(it);
+}
+
 void CrashGuard::tick(base::TimePoint now)
 {
-    for (auto it = answeredAt_.begin(); it != answeredAt_.end();)
-        it = now >= it->second + answerRetention ? answeredAt_.erase(it) : std::next(it);
+    forgetAnswers(partAnsweredAt_, now - answerRetention);
+    forgetAnswers(requestAnsweredAt_, now - refutingAnswerAge);
     for (auto it = held_.begin(); it != held_.end();)
         it = now >= it->second.endsAt ? held_.erase(it) : std::next(it);
 }
--- a/tests/CrashGuardTest.cpp
+++ b/tests/CrashGuardTest.cpp
@@ -226,6 +226,71 @@
     BOOST_TEST(guard.holdTime(request, start + std::chrono::minutes(14)).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(SecondCrashCountsBeforeOtherVmsKnowOfIt)
+{
+    CrashGuard guard(1);
+    guard.upstreamCrashed({ wholeRequest("deadly") }, 1, start);
+    guard.upstreamCrashed({ wholeRequest("deadly") }, 1, start);
+    BOOST_TEST(!guard.holdTime({ wholeRequest("deadly") }, start).has_value());
+    guard.upstreamCrashed({ wholeRequest("deadly") }, 2, start);
+    BOOST_TEST(guard.holdTime({ wholeRequest("deadly") }, start).has_value());
+}
+
+// Guards against refusing a popular call that is in flight whenever an upstream ends.
+BOOST_AUTO_TEST_CASE(RequestThatWasAnsweredAMomentAgoIsNotSuspected)
+{
+    CrashGuard guard(1);
+    for (std::uint64_t crash = 0; crash < 4; ++crash) {
+        auto now = start + crash * seconds(1);
+        guard.answerBegan({ wholeRequest("popular") }, now);
+        guard.tick(now);
+        guard.upstreamCrashed({ wholeRequest("popular") }, crash, now + milliseconds(500));
+        BOOST_TEST(!guard.holdTime({ wholeRequest("popular") }, now + milliseconds(500)).has_value());
+    }
+}
+
+// Guards against holding back for long what was merely there when upstreams ended.
+BOOST_AUTO_TEST_CASE(RequestsOfTheSameCrashesAreToldApartSoon)
+{
+    CrashGuard guard(1);
+    const routing::PromptParts deadly { wholeRequest("deadly") };
+    const routing::PromptParts sound { wholeRequest("sound") };
+    for (std::uint64_t crash = 1; crash <= 2; ++crash) {
+        guard.upstreamCrashed(deadly, crash, start);
+        guard.upstreamCrashed(sound, crash, start);
+    }
+    BOOST_TEST(guard.holdTime(sound, start + seconds(2)).has_value());
+    auto now = start + seconds(5);
+    BOOST_TEST(!guard.holdTime(sound, now).has_value());
+    BOOST_TEST(guard.attemptStarted(sound, now));
+    guard.answerBegan(sound, now);
+    BOOST_TEST(!guard.holdTime(sound, now).has_value());
+    BOOST_TEST(guard.holdTime(deadly, now).has_value());
+    BOOST_TEST(guard.holdTime(deadly, start + seconds(59)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(RequestWhoseCrashesAnotherExplainsIsServed)
+{
+    CrashGuard guard(1);
+    for (std::uint64_t crash = 1; crash <= 3; ++crash) {
+        guard.upstreamCrashed({ wholeRequest("deadly") }, crash, start);
+        if (crash <= 2)
+            guard.upstreamCrashed({ wholeRequest("sound") }, crash, start);
+    }
+    BOOST_TEST(!guard.holdTime({ wholeRequest("sound") }, start).has_value());
+    BOOST_TEST(guard.holdTime({ wholeRequest("deadly") }, start + std::chrono::minutes(14)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(SingleCrashesOfOthersDoNotPushOutARequestThatIsHeldBack)
+{
+    CrashGuard guard(1);
+    guard.setSuspicion(wholeRequest("deadly"), suspicion(2), start);
+    constexpr std::uint64_t others = 2000;
+    for (std::uint64_t crash = 10; crash < 10 + others; ++crash)
+        guard.upstreamCrashed({ wholeRequest(std::to_string(crash)) }, crash, start + milliseconds(crash));
+    BOOST_TEST(guard.holdTime({ wholeRequest("deadly") }, start + seconds(5)).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(SuspectedPartsDoNotFillTheMemory)
 {
     CrashGuard guard(1);
--- a/tests/CrashReportSpreadTest.cpp
+++ b/tests/CrashReportSpreadTest.cpp
@@ -161,3 +161,15 @@
     BOOST_TEST(!registry.apply({ part, 1, 0, false, 900 }, now));
     BOOST_TEST(registry.suspicion(part, now).origins.size() == 0U);
 }
+
+BOOST_AUTO_TEST_CASE(SingleReportsDoNotPushOutAPartOfSeveralCrashes)
+{
+    CrashReportRegistry registry;
+    const base::TimePoint now { std::chrono::hours(1) };
+    registry.apply({ part, 1, 0, false, 2000 }, now);
+    registry.apply({ part, 2, 0, false, 1000 }, now);
+    constexpr std::uint64_t others = 2000;
+    for (std::uint64_t other = 0; other < others; ++other)
+        registry.apply({ part + 1 + other, 3, 0, false, 0 }, now);
+    BOOST_TEST(registry.suspicion(part, now).origins.size() == 2U);
+}
