--- a/tests/SingleUseClientTest.cpp
+++ b/tests/SingleUseClientTest.cpp
@@ -11,12 +11,13 @@
 
 namespace {
 
-// Answers the first request and keeps the connection open. Reads every later request
-// and closes without a response, like a service that crashes after execution.
+// Answers the first request and keeps the connection open. Reads every later request, writes
+// `brokenAnswer` and closes, like a service that crashes after execution.
 class CrashingService {
 public:
-    CrashingService()
-        : acceptor_(context_, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0))
+    explicit CrashingService(std::string brokenAnswer = {})
+        : brokenAnswer_(std::move(brokenAnswer))
+        , acceptor_(context_, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0))
         , thread_([this] { run(); })
     {
     }
@@ -57,12 +58,15 @@
             if (error)
                 return;
             buffer.consume(size);
-            if (++requests_ > 1)
+            if (++requests_ > 1) {
+                boost::asio::write(socket, boost::asio::buffer(brokenAnswer_), error);
                 return;
+            }
             boost::asio::write(socket, boost::asio::buffer(std::string("HTTP/1.1 201 Created\r\nContent-Length: 2\r\n\r\nok")), error);
         }
     }
 
+    const std::string brokenAnswer_;
     boost::asio::io_context context_;
     tcp::acceptor acceptor_;
     std::atomic<bool> isStopping_ { false };
@@ -99,3 +103,17 @@
     }
     BOOST_TEST(std::holds_alternative<http::ConnectionRefused>(post(url)));
 }
+
+// Guards against an order that counts as answered although its answer was cut off.
+BOOST_AUTO_TEST_CASE(AnswerCutOffInItsHeadIsNoAnswer)
+{
+    const std::string framings[] = { "Content-Length: 2\r\n", "Transfer-Encoding: chunked\r\n", "" };
+    for (const auto& framing : framings) {
+        const std::string head = "HTTP/1.1 201 Created\r\nX-Arbutus-Time: 1\r\n" + framing + "\r\n";
+        for (std::size_t cut = 0; cut < head.size(); cut += 3) {
+            CrashingService service(head.substr(0, cut));
+            BOOST_TEST(std::holds_alternative<http::ExchangeResponse>(post(service.url())));
+            BOOST_TEST(std::holds_alternative<http::ExchangeInterrupted>(post(service.url())), head.substr(0, cut));
+        }
+    }
+}
