A leader whose disk is full steps down

Cause: a leader keeps its lease without a write of its own, and nothing told the core that its disk takes none.

Change: after a second failed write, 0.5 s after the first, a leader gives up its lease and steps down if the others are an active majority of the voters. A replica without a writable disk does not campaign.

--- a/include/consensus/ReplicaCore.h
+++ b/include/consensus/ReplicaCore.h
@@ -62,6 +62,11 @@
 struct Persisted {
     std::uint64_t writeNumber = 0;
 };
+// Whether the disk takes writes. A leader without a writable disk steps down if the other
+// voters can elect one of them, and no replica campaigns without one.
+struct DiskChanged {
+    bool isWritable = true;
+};
 // The caller has synced a snapshot whose metadata came from describeSnapshot(). A
 // snapshot larger than maxSnapshotBytes is ignored, because no follower would accept it.
 struct SnapshotTaken {
@@ -81,7 +86,7 @@
 struct Read {
     RequestId requestId = 0;
 };
-using Input = std::variant<Tick, Receive, Propose, Persisted, SnapshotTaken, ChangeConfiguration, Read>;
+using Input = std::variant<Tick, Receive, Propose, Persisted, DiskChanged, SnapshotTaken, ChangeConfiguration, Read>;
 
 enum class ProposalStatus {
     // Appended by this leader at `index` and `term`. One of the next three statuses
@@ -257,6 +262,7 @@
     void onInput(const Receive&);
     void onInput(const Propose&);
     void onInput(const Persisted&);
+    void onInput(const DiskChanged&);
     void onInput(const SnapshotTaken&);
     void onInput(const ChangeConfiguration&);
     void onInput(const Read&);
@@ -315,6 +321,7 @@
     ProposalStatus checkLeadership() const;
     ProposalStatus checkConfigurationChange(const ChangeConfiguration&, Configuration& changed) const;
     bool hasActiveMajority(const Configuration&) const;
+    std::size_t countActiveVoters(const Configuration&) const;
     // Returns the highest value that a majority of voters has reached. `own` is the value
     // of this replica.
     std::uint64_t majorityValue(std::uint64_t own, std::uint64_t Peer::*value) const;
@@ -344,6 +351,7 @@
     Index persistedIndex_ = 0;
     std::vector<DeferredMessage> deferredMessages_;
 
+    bool isDiskWritable_ = true;
     Role role_ = Role::Follower;
     std::optional<ReplicaKey> leader_;
     Index commitIndex_ = 0;
--- a/src/consensus/ReplicaCore.cpp
+++ b/src/consensus/ReplicaCore.cpp
@@ -123,7 +123,7 @@
         return;
     // Until its removal is committed, this replica may be the only one whose log is
     // up to date enough to win an election, so it still campaigns.
-    if (log_.hasVoterSince(commitIndex_, settings_.self))
+    if (isDiskWritable_ && log_.hasVoterSince(commitIndex_, settings_.self))
         startPreVote();
     else
         electionDeadline_ = now_ + settings_.electionTimeoutMax;
@@ -155,6 +155,17 @@
         acknowledgeAppend();
 }
 
+void ReplicaCore::onInput(const DiskChanged& input)
+{
+    isDiskWritable_ = input.isWritable;
+    if (isDiskWritable_ || role_ != Role::Leader)
+        return;
+    // The others must elect one of them without the vote of this replica.
+    const bool isSelfVoter = configuration().isVoter(settings_.self);
+    if (countActiveVoters(configuration()) - (isSelfVoter ? 1 : 0) >= configuration().majority())
+        becomeFollower(term_, std::nullopt);
+}
+
 void ReplicaCore::onInput(const SnapshotTaken& input)
 {
     const Snapshot& snapshot = input.snapshot;
--- a/src/consensus/ReplicaCoreLeader.cpp
+++ b/src/consensus/ReplicaCoreLeader.cpp
@@ -104,15 +104,17 @@
     replicateToAll();
 }
 
-bool ReplicaCore::hasActiveMajority(const Configuration& candidate) const
+std::size_t ReplicaCore::countActiveVoters(const Configuration& candidate) const
 {
     const auto active = std::count_if(candidate.voters.begin(), candidate.voters.end(), [this](const ReplicaKey& key) {
         auto peer = peers_.find(key);
         return key == settings_.self || (peer != peers_.end() && isActive(peer->second));
     });
-    return static_cast<std::size_t>(active) >= candidate.majority();
+    return static_cast<std::size_t>(active);
 }
 
+bool ReplicaCore::hasActiveMajority(const Configuration& candidate) const { return countActiveVoters(candidate) >= candidate.majority(); }
+
 std::vector<ReplicaKey> ReplicaCore::activePeers() const
 {
     std::vector<ReplicaKey> active;
--- a/src/replica/ReplicaNode.cpp
+++ b/src/replica/ReplicaNode.cpp
@@ -290,10 +290,7 @@
         const auto& output = unwrittenOutputs_.front();
         auto result = storage_->write(output);
         if (!result && result.error().kind == ErrorKind::StorageFull) {
-            if (!isDiskFull_)
-                logger.error("The disk is full; commands are rejected.", { { "reason", result.error().detail } });
-            isDiskFull_ = true;
-            writeRetryAt_ = clock_.now() + fullDiskRetryDelay;
+            recordFullDisk(result.error());
             return lastWrite;
         }
         if (!result)
@@ -305,12 +302,35 @@
         lastWrite = std::max(lastWrite, output.writeNumber);
         unwrittenOutputs_.pop_front();
     }
-    if (isDiskFull_)
-        logger.info("The disk has free space again.");
-    isDiskFull_ = false;
+    recordWritableDisk();
     return lastWrite;
 }
 
+// Another replica leads while this one cannot write. One failed write may pass before the
+// retry, and costs less than an election.
+void ReplicaNode::recordFullDisk(const Error& error)
+{
+    writeRetryAt_ = clock_.now() + fullDiskRetryDelay;
+    if (!isDiskFull_) {
+        logger.error("The disk is full; commands are rejected.", { { "reason", error.detail } });
+        isDiskFull_ = true;
+        return;
+    }
+    if (std::exchange(hasReportedFullDisk_, true))
+        return;
+    logger.warning("The disk is still full; this replica does not lead until it has space.", { { "term", core_->term() } });
+    step(consensus::DiskChanged { false });
+}
+
+void ReplicaNode::recordWritableDisk()
+{
+    if (!std::exchange(isDiskFull_, false))
+        return;
+    logger.info("The disk has free space again.");
+    if (std::exchange(hasReportedFullDisk_, false))
+        step(consensus::DiskChanged { true });
+}
+
 void ReplicaNode::flushWrites()
 {
     if (isDiskFull_ && clock_.now() < writeRetryAt_)
--- a/src/replica/ReplicaNode.h
+++ b/src/replica/ReplicaNode.h
@@ -153,6 +153,9 @@
     // Writes the queued outputs until one fails with StorageFull. Returns the number of
     // the last write, or zero if nothing was written.
     std::uint64_t writeOutputs();
+    // Call when a write has failed because the disk is full, and when writes succeed.
+    void recordFullDisk(const base::Error&);
+    void recordWritableDisk();
     void flushWrites();
     void expirePendingRequests();
     void takeSnapshotIfDue();
@@ -175,6 +178,8 @@
     // Outputs that are not written yet, oldest first.
     std::deque<consensus::Output> unwrittenOutputs_;
     bool isDiskFull_ = false;
+    // Whether the core knows that the disk is full.
+    bool hasReportedFullDisk_ = false;
     base::TimePoint writeRetryAt_;
     std::map<consensus::RequestId, PendingRequest> pendingRequests_;
     // Outcomes of the entries applied in the current step, by index.
--- a/tests/ConsensusHarness.h
+++ b/tests/ConsensusHarness.h
@@ -30,6 +30,8 @@
         Index appliedIndex = 0;
         std::size_t installedSnapshots = 0;
         std::chrono::nanoseconds syncDelay = std::chrono::microseconds(300);
+        // Until then, the disk has no space.
+        std::chrono::nanoseconds fullUntil {};
         // When the messages sent so far have left, if the links have a limited speed.
         std::chrono::nanoseconds uplinkBusyUntil {};
     };
@@ -85,6 +87,13 @@
         nodes[i].disk = DurableState();
         ++nodes[i].key.disk;
     }
+    // Leaves the disk without space. The replica finds out as ReplicaNode does: by a write,
+    // which it repeats every fullDiskRetryDelay.
+    void fillDisk(std::size_t i, std::chrono::nanoseconds span)
+    {
+        nodes[i].fullUntil = now + span;
+        checkFullDisk(i);
+    }
     void isolate(std::size_t i, bool incoming = true, bool outgoing = true)
     {
         for (std::size_t other = 0; other < nodes.size(); ++other) {
@@ -257,6 +266,8 @@
     RequestId lastRequestId = 0;
 
 private:
+    static constexpr Milliseconds fullDiskRetryDelay { 500 };
+
     const std::uint64_t seed_;
 
     base::TimePoint localTime(const Node& node) const
@@ -304,11 +315,29 @@
     void finishSync(std::size_t i, std::uint64_t crashCount, std::uint64_t number)
     {
         Node& node = nodes[i];
+        if (node.crashCount == crashCount && now < node.fullUntil) {
+            events.emplace(now + fullDiskRetryDelay, [this, i, crashCount, number] { finishSync(i, crashCount, number); });
+            return;
+        }
         while (node.crashCount == crashCount && !node.unsynced.empty() && node.unsynced.front().writeNumber <= number)
             syncOldestWrite(node);
         if (node.crashCount == crashCount)
             step(i, Persisted { number });
     }
+    void checkFullDisk(std::size_t i)
+    {
+        Node& node = nodes[i];
+        const bool isFull = now < node.fullUntil;
+        const bool isWritePending = !node.unsynced.empty();
+        events.emplace(now + fullDiskRetryDelay, [this, i, isFull, isWritePending] {
+            if (isFull && isWritePending && !nodes[i].unsynced.empty())
+                step(i, DiskChanged { false });
+            if (isFull)
+                checkFullDisk(i);
+            else
+                step(i, DiskChanged { true });
+        });
+    }
     // A stand-in for the state after the entry. The applied entries themselves are compared
     // in checkSafety().
     static std::string encodeStateAt(Index index) { return fmt::format("{:020}", index); }
