--- a/include/fleet/FleetMessages.h
+++ b/include/fleet/FleetMessages.h
@@ -19,7 +19,9 @@
     std::uint32_t running = 0;
     // Reserved cache in tokens times layers, 0 for a plain service.
     double cacheTokenLayers = 0;
-    MSGPACK_DEFINE(upstream, running, cacheTokenLayers)
+    // Streams that the upstream refused for lack of memory or slots in the last 500 ms.
+    std::uint32_t refusals = 0;
+    MSGPACK_DEFINE(upstream, running, cacheTokenLayers, refusals)
 };
 
 // A long poll that asks a control VM for changes.
--- a/include/routing/LayerPathSelector.h
+++ b/include/routing/LayerPathSelector.h
@@ -39,6 +39,8 @@
     double running = 0;
     // Reserved key-value cache, in tokens times layers.
     double cacheTokenLayers = 0;
+    // Streams that the engine refused for lack of memory or slots in the last 500 ms.
+    double refusals = 0;
 };
 
 // Selects the path of engines for a stream. A path covers every layer exactly once
--- a/src/fleet/PeerLoadTable.cpp
+++ b/src/fleet/PeerLoadTable.cpp
@@ -7,6 +7,7 @@
     load.upstream = other.upstream;
     load.running += other.running;
     load.cacheTokenLayers += other.cacheTokenLayers;
+    load.refusals += other.refusals;
     ++reports;
 }
 
@@ -14,6 +15,7 @@
 {
     load.running -= other.running;
     load.cacheTokenLayers -= other.cacheTokenLayers;
+    load.refusals -= other.refusals;
     --reports;
 }
 
@@ -62,7 +64,7 @@
         if (excluded == own.end()) {
             result.push_back(sum.load);
         } else if (const auto& [load, reports] = excluded->second; reports < sum.reports) {
-            result.push_back({ upstream, sum.load.running - load.running, sum.load.cacheTokenLayers - load.cacheTokenLayers });
+            result.push_back({ upstream, sum.load.running - load.running, sum.load.cacheTokenLayers - load.cacheTokenLayers, sum.load.refusals - load.refusals });
         }
     }
     return result;
--- a/src/forwarding/ReverseProxy.cpp
+++ b/src/forwarding/ReverseProxy.cpp
@@ -201,7 +201,7 @@
     std::map<std::string, routing::InFlightLoad> engines;
     std::map<std::string, double> running;
     for (const auto& [upstream, sum] : load) {
-        engines[upstream] = { static_cast<double>(sum.running), sum.cacheTokenLayers };
+        engines[upstream] = { static_cast<double>(sum.running), sum.cacheTokenLayers, static_cast<double>(sum.refusals) };
         running[upstream] = sum.running;
     }
     for (auto& [name, state] : services_) {
@@ -230,11 +230,11 @@
     for (const auto& [name, state] : services_) {
         if (state.pathSelector) {
             for (const auto& [upstream, load] : state.pathSelector->ownLoad())
-                result.push_back({ upstream, static_cast<std::uint32_t>(load.running), load.cacheTokenLayers });
+                result.push_back({ upstream, static_cast<std::uint32_t>(load.running), load.cacheTokenLayers, static_cast<std::uint32_t>(load.refusals) });
         }
         if (state.balancer) {
             for (const auto& [upstream, running] : state.balancer->ownRunning())
-                result.push_back({ upstream, static_cast<std::uint32_t>(running), 0 });
+                result.push_back({ upstream, static_cast<std::uint32_t>(running), 0, 0 });
         }
     }
     return result;
