The number of copies follows from the streams that they complete

Cause: the planner made as many copies as left room for 28 usual requests each, in the mean over all cards. A stream needs memory on every card of its path, so the card with the least memory per layer limits its copy: on a fleet of 98 engines 4 of 12 copies had room for 11 streams. Engines refused most streams while other cards had room. Ruled out: the largest-remainder rounding of layers alone; with the same number of copies the better rounding raises 253 streams a second to 295 in the cost model, fewer copies to about 390. Change: streamsPerSecond() estimates from the configuration's cost model what a copy completes while its tightest card is full; the planner takes the count per data centre that completes most, and fewer copies only for a gain of a tenth, since a lost card then takes out more. Layers are rounded so that the tightest card has as much memory as possible. A model that states no cost of larger batches is planned as before. Small fleets keep their two copies per data centre. Result: LayerPlannerTest/CopiesKeepRoomForManyStreamsOnEveryCard failed before (five copies of 11 to 46 streams).

--- a/include/placement/LayerPlanner.h
+++ b/include/placement/LayerPlanner.h
@@ -49,14 +49,14 @@
 // Fails with MalformedFrame on invalid input. Safe on arbitrary bytes.
 base::Result<LayerPlans> decodePlans(std::string_view bytes);
 
-// Splits all layers over `cards` in proportion to their memory, so that every card has
-// cache memory for about the same number of tokens. Returns one range per card, or
+// Splits all layers over `cards` by their memory, so that the card with the least cache
+// memory per layer has as much as possible. Returns one range per card, or
 // nullopt if the total memory does not suffice for `minTokens` tokens of requests or a
 // card cannot hold its layers.
 std::optional<std::vector<fleet::LayerRange>> splitLayers(const routes::LayeredModel&, const std::vector<Card>& cards, double minTokens);
 
-// Assigns layers to cards: as many complete copies of the model as leave enough memory
-// for requests, each within one data centre if possible, with cards of similar speed
+// Assigns layers to cards: as many complete copies of the model as serve most streams with
+// the memory that the layers leave, each within one data centre if possible, with cards of similar speed
 // grouped together. Repairs plans with few loads when cards change.
 class LayerPlanner {
 public:
--- a/src/placement/LayerPlanner.cpp
+++ b/src/placement/LayerPlanner.cpp
@@ -1,5 +1,6 @@
 #include "include/placement/LayerPlanner.h"
 
+#include "include/placement/CopyThroughput.h"
 #include "src/state/Unpack.h"
 
 #include <algorithm>
@@ -13,6 +14,9 @@
 
 // A copy is worth its layers only if its free memory fits this many typical requests.
 static constexpr double minRequestsPerCopy = 28;
+// A plan with fewer copies must complete this many times the streams of one with more: a
+// lost card takes its whole copy out of use, and that is a larger part of few copies.
+static constexpr double minGainOfFewerCopies = 1.1;
 // Lower bound for a copy whose layers are split again after it lost a card.
 static constexpr double minRequestsAfterResplit = 20;
 // Lower bound for a lost slice that moves to spare cards: little capacity is better
@@ -58,23 +62,27 @@
 // Returns the memory of one layer with its cache for `tokens` tokens of requests.
 static double layerMegabytesWithCache(const LayeredModel& model, double tokens) { return model.layerMegabytes + model.cacheBytesPerToken / model.layers / bytesPerMegabyte * tokens; }
 
+// Distributes the layers so that the card with the least memory per layer has as much as
+// possible (D'Hondt's method), because that card limits the streams of the whole copy.
+static std::vector<int> countLayers(const LayeredModel& model, const std::vector<Card>& cards)
+{
+    std::vector<int> counts(cards.size(), 0);
+    for (int assigned = 0; assigned < model.layers; ++assigned) {
+        std::size_t best = 0;
+        for (std::size_t i = 1; i < cards.size(); ++i) {
+            if (cards[i].megabytes / (counts[i] + 1) > cards[best].megabytes / (counts[best] + 1))
+                best = i;
+        }
+        ++counts[best];
+    }
+    return counts;
+}
+
 std::optional<std::vector<LayerRange>> splitLayers(const LayeredModel& model, const std::vector<Card>& cards, double minTokens)
 {
-    double total = totalMegabytes(cards);
-    if (cards.empty() || total < model.layers * layerMegabytesWithCache(model, minTokens))
+    if (cards.empty() || totalMegabytes(cards) < model.layers * layerMegabytesWithCache(model, minTokens))
         return std::nullopt;
-    std::vector<int> counts;
-    std::vector<std::pair<double, std::size_t>> remainders;
-    int assigned = 0;
-    for (std::size_t i = 0; i < cards.size(); ++i) {
-        double exact = model.layers * cards[i].megabytes / total;
-        counts.push_back(static_cast<int>(std::floor(exact)));
-        assigned += counts.back();
-        remainders.emplace_back(exact - counts.back(), i);
-    }
-    std::sort(remainders.rbegin(), remainders.rend());
-    for (std::size_t i = 0; assigned < model.layers; ++i, ++assigned)
-        ++counts[remainders[i % remainders.size()].second];
+    auto counts = countLayers(model, cards);
     std::vector<LayerRange> ranges;
     int from = 0;
     for (std::size_t i = 0; i < cards.size(); ++i) {
@@ -117,26 +125,48 @@
     }
 }
 
-// Adds as many copies as fit in the memory of `cards`. Returns false if none fits.
+// A division of cards into copies of the model.
+struct CopySplit {
+    std::vector<std::vector<Card>> groups;
+    std::vector<std::vector<LayerRange>> ranges;
+    // Of all copies together; 0 if the model states too little to tell.
+    double streamsPerSecond = 0;
+};
+
+// Divides `cards`, sorted by speed, into `count` copies. Returns nullopt if one of them
+// lacks memory.
+static std::optional<CopySplit> splitIntoCopies(const LayeredModel& model, const std::vector<Card>& cards, std::size_t count, double minTokens)
+{
+    CopySplit split;
+    split.groups = groupByMemory(cards, count);
+    for (const auto& group : split.groups) {
+        auto ranges = splitLayers(model, group, minTokens);
+        if (!ranges)
+            return std::nullopt;
+        split.streamsPerSecond += streamsPerSecond(model, group, *ranges);
+        split.ranges.push_back(std::move(*ranges));
+    }
+    return split;
+}
+
+// Adds the copies that complete most streams on `cards`; if the model does not tell, as
+// many as fit. Returns false if none fits.
 static bool addCopies(LayerPlan& plan, const LayeredModel& model, std::vector<Card> cards)
 {
     sortFastestFirst(cards);
     double minTokens = minRequestsPerCopy * typicalRequestTokens(model);
     auto maxCopies = static_cast<std::size_t>(totalMegabytes(cards) / (model.layers * layerMegabytesWithCache(model, minTokens)));
+    std::optional<CopySplit> best;
     for (auto count = maxCopies; count; --count) {
-        auto groups = groupByMemory(cards, count);
-        std::vector<std::vector<LayerRange>> splits;
-        for (const auto& group : groups) {
-            if (auto ranges = splitLayers(model, group, minTokens * 0.9))
-                splits.push_back(*ranges);
-        }
-        if (splits.size() != groups.size())
-            continue;
-        for (std::size_t i = 0; i < groups.size(); ++i)
-            addCopy(plan, groups[i], splits[i]);
-        return true;
+        auto split = splitIntoCopies(model, cards, count, minTokens * 0.9);
+        if (split && (!best || split->streamsPerSecond > best->streamsPerSecond * minGainOfFewerCopies))
+            best = std::move(split);
     }
-    return false;
+    if (!best)
+        return false;
+    for (std::size_t i = 0; i < best->groups.size(); ++i)
+        addCopy(plan, best->groups[i], best->ranges[i]);
+    return true;
 }
 
 LayerPlan LayerPlanner::plan(const LayeredModel& model, const std::vector<Card>& cards)
--- a/tests/LayerPlannerTest.cpp
+++ b/tests/LayerPlannerTest.cpp
@@ -1,8 +1,11 @@
 #include "include/base/Clock.h"
+#include "include/placement/CopyThroughput.h"
 #include "include/placement/LayerController.h"
 
 #include <boost/test/unit_test.hpp>
 
+#include <array>
+
 using namespace arbutus;
 using namespace arbutus::placement;
 
@@ -92,6 +95,66 @@
     BOOST_TEST((copies == std::map<std::string, int> { { "catania", 2 }, { "palermo", 1 }, { "ragusa", 2 } }));
 }
 
+// The model and cards of a large fleet with little memory beside the layers.
+static routes::LayeredModel largeFleetModel()
+{
+    routes::LayeredModel result = model();
+    result.cacheBytesPerToken = 393'000;
+    result.stepMilliseconds = 0.85;
+    result.perSequenceMilliseconds = 0.00255;
+    result.contextMillisecondsPerThousandTokens = 0.00341;
+    result.slots = 192;
+    return result;
+}
+
+static void addLargeFleetCards(std::vector<Card>& cards, const std::string& dataCentre, std::array<int, 4> counts)
+{
+    static constexpr std::array<double, 4> megabytes { 72'000, 36'000, 21'600, 14'400 };
+    static constexpr std::array<double, 4> stepTimeFactors { 1.4, 3.1, 16, 15 };
+    for (std::size_t kind = 0; kind < counts.size(); ++kind) {
+        for (int i = 0; i < counts[kind]; ++i)
+            cards.push_back({ "10.0.0." + std::to_string(cards.size()) + ":80", dataCentre, megabytes[kind], stepTimeFactors[kind], false });
+    }
+}
+
+// Guards against copies whose cards have memory for the layers but hardly any for streams,
+// so that the engines refuse most streams while other cards have room. Of 12 copies in this
+// fleet, 4 had room for 11 streams each.
+BOOST_AUTO_TEST_CASE(CopiesKeepRoomForManyStreamsOnEveryCard)
+{
+    std::vector<Card> cards;
+    addLargeFleetCards(cards, "a", { 1, 2, 20, 9 });
+    addLargeFleetCards(cards, "b", { 0, 4, 11, 18 });
+    addLargeFleetCards(cards, "c", { 1, 2, 13, 17 });
+    auto plan = LayerPlanner::plan(largeFleetModel(), cards);
+    checkPlan(plan, cards);
+    std::map<int, std::pair<std::vector<Card>, std::vector<fleet::LayerRange>>> copies;
+    for (const auto& slice : plan.slices) {
+        copies[slice.copy].first.push_back(cardAt(cards, slice.cardAddress));
+        copies[slice.copy].second.push_back(slice.range);
+    }
+    BOOST_TEST(copies.size() >= 9U);
+    double sum = 0;
+    for (const auto& [copy, parts] : copies) {
+        BOOST_TEST(streamCapacity(largeFleetModel(), parts.first, parts.second) > 60);
+        sum += streamsPerSecond(largeFleetModel(), parts.first, parts.second);
+    }
+    // 217 streams a second arrive usually, and peaks are 1.5 times as high.
+    BOOST_TEST(sum > 325);
+}
+
+// Guards against giving up a second copy in a data centre, which serves on after the loss
+// of a card, for little gain.
+BOOST_AUTO_TEST_CASE(SmallFleetKeepsTwoCopiesInEachDataCentre)
+{
+    auto small = model();
+    small.perSequenceMilliseconds = 0.00714;
+    small.contextMillisecondsPerThousandTokens = 0.00956;
+    small.slots = 192;
+    auto cards = fleetCards();
+    BOOST_TEST(checkPlan(LayerPlanner::plan(small, cards), cards) == checkPlan(LayerPlanner::plan(model(), cards), cards));
+}
+
 // Guards against unused cards in several data centres, none of which can hold a copy
 // alone.
 BOOST_AUTO_TEST_CASE(CopySpansDataCentresThatAreTooSmallAlone)
