Entry VMs together limit how often they try an engine that refuses

Cause: an engine that fails, restarts, gives up layers or has just loaded has no streams, so it looks cheapest to all entry VMs. Each avoids it for 300 ms after its own refusal only, so they take turns.

Refusals are now recorded for the engine that a rejection names, reported with the own load, and raise the believed load to level / (1 + level) of the capacity, where the level is the refusals of all entry VMs in the last 500 ms, then half of it every 100 ms. Raising the load alone was ruled out: all entry VMs would see the level expire at the same time and try the engine at once. So each also tries such an engine only with the probability that gives 6.7 / level tries a second of all together.

ownLoad() and setPeerLoad() take the time, because refusals expire.

--- a/include/routing/LayerPathSelector.h
+++ b/include/routing/LayerPathSelector.h
@@ -5,6 +5,7 @@
 #include "include/fleet/UpstreamRecord.h"
 #include "include/routes/RouteConfiguration.h"
 #include "include/routing/DecayedRate.h"
+#include "include/routing/RefusalTracker.h"
 
 #include <map>
 #include <memory>
@@ -91,11 +92,16 @@
     // Call when a request for the service arrives at this VM.
     void requestArrived(base::TimePoint now) { arrivals_.add(1, now); }
     // Sets the load that other entry VMs report, by engine.
-    void setPeerLoad(std::map<std::string, InFlightLoad> load) { peerLoad_ = std::move(load); }
+    void setPeerLoad(std::map<std::string, InFlightLoad>, base::TimePoint now);
 
     // Excludes an engine from selection until `until`. Call after a failure on it.
     void markSuspect(const std::string& upstream, base::TimePoint until);
 
+    // Call when an engine has refused a stream for lack of memory or slots, or because it does
+    // not hold the layers. It counts as fuller than reported for a while, and all entry VMs
+    // together try it at a limited rate.
+    void recordRefusal(const std::string& upstream, base::TimePoint now) { refusals_.record(upstream, now); }
+
     // Returns the cheapest of some paths without suspect engines and those in `avoided`, or
     // nullopt if no complete path has enough capacity. The paths begin at copies drawn at
     // random, the fewer the more streams the other VMs place unseen, and have room for those
@@ -109,17 +115,22 @@
     void reserve(const LayerPath&, const StreamSize&);
     void release(const LayerPath&, const StreamSize&);
 
-    // Load of this VM's own streams, by engine.
-    const std::map<std::string, InFlightLoad>& ownLoad() const { return ownLoad_; }
+    // Load of this VM's own streams and refusals of such, by engine.
+    std::map<std::string, InFlightLoad> ownLoad(base::TimePoint now) const;
 
 private:
     InFlightLoad loadAt(const std::string& upstream) const;
+    // Returns the known load, raised to what recent refusals show.
+    InFlightLoad believedLoad(const Engine&, base::TimePoint now) const;
     double cacheCapacity(const Engine&) const;
     bool hasCapacity(const Engine&, int layers, const StreamSize&, const InFlightLoad&, double unseen) const;
     double tokenMilliseconds(const Engine&, int layers, const InFlightLoad&) const;
     double stageCost(const Engine&, int layers, const StreamSize&, const InFlightLoad&) const;
     double linkCost(const Engine* previous, const Engine& next, const StreamSize&) const;
     std::vector<const Engine*> usableEngines(const std::set<std::string>& avoided, base::TimePoint now) const;
+    // Returns the engines that have recently refused streams and are not to be tried now. Some
+    // such engines are left out at random, so that all entry VMs together try them at times.
+    std::set<const Engine*> drawRefusing(const std::vector<const Engine*>&, base::TimePoint now);
     // Returns how many streams the other entry VMs are expected to have placed since they
     // reported their load.
     double unseenStreams(base::TimePoint now) const;
@@ -129,7 +140,7 @@
     std::vector<const Engine*> drawCandidates(const std::vector<const Engine*>&, double unseen);
     // Without `unseen`, the path needs no capacity; else it needs room for the stream and as
     // many others of its size.
-    std::optional<LayerPath> search(const std::vector<const Engine*>&, const StreamSize&, std::optional<double> unseen) const;
+    std::optional<LayerPath> search(const std::vector<const Engine*>&, const StreamSize&, std::optional<double> unseen, base::TimePoint now) const;
 
     routes::LayeredModel model_;
     std::string dataCentre_;
@@ -137,6 +148,8 @@
     std::map<std::string, InFlightLoad> ownLoad_;
     std::map<std::string, InFlightLoad> peerLoad_;
     std::map<std::string, base::TimePoint> suspectUntil_;
+    RefusalTracker refusals_;
+    base::TimePoint lastChoiceAt_;
     base::Random random_;
     std::uint32_t entryVmCount_ = 1;
     DecayedRate arrivals_;
--- a/src/forwarding/ExchangeAttempts.cpp
+++ b/src/forwarding/ExchangeAttempts.cpp
@@ -148,8 +148,10 @@
     }
     if (responseMetadata_.faultyEngineAddress && outcome == AttemptOutcome::NotRun) {
         for (const auto& stage : path_) {
-            if (stage.endpoint.text() == *responseMetadata_.faultyEngineAddress)
+            if (stage.endpoint.text() == *responseMetadata_.faultyEngineAddress) {
                 service_->pathSelector->markSuspect(stage.upstream, now + refusalSuspectDuration);
+                service_->pathSelector->recordRefusal(stage.upstream, now);
+            }
         }
         return;
     }
--- a/src/forwarding/ReverseProxy.cpp
+++ b/src/forwarding/ReverseProxy.cpp
@@ -198,6 +198,7 @@
 
 void ReverseProxy::setPeerLoad(const std::map<std::string, fleet::UpstreamInFlightLoad>& load)
 {
+    auto now = std::chrono::steady_clock::now();
     std::map<std::string, routing::InFlightLoad> engines;
     std::map<std::string, double> running;
     for (const auto& [upstream, sum] : load) {
@@ -206,7 +207,7 @@
     }
     for (auto& [name, state] : services_) {
         if (state.pathSelector)
-            state.pathSelector->setPeerLoad(engines);
+            state.pathSelector->setPeerLoad(engines, now);
         if (state.balancer)
             state.balancer->setPeerRunning(running);
     }
@@ -226,10 +227,11 @@
 
 std::vector<fleet::UpstreamInFlightLoad> ReverseProxy::ownLoad() const
 {
+    auto now = std::chrono::steady_clock::now();
     std::vector<fleet::UpstreamInFlightLoad> result;
     for (const auto& [name, state] : services_) {
         if (state.pathSelector) {
-            for (const auto& [upstream, load] : state.pathSelector->ownLoad())
+            for (const auto& [upstream, load] : state.pathSelector->ownLoad(now))
                 result.push_back({ upstream, static_cast<std::uint32_t>(load.running), load.cacheTokenLayers, static_cast<std::uint32_t>(load.refusals) });
         }
         if (state.balancer) {
--- a/src/routing/LayerPathSelector.cpp
+++ b/src/routing/LayerPathSelector.cpp
@@ -65,6 +65,23 @@
     current = std::max(current, until);
 }
 
+void LayerPathSelector::setPeerLoad(std::map<std::string, InFlightLoad> load, base::TimePoint now)
+{
+    peerLoad_ = std::move(load);
+    std::map<std::string, double> refusals;
+    for (const auto& [id, entry] : peerLoad_)
+        refusals[id] = entry.refusals;
+    refusals_.setPeers(refusals, now);
+}
+
+std::map<std::string, InFlightLoad> LayerPathSelector::ownLoad(base::TimePoint now) const
+{
+    auto result = ownLoad_;
+    for (const auto& [id, count] : refusals_.ownRecent(now))
+        result[id].refusals = count;
+    return result;
+}
+
 InFlightLoad LayerPathSelector::loadAt(const std::string& upstream) const
 {
     InFlightLoad sum;
@@ -86,6 +103,14 @@
     return std::max(1.0, free * usableMemoryShare / (model_.cacheBytesPerToken / model_.layers));
 }
 
+InFlightLoad LayerPathSelector::believedLoad(const Engine& engine, base::TimePoint now) const
+{
+    auto load = loadAt(engine.record.id);
+    double level = refusals_.level(engine.record.id, now);
+    load.cacheTokenLayers = std::max(load.cacheTokenLayers, cacheCapacity(engine) * level / (1 + level));
+    return load;
+}
+
 bool LayerPathSelector::hasCapacity(const Engine& engine, int layers, const StreamSize& size, const InFlightLoad& load, double unseen) const
 {
     return load.cacheTokenLayers + reservedTokens(size) * layers * (1 + unseen) <= cacheCapacity(engine);
@@ -136,6 +161,19 @@
     return usable;
 }
 
+std::set<const LayerPathSelector::Engine*> LayerPathSelector::drawRefusing(const std::vector<const Engine*>& engines, base::TimePoint now)
+{
+    auto sinceLastChoice = now - lastChoiceAt_;
+    lastChoiceAt_ = now;
+    std::set<const Engine*> refusing;
+    for (const auto* engine : engines) {
+        double probability = refusals_.tryProbability(engine->record.id, sinceLastChoice, entryVmCount_, now);
+        if (probability < 1 && random_.unit() >= probability)
+            refusing.insert(engine);
+    }
+    return refusing;
+}
+
 using SearchPosition = LayerPathSelector::SearchPosition;
 using SearchSteps = std::map<SearchPosition, LayerPathSelector::SearchStep>;
 
@@ -154,7 +192,7 @@
 // Finds the cheapest path from layer 0 to the last by dynamic programming over the
 // boundaries of the engines' layer ranges. The state includes the data centre,
 // because the cost of the next stage depends on it.
-std::optional<LayerPath> LayerPathSelector::search(const std::vector<const Engine*>& engines, const StreamSize& size, std::optional<double> unseen) const
+std::optional<LayerPath> LayerPathSelector::search(const std::vector<const Engine*>& engines, const StreamSize& size, std::optional<double> unseen, base::TimePoint now) const
 {
     std::set<int> boundaries { 0, model_.layers };
     std::vector<InFlightLoad> loads;
@@ -162,7 +200,7 @@
     for (const auto* engine : engines) {
         boundaries.insert(engine->record.layers.from);
         boundaries.insert(engine->record.layers.to);
-        loads.push_back(loadAt(engine->record.id));
+        loads.push_back(believedLoad(*engine, now));
     }
     SearchSteps best;
     best[{ 0, {} }] = {};
@@ -235,12 +273,17 @@
     auto engines = usableEngines(avoided, now);
     double unseen = unseenStreams(now);
     auto copies = static_cast<double>(std::count_if(engines.begin(), engines.end(), [](const auto* engine) { return beginsPaths(*engine); }));
-    if (auto path = search(drawCandidates(engines, unseen), size, std::min(maxUnseenPerCopy, 2 * unseen / std::max(1.0, copies))))
+    auto refusing = drawRefusing(engines, now);
+    auto isRefusing = [&refusing](const Engine* engine) { return refusing.count(engine); };
+    auto drawn = drawCandidates(engines, unseen);
+    drawn.erase(std::remove_if(drawn.begin(), drawn.end(), isRefusing), drawn.end());
+    if (auto path = search(drawn, size, std::min(maxUnseenPerCopy, 2 * unseen / std::max(1.0, copies)), now))
         return path;
-    return search(engines, size, unseen * contestedShare);
+    engines.erase(std::remove_if(engines.begin(), engines.end(), isRefusing), engines.end());
+    return search(engines, size, unseen * contestedShare, now);
 }
 
-bool LayerPathSelector::hasPath(const std::set<std::string>& avoided, base::TimePoint now) const { return search(usableEngines(avoided, now), {}, std::nullopt).has_value(); }
+bool LayerPathSelector::hasPath(const std::set<std::string>& avoided, base::TimePoint now) const { return search(usableEngines(avoided, now), {}, std::nullopt, now).has_value(); }
 
 void LayerPathSelector::reserve(const LayerPath& path, const StreamSize& size)
 {
--- a/tests/LayerPathSelectorTest.cpp
+++ b/tests/LayerPathSelectorTest.cpp
@@ -148,7 +148,7 @@
     selector.setEngine(engine("f1", "fast", 0, 40));
     selector.setEngine(engine("f2", "fast", 40, 80));
     BOOST_TEST(selector.choose({ 700, 200 }, {}, clock.now()).has_value());
-    selector.setPeerLoad({ { "f2", { 28, 40.0 * 24'500 } } });
+    selector.setPeerLoad({ { "f2", { 28, 40.0 * 24'500 } } }, clock.now());
     BOOST_TEST(!selector.choose({ 700, 200 }, {}, clock.now()).has_value());
     BOOST_TEST(selector.hasPath({}, clock.now()));
 }
--- a/tests/PathSpread.h
+++ b/tests/PathSpread.h
@@ -24,6 +24,9 @@
         // Arrivals, relative to what the memory of all copies can hold on average.
         double load = 0.8;
         std::chrono::milliseconds duration { 12'000 };
+        // The first copies refuse every stream for 6 s and have none, as engines do that
+        // restart or load.
+        std::size_t refusingCopies = 0;
         std::uint64_t seed = 1;
     };
     struct Result {
@@ -35,6 +38,8 @@
         std::size_t started = 0;
         // Started streams whose first event came within the objective.
         std::size_t inObjective = 0;
+        // Streams that began at the copies that refused, from 1 s after they accept again.
+        std::size_t startedAtRecovered = 0;
         double meanUse = 0;
 
         double rejectedShare() const { return static_cast<double>(rejections) / static_cast<double>(std::max<std::size_t>(1, rejections + started)); }
@@ -163,6 +168,7 @@
             for (const auto& [id, load] : vm.reported) {
                 sum[id].running += load.running;
                 sum[id].cacheTokenLayers += load.cacheTokenLayers;
+                sum[id].refusals += load.refusals;
             }
         }
         for (auto& vm : vms_) {
@@ -170,11 +176,12 @@
             for (const auto& [id, load] : vm.reported) {
                 others[id].running -= load.running;
                 others[id].cacheTokenLayers -= load.cacheTokenLayers;
+                others[id].refusals -= load.refusals;
             }
-            vm.selector->setPeerLoad(std::move(others));
+            vm.selector->setPeerLoad(std::move(others), now_);
         }
         for (auto& vm : vms_) {
-            vm.reported = vm.selector->ownLoad();
+            vm.reported = vm.selector->ownLoad(now_);
             vm.selector->setEntryVmCount(static_cast<std::uint32_t>(vms_.size()));
         }
     }
@@ -209,12 +216,17 @@
                 return;
             ++result_.rejections;
             selector.markSuspect(path->front().upstream, now_ + Milliseconds(300));
+            selector.recordRefusal(path->front().upstream, now_);
         }
     }
 
     bool start(std::size_t copyIndex, std::size_t vmIndex, const routing::LayerPath& path, const routing::StreamSize& size)
     {
         auto& copy = copies_[copyIndex];
+        bool wasRefusing = copyIndex < options_.refusingCopies;
+        if (wasRefusing && now_ < beginsAt_ + Milliseconds(6000))
+            return false;
+        result_.startedAtRecovered += wasRefusing && now_ > beginsAt_ + Milliseconds(7000) ? 1 : 0;
         if (copy.usedTokens + heldTokens() > capacityTokens() / 0.95)
             return false;
         copy.usedTokens += heldTokens();
@@ -229,7 +241,8 @@
 
     const Options options_;
     base::Random random_;
-    Time now_ { std::chrono::hours(1) };
+    const Time beginsAt_ { std::chrono::hours(1) };
+    Time now_ = beginsAt_;
     std::vector<Copy> copies_;
     std::vector<Vm> vms_;
     std::priority_queue<Stream, std::vector<Stream>, std::greater<>> streams_;
--- a/tests/PathSpreadTest.cpp
+++ b/tests/PathSpreadTest.cpp
@@ -39,3 +39,23 @@
         BOOST_TEST(result.startedShare() > (load > 1 ? 0.8 : 0.99));
     }
 }
+
+// Guards against entry VMs that take turns at engines which look empty but refuse every
+// stream, and against engines that stay unused once they accept again.
+BOOST_AUTO_TEST_CASE(EnginesThatRefuseAreNotTriedByAllInTurn)
+{
+    for (std::size_t entryVms : { 9, 66, 130, 300 }) {
+        for (double load : { 0.95, 1.2 }) {
+            PathSpread::Options options;
+            options.entryVms = entryVms;
+            options.dataCentres = 3;
+            options.load = load;
+            options.refusingCopies = 4;
+            auto result = PathSpread(options).run();
+            // What the copies that refused hold at full use, from 7 s to the end at 12 s.
+            BOOST_TEST_MESSAGE(entryVms << " entry VMs, load " << load << ": rejected " << result.rejectedShare() << ", started " << result.startedShare() << ", at recovered copies " << result.startedAtRecovered << ", in objective " << result.inObjectiveShare());
+            BOOST_TEST(result.rejectedShare() < 0.1);
+            BOOST_TEST(result.startedAtRecovered > 100U);
+        }
+    }
+}
