Delays between data centres are part of a model's configuration

An engine's `delays` (from, target, delay_ms, one way) were ignored. They are now decoded into routes::LayeredModel; a direction that is not listed has the delay of the opposite one, and a pair without any has none.

An entry that is invalid (negative, above a minute, of another type, incomplete, from a data centre to itself) or repeats an earlier one is skipped, and so is a list that is no array. Refusing the configuration was ruled out: until now such documents were in force, and a missing hint costs less than a configuration that cannot be changed.

--- a/include/routes/RouteConfiguration.h
+++ b/include/routes/RouteConfiguration.h
@@ -56,6 +56,13 @@
     double prefillTimeFactor = 1;
 };
 
+// The network delay from one data centre to another.
+struct DataCentreDelay {
+    std::string from;
+    std::string target;
+    std::chrono::duration<double, std::milli> oneWay { 0 };
+};
+
 // The cost model of a service whose engines each hold a range of a model's layers.
 struct LayeredModel {
     int layers = 0;
@@ -78,9 +85,15 @@
     double typicalPromptTokens = 0;
     double typicalAnswerTokens = 0;
     std::vector<AcceleratorKind> acceleratorKinds;
+    std::vector<DataCentreDelay> dataCentreDelays;
 
     // Returns null if the kind is unknown.
     const AcceleratorKind* findAcceleratorKind(const std::string& name) const;
+    // Returns the one-way delay, 0 within a data centre. If only the opposite direction is
+    // listed, its delay applies; nullopt if neither is.
+    std::optional<std::chrono::duration<double, std::milli>> delayBetween(const std::string& from, const std::string& target) const;
+    // Whether any delay from or to the data centre is listed.
+    bool hasDelays(const std::string& dataCentre) const;
 };
 
 struct Service {
--- a/src/routes/RouteConfiguration.cpp
+++ b/src/routes/RouteConfiguration.cpp
@@ -17,6 +17,25 @@
     return found == acceleratorKinds.end() ? nullptr : &*found;
 }
 
+std::optional<std::chrono::duration<double, std::milli>> LayeredModel::delayBetween(const std::string& from, const std::string& target) const
+{
+    if (from == target)
+        return std::chrono::duration<double, std::milli>(0);
+    const DataCentreDelay* opposite = nullptr;
+    for (const auto& delay : dataCentreDelays) {
+        if (delay.from == from && delay.target == target)
+            return delay.oneWay;
+        if (delay.from == target && delay.target == from && !opposite)
+            opposite = &delay;
+    }
+    return opposite ? std::optional(opposite->oneWay) : std::nullopt;
+}
+
+bool LayeredModel::hasDelays(const std::string& dataCentre) const
+{
+    return std::any_of(dataCentreDelays.begin(), dataCentreDelays.end(), [&dataCentre](const DataCentreDelay& delay) { return delay.from == dataCentre || delay.target == dataCentre; });
+}
+
 static base::Error invalid(std::string detail) { return base::makeError(base::ErrorKind::SheetInvalid, std::move(detail)); }
 
 static Result<void> validateRoute(const Route& route, const std::set<std::string>& services)
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -40,6 +40,34 @@
     BOOST_TEST(routes::validate(value).has_value());
 }
 
+// Guards against a configuration that is refused, or a link that is assumed, because of an
+// entry of the delays that is missing or invalid.
+BOOST_AUTO_TEST_CASE(InvalidDelaysBetweenDataCentresAreSkipped)
+{
+    auto modelOf = [](const std::string& delays) {
+        auto text = routesText;
+        text.insert(text.find("\"slots\":192"), delays);
+        auto decoded = decodeRoutes(text);
+        BOOST_REQUIRE(decoded.has_value());
+        return *decoded.value().services.at(0).model;
+    };
+    for (const char* odd : { "", "\"delays\":null,", "\"delays\":7,", "\"delays\":[],", "\"delays\":[1,null,[],{}]," })
+        BOOST_TEST(modelOf(odd).dataCentreDelays.empty());
+    auto model = modelOf(R"("pipe_mbps":900,"delays":[{"from":"a","target":"b","delay_ms":4.5},{"from":"b","target":"a","delay_ms":6},{"from":"a","target":"b","delay_ms":9},
+{"from":"b","target":"c","delay_ms":0},{"from":"c","target":"c","delay_ms":1},{"from":"c","target":"d","delay_ms":-1},{"from":"c","target":"e","delay_ms":1e300},
+{"from":"c","target":"f","delay_ms":"7"},{"from":"c","delay_ms":7},{"from":"","target":"c","delay_ms":7},{"from":"c","target":"g"}],)");
+    BOOST_TEST(model.crossDataCentreMegabitsPerSecond == 900);
+    BOOST_TEST(model.dataCentreDelays.size() == 3U);
+    BOOST_TEST(model.delayBetween("a", "b")->count() == 4.5);
+    BOOST_TEST(model.delayBetween("b", "a")->count() == 6);
+    BOOST_TEST(model.delayBetween("c", "b")->count() == 0);
+    BOOST_TEST(model.delayBetween("c", "c")->count() == 0);
+    for (const char* target : { "a", "d", "e", "f", "g", "" })
+        BOOST_TEST(!model.delayBetween("c", target).has_value());
+    BOOST_TEST(model.hasDelays("c"));
+    BOOST_TEST(!model.hasDelays("d"));
+}
+
 // Guards against storing a configuration of which a part cannot be decoded.
 BOOST_AUTO_TEST_CASE(RejectsUndecodableRoutes)
 {
