Calls of plain services can stay in their data centre

The fixed 2 ms for another data centre are less than what a few running calls add to the cost, so calls leave while slots are free. With setStaysLocal(), a call stays while a local upstream has a free slot and costs at most three times as much as the best one, which failures, suspicion and slowness exceed. Off by default.

A larger fixed cost was ruled out: it depends on the duration of the calls.

--- a/include/routing/ServiceBalancer.h
+++ b/include/routing/ServiceBalancer.h
@@ -3,6 +3,7 @@
 #include "include/base/Time.h"
 #include "include/fleet/UpstreamRecord.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <optional>
@@ -37,6 +38,9 @@
     void removeUpstream(const std::string& id) { upstreams_.erase(id); }
     // Sets the in-flight calls that other entry VMs report, by upstream.
     void setPeerRunning(std::map<std::string, double> running) { peerRunning_ = std::move(running); }
+    // Whether a call stays in the local data centre while a sound upstream there has a free
+    // slot. Off by default.
+    void setStaysLocal(bool staysLocal) { staysLocal_ = staysLocal; }
     void markSuspect(const std::string& id, base::TimePoint until);
 
     // Returns nullopt if there is no upstream outside `avoided`. A suspect upstream is
@@ -62,9 +66,12 @@
         base::TimePoint suspectUntil;
     };
 
+    double runningAt(const Upstream&) const;
     double expectedCost(const Upstream&, base::TimePoint now) const;
+    bool hasFreeSlot(const Upstream& upstream) const { return runningAt(upstream) + 1 <= std::max(1, upstream.record.slots); }
 
     std::string dataCentre_;
+    bool staysLocal_ = false;
     std::map<std::string, Upstream> upstreams_;
     std::map<std::string, double> peerRunning_;
 };
--- a/src/routing/ServiceBalancer.cpp
+++ b/src/routing/ServiceBalancer.cpp
@@ -11,6 +11,9 @@
 // Cost of a failed call, as a multiple of the latency.
 static constexpr double failureCostFactor = 12;
 static constexpr double remotePenaltyMilliseconds = 2;
+// A local upstream that costs more than this multiple of the best one is not sound: it fails
+// one call in six or more, is suspect, or much slower.
+static constexpr double maxLocalCostFactor = 3;
 static constexpr double suspectPenaltyMilliseconds = 100'000;
 
 void ServiceBalancer::setUpstream(const fleet::UpstreamRecord& record)
@@ -28,10 +31,15 @@
         found->second.suspectUntil = std::max(found->second.suspectUntil, until);
 }
 
-double ServiceBalancer::expectedCost(const Upstream& upstream, base::TimePoint now) const
+double ServiceBalancer::runningAt(const Upstream& upstream) const
 {
     auto peer = peerRunning_.find(upstream.record.id);
-    double running = upstream.running + (peer == peerRunning_.end() ? 0 : peer->second);
+    return upstream.running + (peer == peerRunning_.end() ? 0 : peer->second);
+}
+
+double ServiceBalancer::expectedCost(const Upstream& upstream, base::TimePoint now) const
+{
+    double running = runningAt(upstream);
     double slots = std::max(1, upstream.record.slots);
     double time = upstream.milliseconds > 0 ? upstream.milliseconds : initialCallMilliseconds;
     // An upstream runs as many calls in parallel as it has slots; further calls queue.
@@ -47,15 +55,22 @@
 std::optional<fleet::UpstreamRecord> ServiceBalancer::choose(const std::set<std::string>& avoided, base::TimePoint now) const
 {
     const Upstream* best = nullptr;
+    const Upstream* bestLocal = nullptr;
+    auto prefer = [this, now](const Upstream*& known, const Upstream& upstream) {
+        if (!known || expectedCost(upstream, now) < expectedCost(*known, now))
+            known = &upstream;
+    };
     for (const auto& [id, upstream] : upstreams_) {
         if (avoided.count(id))
             continue;
-        if (!best || expectedCost(upstream, now) < expectedCost(*best, now))
-            best = &upstream;
+        prefer(best, upstream);
+        if (staysLocal_ && upstream.record.dataCentre == dataCentre_ && hasFreeSlot(upstream))
+            prefer(bestLocal, upstream);
     }
     if (!best)
         return std::nullopt;
-    return best->record;
+    bool isSound = bestLocal && expectedCost(*bestLocal, now) <= maxLocalCostFactor * expectedCost(*best, now);
+    return isSound ? bestLocal->record : best->record;
 }
 
 void ServiceBalancer::callStarted(const std::string& id)
