Demand of services in polls, summed at the control VM

Cause: an entry VM does not know how many streams arrive, end and are refused at the others, so it cannot tell an overload from a burst of its own.

--- a/include/fleet/FleetMessages.h
+++ b/include/fleet/FleetMessages.h
@@ -2,6 +2,7 @@
 
 #include "include/fleet/CrashReport.h"
 #include "include/fleet/RequestLimitReport.h"
+#include "include/fleet/ServiceDemand.h"
 #include "include/fleet/UpstreamRecord.h"
 
 #include <chrono>
@@ -55,7 +56,9 @@
     // Upstreams that the receiver has recently told to be present although the sender knows
     // that they are gone.
     std::vector<UpstreamProcess> gone;
-    MSGPACK_DEFINE(sender, isEntry, epoch, revision, routesVersion, wantsRoutes, routesBase, wantsPeerLoad, maxWaitMilliseconds, load, crashRevision, crashReports, limits, leaving, gone)
+    // Only together with `wantsPeerLoad`: the streams at the sender.
+    ServiceDemands demand;
+    MSGPACK_DEFINE(sender, isEntry, epoch, revision, routesVersion, wantsRoutes, routesBase, wantsPeerLoad, maxWaitMilliseconds, load, crashRevision, crashReports, limits, leaving, gone, demand)
 };
 
 // The answer to a FleetPoll.
@@ -83,7 +86,9 @@
     std::vector<CrashReport> crashReports;
     // Only together with the peer load: the permits that the poller gets.
     RequestLimitReports limits;
-    MSGPACK_DEFINE(epoch, revision, upstreams, routesVersion, packedRoutes, routesBase, replicas, entryVmCount, peerLoad, crashRevision, crashReports, limits)
+    // Only together with the peer load: the streams at all entry VMs, the poller included.
+    ServiceDemands demand;
+    MSGPACK_DEFINE(epoch, revision, upstreams, routesVersion, packedRoutes, routesBase, replicas, entryVmCount, peerLoad, crashRevision, crashReports, limits, demand)
 };
 
 // Asks the leader to add the sender as a replica.
--- a/include/fleet/FleetPollServer.h
+++ b/include/fleet/FleetPollServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "include/fleet/CrashReportRegistry.h"
+#include "include/fleet/DemandTable.h"
 #include "include/fleet/FleetMessages.h"
 #include "include/fleet/PeerLoadTable.h"
 #include "include/fleet/RequestPermitAllocator.h"
@@ -81,6 +82,7 @@
     std::vector<std::uint32_t> replicas_;
     std::list<PendingPoll> pendingPolls_;
     PeerLoadTable peerLoad_;
+    DemandTable demand_;
     RequestPermitAllocator permitAllocator_;
     SentTotals sent_;
 };
--- a/include/fleet/FleetPoller.h
+++ b/include/fleet/FleetPoller.h
@@ -44,6 +44,9 @@
     // Returns whether the configuration is now in force on this VM.
     using RoutesHandler = std::function<bool(std::uint64_t version, const std::string& document, const RoutesDelivery&)>;
     using LoadProvider = std::function<std::vector<UpstreamInFlightLoad>()>;
+    using DemandProvider = std::function<ServiceDemands()>;
+    // Receives the demand at all entry VMs, this one included.
+    using DemandHandler = std::function<void(const ServiceDemands&)>;
     using CrashReportsHandler = std::function<void()>;
     using LimitProvider = std::function<RequestLimitReports()>;
     // The permits in the reports were granted by `grantedBy`.
@@ -61,6 +64,9 @@
     // Sets how limits of upstreams are exchanged with the preferred control VM. The handler
     // is called for each of its answers.
     void setLimitHooks(LimitProvider, LimitHandler);
+    // Sets how the demand is exchanged with the preferred control VM. The handler is called for
+    // each of its answers.
+    void setDemandHooks(DemandProvider, DemandHandler);
     // Sets the initial control VMs. Control VMs listed in answers are polled as well.
     void setSeeds(const std::vector<std::uint32_t>& ips);
     // Starts the polls that are due. Must be called several times a second.
@@ -148,6 +154,8 @@
     RoutesHandler routesHandler_;
     LoadProvider loadProvider_;
     CrashReportsHandler crashReportsHandler_;
+    DemandProvider demandProvider_;
+    DemandHandler demandHandler_;
     LimitProvider limitProvider_;
     LimitHandler limitHandler_;
     std::set<std::uint32_t> seeds_;
--- a/src/fleet/FleetPollServer.cpp
+++ b/src/fleet/FleetPollServer.cpp
@@ -31,6 +31,7 @@
     result.entryVmCount = static_cast<std::uint32_t>(peerLoad_.entryVmCount());
     if (poll.wantsPeerLoad) {
         result.peerLoad = peerLoad_.loadExcluding(poll.sender);
+        result.demand = demand_.sums();
         result.limits = permitAllocator_.allocate(poll.limits, now);
     }
     return result;
@@ -80,6 +81,7 @@
         answerPendingPolls(now);
     if (poll.isEntry) {
         peerLoad_.record(poll.sender, poll.load, now);
+        demand_.record(poll.sender, poll.demand, now);
         permitAllocator_.entryVmPolled(poll.sender, poll.wantsPeerLoad, now);
         permitAllocator_.apply(poll.limits, now);
     }
@@ -102,6 +104,7 @@
         it = pendingPolls_.erase(it);
     }
     peerLoad_.expire(now - entryVmTimeout);
+    demand_.expire(now - entryVmTimeout);
     crashReports_.expire(now);
     permitAllocator_.expire(now);
 }
--- a/src/fleet/FleetPoller.cpp
+++ b/src/fleet/FleetPoller.cpp
@@ -55,6 +55,12 @@
     limitHandler_ = std::move(limitHandler);
 }
 
+void FleetPoller::setDemandHooks(DemandProvider demandProvider, DemandHandler demandHandler)
+{
+    demandProvider_ = std::move(demandProvider);
+    demandHandler_ = std::move(demandHandler);
+}
+
 void FleetPoller::setSeeds(const std::vector<std::uint32_t>& ips)
 {
     seeds_ = { ips.begin(), ips.end() };
@@ -185,6 +191,8 @@
         poll.load = loadProvider_();
     if (limitProvider_ && poll.wantsPeerLoad)
         poll.limits = limitProvider_();
+    if (demandProvider_ && poll.wantsPeerLoad)
+        poll.demand = demandProvider_();
     auto done = [this, ip, isAlive = std::weak_ptr<bool>(isAlive_), post = post_](base::Result<std::string> answer) {
         post([this, ip, isAlive, answer = std::move(answer)] {
             if (auto alive = isAlive.lock(); alive && *alive)
@@ -232,6 +240,8 @@
             peerLoad_[load.upstream] = std::move(load);
         if (limitHandler_)
             limitHandler_(answer.limits, peer.polledAt + loadPollWait + maxAnswerDelay);
+        if (demandHandler_)
+            demandHandler_(answer.demand);
     }
     if (!answer.packedRoutes.empty())
         adoptRoutes(answer);
