--- a/include/routes/RouteTable.h
+++ b/include/routes/RouteTable.h
@@ -8,6 +8,9 @@
 
 namespace arbutus::routes {
 
+// The number of classes to which the priorities of a service are mapped.
+constexpr int priorityClassCount = 10;
+
 // A valid route configuration, indexed for lookup. It is immutable, so a request can keep
 // using the table under which it was accepted.
 class RouteTable {
@@ -30,15 +33,31 @@
     // Returns null if the service is unknown.
     const Service* service(const std::string& name) const;
 
+    // Returns whether routes that lead to the service differ in priority.
+    bool differsInPriority(const std::string& service) const;
+    // Returns the class of a priority at such a service, from 0 (most urgent) to
+    // priorityClassCount - 1: its rank among the priorities of the service's routes and of all
+    // teams. Neighbours share a class if there are more priorities than classes. 0 at any
+    // other service.
+    int priorityClass(const std::string& service, int priority) const;
+
 private:
     explicit RouteTable(RouteConfiguration);
 
+    void indexPriorities();
+
     RouteConfiguration configuration_;
     std::unordered_map<std::string, std::unordered_map<std::string, const Route*>> routes_;
     std::unordered_map<std::string, const Team*> teams_;
     std::unordered_map<std::string, const Service*> services_;
+    // The priorities of requests for each service whose routes differ in priority, ascending.
+    std::unordered_map<std::string, std::vector<int>> priorities_;
 };
 
+// Returns the priority of a request: the team's if it has one, else the route's. `team` may be
+// null.
+int effectivePriority(const Route&, const Team* team);
+
 // Picks a service by weight. `draw` must be in [0, 1) and is usually random.
 const std::string& pickService(const Route&, double draw);
 
--- a/include/routing/DecayedRate.h
+++ b/include/routing/DecayedRate.h
@@ -8,25 +8,30 @@
 
 namespace arbutus::routing {
 
-// Exponentially decayed rate: an amount per second, averaged over a few seconds.
+// Exponentially decayed rate: an amount per second, averaged over a few seconds or the given
+// time constant.
 class DecayedRate {
 public:
+    explicit DecayedRate(std::chrono::duration<double> timeConstant = std::chrono::seconds(3))
+        : timeConstantSeconds_(timeConstant.count())
+    {
+    }
+
     void add(double amount, base::TimePoint now)
     {
         amount_ = amount_ * decay(now) + amount;
         updatedAt_ = std::max(updatedAt_, now);
     }
 
-    double perSecond(base::TimePoint now) const { return amount_ * decay(now) / timeConstantSeconds; }
+    double perSecond(base::TimePoint now) const { return amount_ * decay(now) / timeConstantSeconds_; }
 
 private:
-    static constexpr double timeConstantSeconds = 3;
-
     double decay(base::TimePoint now) const
     {
-        return now > updatedAt_ ? std::exp(-std::chrono::duration<double>(now - updatedAt_).count() / timeConstantSeconds) : 1;
+        return now > updatedAt_ ? std::exp(-std::chrono::duration<double>(now - updatedAt_).count() / timeConstantSeconds_) : 1;
     }
 
+    double timeConstantSeconds_;
     double amount_ = 0;
     base::TimePoint updatedAt_;
 };
--- a/include/routing/LayerPathSelector.h
+++ b/include/routing/LayerPathSelector.h
@@ -104,6 +104,9 @@
     // Whether any complete path without suspect engines and those in `avoided` exists,
     // regardless of capacity.
     bool hasPath(const std::set<std::string>& avoided, base::TimePoint now) const;
+    // Returns how many more streams of the model's typical size fit into the engines' memory
+    // and slots, over complete copies without suspect engines.
+    double freeStreams(base::TimePoint now) const;
     // Adds a stream to the load of the engines on its path, or removes it. Both calls
     // must get the same arguments.
     void reserve(const LayerPath&, const StreamSize&);
--- a/src/routes/RouteTable.cpp
+++ b/src/routes/RouteTable.cpp
@@ -1,7 +1,9 @@
 #include "include/routes/RouteTable.h"
 
 #include <algorithm>
+#include <map>
 #include <numeric>
+#include <set>
 
 namespace arbutus::routes {
 
@@ -21,6 +23,27 @@
     }
     for (const auto& service : configuration_.services)
         services_[service.name] = &service;
+    indexPriorities();
+}
+
+void RouteTable::indexPriorities()
+{
+    std::map<std::string, std::set<int>> byService;
+    for (const auto& route : configuration_.routes) {
+        for (const auto& [service, weight] : route.weightedServices) {
+            if (weight > 0)
+                byService[service].insert(route.priority);
+        }
+    }
+    for (auto& [service, priorities] : byService) {
+        if (priorities.size() < 2)
+            continue;
+        for (const auto& team : configuration_.teams) {
+            if (team.priority)
+                priorities.insert(*team.priority);
+        }
+        priorities_[service] = { priorities.begin(), priorities.end() };
+    }
 }
 
 const Route* RouteTable::match(std::string_view host, std::string_view target) const
@@ -50,6 +73,21 @@
     return found == services_.end() ? nullptr : found->second;
 }
 
+bool RouteTable::differsInPriority(const std::string& service) const { return priorities_.count(service) > 0; }
+
+int RouteTable::priorityClass(const std::string& service, int priority) const
+{
+    auto found = priorities_.find(service);
+    if (found == priorities_.end())
+        return 0;
+    const auto& known = found->second;
+    auto rank = static_cast<std::size_t>(std::distance(known.begin(), std::lower_bound(known.begin(), known.end(), priority)));
+    std::size_t classes = std::min<std::size_t>(known.size(), priorityClassCount);
+    return static_cast<int>(std::min(rank * classes / known.size(), classes - 1));
+}
+
+int effectivePriority(const Route& route, const Team* team) { return team && team->priority ? *team->priority : route.priority; }
+
 const std::string& pickService(const Route& route, double draw)
 {
     double sum = std::accumulate(route.weightedServices.begin(), route.weightedServices.end(), 0.0, [](double total, const WeightedService& weighted) { return total + weighted.weight; });
--- a/src/routing/LayerPathSelector.cpp
+++ b/src/routing/LayerPathSelector.cpp
@@ -242,6 +242,30 @@
 
 bool LayerPathSelector::hasPath(const std::set<std::string>& avoided, base::TimePoint now) const { return search(usableEngines(avoided, now), {}, std::nullopt).has_value(); }
 
+// The room of all layers is that of the layer with the least.
+double LayerPathSelector::freeStreams(base::TimePoint now) const
+{
+    double tokens = std::max(1.0, reservedTokens({ model_.typicalPromptTokens, model_.typicalAnswerTokens }));
+    // How the room changes from one layer to the next.
+    std::map<int, double> changes { { 0, 0 }, { model_.layers, 0 } };
+    for (const auto* engine : usableEngines({}, now)) {
+        const auto& layers = engine->record.layers;
+        auto load = loadAt(engine->record.id);
+        double room = std::max(0.0, cacheCapacity(*engine) - load.cacheTokenLayers) / (tokens * layers.count());
+        if (model_.slots > 0 && beginsPaths(*engine))
+            room = std::min(room, std::max(0.0, model_.slots - load.running));
+        changes[layers.from] += room;
+        changes[layers.to] -= room;
+    }
+    double room = 0;
+    double least = std::numeric_limits<double>::infinity();
+    for (auto it = changes.begin(); it != changes.end() && it->first < model_.layers; ++it) {
+        room += it->second;
+        least = std::min(least, room);
+    }
+    return std::isfinite(least) ? std::max(0.0, least) : 0;
+}
+
 void LayerPathSelector::reserve(const LayerPath& path, const StreamSize& size)
 {
     for (const auto& stage : path) {
