Entry VMs admit by priority and tell engines the priority

Change: Exchange counts arrivals, ends and refusals by class and asks the admission once for each new stream of a service with a model whose routes differ in priority. What is not admitted is refused at once, as not run, with a Retry-After that is longer for less urgent classes. Streams that another entry VM has begun are admitted and charged to their class. Only admitted streams count as arrivals of the path selector of such a service. Without an answer of a control VM for 2 s everything is admitted. UpstreamCall::priority, written as X-Request-Priority: the class, or 0 for a stream that resumes. One function gives the effective priority.

--- a/include/forwarding/HeaderCodec.h
+++ b/include/forwarding/HeaderCodec.h
@@ -49,6 +49,8 @@
     std::chrono::milliseconds remainingTime { 0 };
     std::string expectedUpstream;
     std::optional<std::string> team;
+    // From 0 (first) to 9. Set if the routes of the service differ in priority.
+    std::optional<int> priority;
     // The engines that run the model's layers. Empty for a service without a model.
     routing::LayerPath path;
     // Set when a stream resumes after the events that the caller already has.
--- a/include/forwarding/ReverseProxy.h
+++ b/include/forwarding/ReverseProxy.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "include/base/Random.h"
+#include "include/fleet/ServiceDemand.h"
 #include "include/fleet/UpstreamRegistry.h"
 #include "include/forwarding/HeaderCodec.h"
 #include "include/forwarding/UpstreamConnection.h"
@@ -8,7 +9,9 @@
 #include "include/routes/RouteTable.h"
 #include "include/routing/CapacityQueue.h"
 #include "include/routing/CrashGuard.h"
+#include "include/routing/DemandMeter.h"
 #include "include/routing/LayerPathSelector.h"
+#include "include/routing/PriorityAdmission.h"
 #include "include/routing/RequestRateLimiter.h"
 #include "include/routing/ServiceBalancer.h"
 #include "include/routing/StartupQueue.h"
@@ -46,6 +49,8 @@
     std::uint64_t requests = 0;
     std::uint64_t completed = 0;
     std::uint64_t refused = 0;
+    // Those of the refused that the admission by priority refused.
+    std::uint64_t refusedByPriority = 0;
     std::uint64_t failed = 0;
     std::uint64_t callerDisconnects = 0;
     std::uint64_t retries = 0;
@@ -62,11 +67,20 @@
     routing::RequestRateLimiter rateLimiter;
     routing::UpstreamPauses pauses;
 
+    routing::DemandMeter demand;
+    // Consulted if the service has a model and routes that differ in priority.
+    routing::PriorityAdmission admission;
+    // What logAdmission() has logged, and what it has not.
+    int loggedAdmissionLevel = 10;
+    std::uint64_t unloggedAdmissionRefusals = 0;
+
     // isReachable() returns false without a new check until this time.
-    base::TimePoint nextReachabilityCheckAt;
+    base::TimePoint nextReachabilityCheckAt {};
 
     // Returns whether any upstream can serve a request, regardless of its free capacity.
     bool isReachable(base::TimePoint now);
+    // Logs the shares of the priority classes if the overall share has changed by a tenth.
+    void logAdmission(base::TimePoint now);
 };
 
 // Forwards callers' requests to upstreams according to the active route table.
@@ -83,6 +97,12 @@
     void setUpstreams(const fleet::UpstreamRegistry&);
     // Sets the load that the other entry VMs report for each upstream.
     void setPeerLoad(const std::map<std::string, fleet::UpstreamInFlightLoad>&);
+    // Sets the demand at all entry VMs, by which new streams are admitted. Without a call for
+    // 2 s, all are admitted.
+    void setDemand(const fleet::ServiceDemands&, base::TimePoint now);
+    // Returns the demand at this VM for services that have a model or routes that differ in
+    // priority.
+    fleet::ServiceDemands ownDemand(base::TimePoint now) const;
     // Sets the number of entry VMs, which share the retry budgets.
     void setEntryVmCount(std::uint32_t count);
     // Returns the load that this VM has placed on each upstream.
--- a/src/forwarding/Exchange.cpp
+++ b/src/forwarding/Exchange.cpp
@@ -95,9 +95,11 @@
 {
     const auto& name = routes::pickService(*route_, proxy_.random_.unit());
     service_ = &proxy_.service(name);
+    if (routeTable_->differsInPriority(name))
+        priorityClass_ = routeTable_->priorityClass(name, routes::effectivePriority(*route_, team_));
     service_->retryBudget.recordRequest(request_.arrivedAt);
     service_->rateLimiter.requestArrived(base::bootNow());
-    if (service_->pathSelector)
+    if (service_->pathSelector && !priorityClass_)
         service_->pathSelector->requestArrived(request_.arrivedAt);
     deadline_ = ownDeadline();
     if (requestMetadata_.size)
@@ -124,11 +126,34 @@
         refuseHeldBack(*time);
         return;
     }
+    if (!passAdmission())
+        return;
     // Requests that already wait take precedence.
     if ((!service_->waitQueue.isEmpty() || !trySend()) && !waitForCapacity(false))
         refuse(makeError(ErrorKind::NoUpstream, "no upstream of the service has capacity"));
 }
 
+bool Exchange::passAdmission()
+{
+    auto now = base::TimePoint(std::chrono::steady_clock::now());
+    service_->demand.requestArrived(priorityClass_.value_or(0), now);
+    if (!priorityClass_ || !service_->pathSelector)
+        return true;
+    bool hasBegun = requestMetadata_.lastEventId.has_value();
+    if (!hasBegun && !service_->admission.tryAdmit(*priorityClass_, now)) {
+        ++proxy_.counters_.refusedByPriority;
+        ++service_->unloggedAdmissionRefusals;
+        refuse(makeError(ErrorKind::NoUpstream, "the service has no capacity for this priority"));
+        return false;
+    }
+    if (hasBegun)
+        service_->admission.admitBegun(*priorityClass_, now);
+    // The selector expects that the other entry VMs place as many streams as this one, so it
+    // counts only those that are admitted.
+    service_->pathSelector->requestArrived(now);
+    return true;
+}
+
 base::Result<void> Exchange::admit()
 {
     if (!routeTable_)
@@ -160,7 +185,7 @@
 bool Exchange::waitForCapacity(bool isResuming)
 {
     auto now = std::chrono::steady_clock::now();
-    auto priority = team_ && team_->priority ? *team_->priority : route_->priority;
+    auto priority = priorityClass_ ? *priorityClass_ : routes::effectivePriority(*route_, team_);
     if (!service_->pathSelector)
         return waitForPermit(priority, now);
     // A stream that has started may wait until its deadline, because a refusal would
@@ -264,6 +289,8 @@
     if (service_) {
         if (auto pause = pauseOfAllUpstreams(now))
             return std::chrono::duration_cast<std::chrono::milliseconds>(*pause * proxy_.random_.between(1, retryAfterSpreadMax));
+        if (priorityClass_ && service_->admission.isLimiting(now))
+            return service_->admission.retryDelay(*priorityClass_, proxy_.random_.unit());
         expected = service_->waitQueue.suggestedRetryDelay(now);
     }
     return std::chrono::duration_cast<std::chrono::milliseconds>(expected * proxy_.random_.between(retryAfterSpreadMin, retryAfterSpreadMax));
@@ -288,6 +315,8 @@
 void Exchange::finish()
 {
     isFinished_ = true;
+    if (service_ && relayMode_ != RelayMode::None)
+        service_->demand.streamEnded(priorityClass_.value_or(0), std::chrono::steady_clock::now());
     caller_.reset();
     heldBytes_.set(0);
     leaveWaitQueue();
--- a/src/forwarding/Exchange.h
+++ b/src/forwarding/Exchange.h
@@ -78,6 +78,9 @@
     base::TimePoint ownDeadline() const;
     void chooseService();
     void sendOrEnqueue();
+    // Counts the arrival. Refuses the request and returns false if its priority gets no
+    // capacity now; streams that have begun are always admitted.
+    bool passAdmission();
     // Returns whether the request may be sent again after it may have run.
     bool isRepeatable() const;
     // Chooses an upstream and starts an attempt. Returns false if none is available.
@@ -173,6 +176,8 @@
     const routes::Route* route_ = nullptr;
     const routes::Team* team_ = nullptr;
     ServiceState* service_ = nullptr;
+    // Set if the routes of the service differ in priority.
+    std::optional<int> priorityClass_;
     routing::StreamSize streamSize_;
     // Identifies the request as a whole, also when its caller sends it again.
     routing::PromptPart content_ = 0;
--- a/src/forwarding/ExchangeAttempts.cpp
+++ b/src/forwarding/ExchangeAttempts.cpp
@@ -112,6 +112,8 @@
     call.expectedUpstream = upstreamId_;
     if (team_)
         call.team = team_->name;
+    if (priorityClass_)
+        call.priority = relayMode_ != RelayMode::None || requestMetadata_.lastEventId ? 0 : *priorityClass_;
     call.path = path_;
     call.lastEventId = eventSplitter_.lastEventId() ? eventSplitter_.lastEventId() : requestMetadata_.lastEventId;
     proxy_.headerCodec_.appendCallFields(text, call);
@@ -267,12 +269,17 @@
     logger.info("The response of an upstream was lost.", { { "request", requestMetadata_.requestId }, { "content", content_ }, { "known_crashes", proxy_.crashGuard_.crashCount(content_) }, { "upstream", upstreamId_ }, { "upstream_started_at_ms", upstreamStartedAtMilliseconds_ }, { "others_there", countOthersAtUpstream() }, { "engines", path_.size() }, { "since_sent_ms", sinceSent.count() }, { "had_head", responseHead_.has_value() }, { "had_bytes", eventSplitter_.partialBytes() }, { "last", eventSplitter_.lastEventId().value_or("") }, { "parts", fmt::format("{}", fmt::join(requestMetadata_.sharedPromptParts, ",")) } });
 }
 
+// Other statuses of requests that have not run name another reason.
+static bool lacksCapacity(int status) { return status == 429 || status == 503; }
+
 void Exchange::endAttempt(AttemptOutcome outcome)
 {
     static constexpr std::array<CallResult, 6> results { CallResult::Lost, CallResult::NotRun, CallResult::Lost, CallResult::Failed, CallResult::Lost, CallResult::Cancelled };
     if (outcome == AttemptOutcome::NotSent || outcome == AttemptOutcome::NotRun)
         --runCount_;
     markSuspects(outcome);
+    if (outcome == AttemptOutcome::NotRun && !path_.empty() && !responseMetadata_.isLeaving && lacksCapacity(responseHead_->status))
+        service_->demand.attemptRefused(priorityClass_.value_or(0), std::chrono::steady_clock::now());
     if (outcome == AttemptOutcome::Lost) {
         logLoss();
         reportCrash();
--- a/src/forwarding/ReverseProxy.cpp
+++ b/src/forwarding/ReverseProxy.cpp
@@ -2,11 +2,14 @@
 
 #include "include/base/Clock.h"
 #include "include/base/Logger.h"
+#include "include/fleet/DemandTable.h"
 #include "include/fleet/FleetMessages.h"
 #include "src/forwarding/Exchange.h"
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
+#include <array>
 #include <iterator>
 
 namespace arbutus::forwarding {
@@ -16,6 +19,8 @@
 
 // Limits the rate of path searches when many requests wait for the same service.
 static constexpr std::chrono::milliseconds reachabilityCheckInterval(30);
+// Lower rates, per second, are left over from streams long ago.
+static constexpr double minReportedRate = 0.001;
 // Leaves most of the usual first-event latency objective for the engines.
 static constexpr std::chrono::milliseconds maxExpectedQueueWait(280);
 
@@ -29,6 +34,18 @@
     return isFound;
 }
 
+void ServiceState::logAdmission(base::TimePoint now)
+{
+    int level = static_cast<int>(admission.overallShare(now) * 10);
+    if (level == loggedAdmissionLevel)
+        return;
+    loggedAdmissionLevel = level;
+    std::array<std::string, routes::priorityClassCount> shares;
+    for (int i = 0; i < routes::priorityClassCount; ++i)
+        shares[static_cast<std::size_t>(i)] = fmt::format("{:.2f}", admission.share(i, now));
+    logger.info("The admission by priority changed.", { { "service", name }, { "admitted_share", fmt::format("{:.2f}", admission.overallShare(now)) }, { "shares", fmt::format("{}", fmt::join(shares, ",")) }, { "refused_since_last", std::exchange(unloggedAdmissionRefusals, 0) } });
+}
+
 ReverseProxy::ReverseProxy(boost::asio::io_context& context, const HeaderCodec& headerCodec, ReverseProxyOptions options)
     : context_(context)
     , headerCodec_(headerCodec)
@@ -62,7 +79,7 @@
     if (found == services_.end()) {
         routing::WindowedRetryBudget retryBudget(options_.retryBudget.ratio, options_.retryBudget.slack, options_.retryBudget.window);
         retryBudget.setEntryVmCount(entryVmCount_);
-        found = services_.emplace(name, ServiceState { name, nullptr, nullptr, retryBudget, routing::CapacityQueue(maxExpectedQueueWait), routing::RequestRateLimiter(random_.unit()), {}, {} }).first;
+        found = services_.emplace(name, ServiceState { name, nullptr, nullptr, retryBudget, routing::CapacityQueue(maxExpectedQueueWait), routing::RequestRateLimiter(random_.unit()), {}, {}, routing::PriorityAdmission(random_.unit()) }).first;
         found->second.rateLimiter.setEntryVmCount(entryVmCount_);
     }
     auto& state = found->second;
@@ -212,6 +229,40 @@
     }
 }
 
+void ReverseProxy::setDemand(const fleet::ServiceDemands& rows, base::TimePoint now)
+{
+    std::map<std::string, routing::ClassDemands> byService;
+    for (const auto& row : rows) {
+        if (row.priority < 0 || row.priority >= routes::priorityClassCount)
+            continue;
+        auto& sum = byService[row.service][static_cast<std::size_t>(row.priority)];
+        sum.arrivals += row.arrivals;
+        sum.completions += row.completions;
+        sum.refusals += row.refusals;
+    }
+    for (auto& [name, state] : services_) {
+        if (state.pathSelector && routes_ && routes_->differsInPriority(name))
+            state.admission.update(byService[name], state.pathSelector->freeStreams(now), now);
+    }
+}
+
+fleet::ServiceDemands ReverseProxy::ownDemand(base::TimePoint now) const
+{
+    fleet::ServiceDemands result;
+    for (const auto& [name, state] : services_) {
+        if (!routes_ || (!state.pathSelector && !routes_->differsInPriority(name)))
+            continue;
+        auto demand = state.demand.demand(now);
+        for (int i = 0; i < routes::priorityClassCount; ++i) {
+            const auto& [arrivals, completions, refusals] = demand[static_cast<std::size_t>(i)];
+            bool isMeasurable = arrivals + completions + refusals >= minReportedRate;
+            if (isMeasurable && result.size() < fleet::DemandTable::maxRowsPerEntryVm)
+                result.push_back({ name, options_.dataCentre, i, arrivals, completions, refusals });
+        }
+    }
+    return result;
+}
+
 void ReverseProxy::setEntryVmCount(std::uint32_t count)
 {
     entryVmCount_ = count;
@@ -285,6 +336,8 @@
         nextPoolTickAt_ = now + poolTickInterval;
         pool_.tick(now);
         crashGuard_.tick(now);
+        for (auto& [name, state] : services_)
+            state.logAdmission(now);
     }
 }
 
--- a/src/node/EntryNode.cpp
+++ b/src/node/EntryNode.cpp
@@ -74,6 +74,7 @@
     fleetPoller_.setEntryHooks([this](std::uint64_t version, const std::string& document, const auto& delivery) { return applyRoutes(version, document, delivery); }, [this] { return proxy_.ownLoad(); });
     fleetPoller_.setCrashReportsHandler([this] { exchangeCrashReports(std::chrono::steady_clock::now()); });
     fleetPoller_.setLimitHooks([this] { return proxy_.takeLimitReports(); }, [this](const auto& reports, base::TimePoint grantedBy) { proxy_.applyLimitReports(reports, grantedBy); });
+    fleetPoller_.setDemandHooks([this] { return proxy_.ownDemand(std::chrono::steady_clock::now()); }, [this](const fleet::ServiceDemands& demand) { proxy_.setDemand(demand, std::chrono::steady_clock::now()); });
     fleetPoller_.setSeeds(options_.seeds);
     BOOST_OUTCOME_TRY(callerServer, http1::Server::Make(context_, tcpEndpoint(options_.callerEndpoint), proxy_));
     callerServer_ = std::move(callerServer);
--- a/tests/ForwardingFixture.h
+++ b/tests/ForwardingFixture.h
@@ -21,6 +21,8 @@
         forwarding::RequestMetadata metadata;
         metadata.host = *head.fields.find("Host");
         metadata.requestId = *head.fields.find("Id");
+        if (const auto* last = head.fields.find("After"))
+            metadata.lastEventId = *last;
         if (const auto* parts = head.fields.find("Parts")) {
             std::istringstream stream(*parts);
             for (std::string part; std::getline(stream, part, ',');)
@@ -42,12 +44,14 @@
             metadata.requestsPerSecond = http1::parseDecimal(*limit);
         return metadata;
     }
-    bool onIsManagedField(std::string_view name) const override { return name == "Upstream"; }
+    bool onIsManagedField(std::string_view name) const override { return name == "Upstream" || name == "Priority" || name == "After"; }
     void onAppendCallFields(std::string& head, const forwarding::UpstreamCall& call) const override
     {
         http1::appendField(head, "Upstream", call.expectedUpstream);
         if (call.lastEventId)
             http1::appendField(head, "After", *call.lastEventId);
+        if (call.priority)
+            http1::appendField(head, "Priority", std::to_string(*call.priority));
     }
 };
 
--- a/tests/OddInputTest.cpp
+++ b/tests/OddInputTest.cpp
@@ -113,6 +113,14 @@
         for (const char* value : { "4294967297", "9223372036854775808", "1.5" })
             BOOST_TEST(!acceptsRoutes(withValue(all[2], member, value)), member << " " << value);
     }
+    // A priority may be negative, as large as an int, or missing; null counts as missing.
+    for (const char* value : { "-1", "-2147483648", "2147483647", "0", "null" })
+        BOOST_TEST(acceptsRoutes(withValue(all[2], "\"priority\":1", value)), value);
+    for (const char* value : { "\"1\"", "[]", "{}", "true", "-2147483649" })
+        BOOST_TEST(!acceptsRoutes(withValue(all[2], "\"priority\":1", value)), value);
+    auto without = routesText;
+    without.erase(without.find("\"priority\":1,"), std::string("\"priority\":1,").size());
+    BOOST_TEST(acceptsRoutes(without));
     for (const char* member : { "\"grace_s\":8", "\"budget_window_s\":10", "\"heartbeat_ms\":1200", "\"machines\":2" }) {
         for (const char* value : { "-1", "1e300", "9223372036854775807" })
             BOOST_TEST(!acceptsSettings(withValue(all[3], member, value)), member << " " << value);
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -94,6 +94,10 @@
     std::string head;
     headerCodec.appendCallFields(head, call);
     BOOST_TEST(head == "X-Deadline-Ms: 900\r\nX-Expect-Instance: i-1\r\nX-Tenant: t\r\nX-Hop-Count: 10.1.64.9:8080=0-20,10.2.64.3:8080=20-80\r\n");
+    call.priority = 12;
+    head.clear();
+    headerCodec.appendCallFields(head, call);
+    BOOST_TEST(head.find("X-Request-Priority: 9\r\n") != std::string::npos);
 
     http1::RequestHead request;
     request.fields.add("Authorization", "Bearer k1");
