Five voters get a sixth only to replace one

The log of the control VMs shows six voters for a target of five: the planner promoted each learner up to one above the target. A partition of six control VMs into halves leaves neither side a majority; with five voters one side has it. Ruled out: a late election (the role changes at once when the halves join), and three voters only (five were promoted before traffic started). Change: from a target of five on, a voter above the target is promoted only while another voter is inactive or departing. Result: ReplicaPlannerTest/FiveVotersGetASixthOnlyToReplaceOne failed before (six voters); ReplicaPlannerTest and ReplicaReplacementTest pass.

--- a/include/consensus/ReplicaPlanner.h
+++ b/include/consensus/ReplicaPlanner.h
@@ -57,6 +57,8 @@
     bool isDeparting(const ReplicaKey&) const;
     bool hasBeenInactiveFor(const ReplicaKey&, std::chrono::milliseconds, base::TimePoint now) const;
     std::optional<ReplicaChange> planRemoval(const Configuration&, base::TimePoint now) const;
+    // Whether a voter above the target may be promoted.
+    bool mayExceedTarget(const Configuration&) const;
     std::optional<ReplicaChange> planPromotion(const Configuration&) const;
     std::optional<ReplicaChange> planAddition(const Configuration&) const;
 
--- a/src/consensus/ReplicaPlanner.cpp
+++ b/src/consensus/ReplicaPlanner.cpp
@@ -7,6 +7,11 @@
 // A voter that has not responded for this long is removed once a replacement has been
 // promoted. Shorter than the time within which a replacement machine must catch up.
 static constexpr std::chrono::milliseconds voterReplacementDelay(1500);
+// From this target on, two voters may be lost at once, so a replacement is promoted in time
+// after the loss of one. Before that, an even number of voters would only mean that neither
+// side of a partition into halves has a majority: six of six control VMs had no leader for
+// eight seconds. With three voters, a replacement must be a voter before the stop.
+static constexpr std::size_t minTargetWithoutSpareVoter = 5;
 // A learner that has not responded for this long is removed.
 static constexpr std::chrono::seconds learnerRemovalDelay(10);
 // A replica that still wants to join repeats its request within this time.
@@ -85,11 +90,19 @@
     return std::nullopt;
 }
 
+bool ReplicaPlanner::mayExceedTarget(const Configuration& configuration) const
+{
+    if (targetVoterCount_ < minTargetWithoutSpareVoter)
+        return true;
+    return std::any_of(configuration.voters.begin(), configuration.voters.end(), [this](const ReplicaKey& voter) { return !isActive(voter) || isDeparting(voter); });
+}
+
 std::optional<ReplicaChange> ReplicaPlanner::planPromotion(const Configuration& configuration) const
 {
     // At most one voter above the target, so that a replacement is promoted before the
     // voter that it replaces is removed.
-    if (configuration.voters.size() > targetVoterCount_)
+    auto limit = targetVoterCount_ + (mayExceedTarget(configuration) ? 1 : 0);
+    if (configuration.voters.size() >= limit)
         return std::nullopt;
     for (const auto& learner : configuration.learners) {
         bool isReplicaVoter = std::any_of(configuration.voters.begin(), configuration.voters.end(), [&learner](const ReplicaKey& voter) { return voter.replica == learner.replica; });
--- a/tests/ReplicaPlannerTest.cpp
+++ b/tests/ReplicaPlannerTest.cpp
@@ -85,6 +85,23 @@
     BOOST_TEST(fixture.configuration.voters.size() == 4U);
 }
 
+// Guards against six voters, of which neither half has a majority when the control VMs are
+// partitioned into halves, and against a lost voter that is not replaced.
+BOOST_AUTO_TEST_CASE(FiveVotersGetASixthOnlyToReplaceOne)
+{
+    PlannerFixture fixture;
+    fixture.planner = ReplicaPlanner(5);
+    const ReplicaKey e { 5, 50 };
+    const ReplicaKey f { 6, 60 };
+    fixture.run({ b, c, d }, std::chrono::seconds(1), d);
+    fixture.run({ b, c, d, e }, std::chrono::seconds(1), e);
+    fixture.run({ b, c, d, e, f }, std::chrono::seconds(5), f);
+    BOOST_TEST((fixture.configuration.voters == std::vector<ReplicaKey> { a, b, c, d, e }));
+    BOOST_TEST((fixture.configuration.learners == std::vector<ReplicaKey> { f }));
+    const std::vector<ReplicaChange> replacement { { ChangeKind::Promote, f }, { ChangeKind::Remove, c } };
+    BOOST_TEST((fixture.run({ b, d, e, f }, std::chrono::seconds(2)) == replacement));
+}
+
 BOOST_AUTO_TEST_CASE(SecondLeadershipGrantsMembersFullDelay)
 {
     PlannerFixture fixture;
