Entry VMs take the load of the others from their own data centre

Cause: every entry VM polled the control VM with the lowest address for the load of all others and sent its own load to all control VMs, so nearly all of it crossed between data centres.

An entry VM now has a load source, a responsive control VM of its own data centre (rendezvous hashing), otherwise any responsive one. Only the load source gets the entry VM's load. Polls to control VMs of other data centres wait up to 800 ms. The lowest responsive address still delivers configurations first and divides permits; it is polled every 120 ms only while the entry VM knows a limit, and answers held polls when a limit changes.

Ruled out: plain sums, because a sum of a lost or partitioned control VM cannot be corrected when one of its entry VMs reports elsewhere. Instead each entry VM has one row in every table, ordered by its own revision, so no load counts twice whatever is lost. Ruled out: the poll between control VMs, because it costs a request and an answer for each pair and cannot be encoded once.

A poll is answered before its longest wait ends instead of up to 100 ms later.

LimitSpreadTest and UpstreamRegistryTest pass a new argument.

--- a/include/control/Frames.h
+++ b/include/control/Frames.h
@@ -26,6 +26,8 @@
     ReplicaJoin,
     // Asks the leader to remove a replica whose process has been told to stop.
     ReplicaLeave,
+    // Tells another control VM of the load of the entry VMs.
+    LoadUpdate,
 };
 
 // Prefixes a body with the sender's hybrid logical time, so that events that the body causes
--- a/include/fleet/FleetMessages.h
+++ b/include/fleet/FleetMessages.h
@@ -2,6 +2,8 @@
 
 #include "include/fleet/CrashReport.h"
 #include "include/fleet/RequestLimitReport.h"
+#include "include/fleet/ServiceDemand.h"
+#include "include/fleet/UpstreamInFlightLoad.h"
 #include "include/fleet/UpstreamRecord.h"
 
 #include <chrono>
@@ -13,17 +15,6 @@
 // An entry VM polls at least twice within this time unless it is down or partitioned.
 constexpr std::chrono::seconds entryVmTimeout { 2 };
 
-// The in-flight load of one or more entry VMs on one upstream.
-struct UpstreamInFlightLoad {
-    std::string upstream;
-    std::uint32_t running = 0;
-    // Reserved cache in tokens times layers, 0 for a plain service.
-    double cacheTokenLayers = 0;
-    // Streams that the upstream refused for lack of memory or slots in the last 500 ms.
-    std::uint32_t refusals = 0;
-    MSGPACK_DEFINE(upstream, running, cacheTokenLayers, refusals)
-};
-
 // A long poll that asks a control VM for changes.
 struct FleetPoll {
     std::string sender;
@@ -38,28 +29,41 @@
     // The version that a configuration in the answer may be relative to; 0 asks for a
     // whole one.
     std::uint64_t routesBase = 0;
-    // Whether the answer should contain the load of the other entry VMs.
+    // Whether the receiver is the sender's load source: the poll contains the sender's load,
+    // and the answer should contain the load of the other entry VMs. Without this, the
+    // receiver drops the load that the sender has reported to it before.
     bool wantsPeerLoad = false;
+    // Whether the receiver divides the permits of limited upstreams for the sender.
+    bool wantsPermits = false;
     // How long the receiver may delay its answer while there are no changes.
     std::uint32_t maxWaitMilliseconds = 0;
     std::vector<UpstreamInFlightLoad> load;
+    // Differs at each start of the sender's process.
+    std::uint32_t incarnation = 0;
+    // Increases with every poll that contains load, whatever its receiver.
+    std::uint64_t loadRevision = 0;
     // The receiver's revision of crash reports that the sender knows.
     std::uint64_t crashRevision = 0;
     // What the receiver may not know yet.
     std::vector<CrashReport> crashReports;
-    // Only together with `wantsPeerLoad`: what the sender knows of limits, and the permits
+    // Only together with `wantsPermits`: what the sender knows of limits, and the permits
     // that it wants.
     RequestLimitReports limits;
+    // Only together with `wantsPermits`: the receiver's revision of limits, to be answered on
+    // its next change. 0 if the answer should not come earlier for this.
+    std::uint64_t limitRevision = 0;
     // Upstreams that have recently announced their leave to the sender.
     std::vector<UpstreamProcess> leaving;
     // Upstreams that the receiver has recently told to be present although the sender knows
     // that they are gone.
     std::vector<UpstreamProcess> gone;
-    MSGPACK_DEFINE(sender, isEntry, epoch, revision, routesVersion, wantsRoutes, routesBase, wantsPeerLoad, maxWaitMilliseconds, load, crashRevision, crashReports, limits, leaving, gone)
+    MSGPACK_DEFINE(sender, isEntry, epoch, revision, routesVersion, wantsRoutes, routesBase, wantsPeerLoad, wantsPermits, maxWaitMilliseconds, load, incarnation, loadRevision, crashRevision, crashReports, limits, limitRevision, leaving, gone)
 };
 
 // The answer to a FleetPoll.
 struct FleetAnswer {
+    // The data centre of the answering VM.
+    std::string dataCentre;
     std::uint64_t epoch = 0;
     std::uint64_t revision = 0;
     // The records that changed after the poll's revision, or all if the epochs differ.
@@ -81,9 +85,11 @@
     std::uint64_t crashRevision = 0;
     // The reports that changed after the poll's revision, or all if the epochs differ.
     std::vector<CrashReport> crashReports;
-    // Only together with the peer load: the permits that the poller gets.
+    // Only if permits are requested: the permits that the poller gets.
     RequestLimitReports limits;
-    MSGPACK_DEFINE(epoch, revision, upstreams, routesVersion, packedRoutes, routesBase, replicas, entryVmCount, peerLoad, crashRevision, crashReports, limits)
+    // The answering VM's revision of limits.
+    std::uint64_t limitRevision = 0;
+    MSGPACK_DEFINE(dataCentre, epoch, revision, upstreams, routesVersion, packedRoutes, routesBase, replicas, entryVmCount, peerLoad, crashRevision, crashReports, limits, limitRevision)
 };
 
 // Asks the leader to add the sender as a replica.
@@ -107,7 +113,42 @@
     MSGPACK_DEFINE(hasLeft)
 };
 
-// Instantiated for FleetPoll, FleetAnswer, JoinRequest, LeaveRequest and LeaveAnswer.
+// The load that one entry VM has placed on upstreams, or a change of it.
+struct EntryVmLoad {
+    std::string entryVm;
+    // See FleetPoll.
+    std::uint32_t incarnation = 0;
+    std::uint64_t revision = 0;
+    // The revision that `load` changes; 0 if `load` is whole. In a change, an upstream
+    // without any load is removed.
+    std::uint64_t base = 0;
+    std::vector<UpstreamInFlightLoad> load;
+    MSGPACK_DEFINE(entryVm, incarnation, revision, base, load)
+};
+
+// What a control VM tells all others of the entry VMs that report their load to it.
+struct LoadUpdate {
+    // The sender's IP address.
+    std::uint32_t sender = 0;
+    // Differs at each start of the sender's process.
+    std::uint64_t epoch = 0;
+    // Increases by one with every update of one epoch.
+    std::uint64_t sequence = 0;
+    // Whether the update contains all that the sender knows. Otherwise it contains the
+    // changes since the previous update.
+    bool isWhole = false;
+    std::vector<EntryVmLoad> loads;
+    // The entry VMs that report to the sender no longer.
+    std::vector<std::string> released;
+    // If set, the demand summed over the sender's entry VMs.
+    bool hasDemand = false;
+    ServiceDemands demand;
+    // The control VMs that are asked for a whole update, by IP address.
+    std::vector<std::uint32_t> wanted;
+    MSGPACK_DEFINE(sender, epoch, sequence, isWhole, loads, released, hasDemand, demand, wanted)
+};
+
+// Instantiated for FleetPoll, FleetAnswer, LoadUpdate, JoinRequest, LeaveRequest and LeaveAnswer.
 // Decoding fails with MalformedFrame and is safe on arbitrary bytes.
 template <typename T>
 std::string encode(const T&);
--- a/include/fleet/FleetPollServer.h
+++ b/include/fleet/FleetPollServer.h
@@ -2,6 +2,7 @@
 
 #include "include/fleet/CrashReportRegistry.h"
 #include "include/fleet/FleetMessages.h"
+#include "include/fleet/LoadExchange.h"
 #include "include/fleet/PeerLoadTable.h"
 #include "include/fleet/RequestPermitAllocator.h"
 #include "include/fleet/RoutesPublisher.h"
@@ -22,6 +23,10 @@
 public:
     using Reply = std::function<void(std::string)>;
 
+    // How often answerPendingPolls() must be called. A poll is answered no later than its
+    // maximum wait after it has arrived, so that the load's age does not grow by this.
+    static constexpr std::chrono::milliseconds answerInterval { 30 };
+
     // What was sent to pollers. Bytes exclude frame headers.
     struct SentTotals {
         std::uint64_t answers = 0;
@@ -37,6 +42,7 @@
         , crashReports_(crashReports)
         , epoch_(epoch)
         , routesPublisher_(routesBytesPerSecond)
+        , loadExchange_(peerLoad_, epoch)
     {
     }
 
@@ -45,6 +51,10 @@
     // announced: after a restart, the stored one may have been replaced.
     void leaderFound() { hasFoundLeader_ = true; }
     void setReplicas(std::vector<std::uint32_t> ips) { replicas_ = std::move(ips); }
+    // Sets the data centre of this VM, which the answers state.
+    void setDataCentre(std::string dataCentre) { dataCentre_ = std::move(dataCentre); }
+    // Exchanges the load of the entry VMs with the other control VMs.
+    LoadExchange& loadExchange() { return loadExchange_; }
 
     // Calls the reply now, or keeps it until answerPendingPolls() calls it. A poll that
     // brings crash reports, leaves or departures also has the pending ones answered.
@@ -68,6 +78,9 @@
     void sendAnswer(const FleetPoll&, const Reply&, base::TimePoint now);
     FleetAnswer answer(const FleetPoll&, base::TimePoint now);
 
+    void applyLoad(FleetPoll&, base::TimePoint now);
+    void expire(base::TimePoint now);
+
     // Each returns whether the poll brings anything new.
     bool applyCrashReports(const FleetPoll&, base::TimePoint now);
     bool applyLeaves(const FleetPoll&, base::TimePoint now);
@@ -79,9 +92,12 @@
     RoutesPublisher routesPublisher_;
     bool hasFoundLeader_ = false;
     std::vector<std::uint32_t> replicas_;
+    std::string dataCentre_;
     std::list<PendingPoll> pendingPolls_;
     PeerLoadTable peerLoad_;
+    LoadExchange loadExchange_;
     RequestPermitAllocator permitAllocator_;
+    base::TimePoint nextExpiryAt_;
     SentTotals sent_;
 };
 
--- a/include/fleet/FleetPoller.h
+++ b/include/fleet/FleetPoller.h
@@ -25,6 +25,10 @@
         bool isEntry = false;
         // The address of this control VM, which is not polled. 0 on an entry VM.
         std::uint32_t ownIp = 0;
+        // The data centre of this VM.
+        std::string dataCentre;
+        // Differs at each start of the process.
+        std::uint32_t incarnation = 0;
     };
     using Post = std::function<void(std::function<void()>)>;
     // Sends an encoded poll to the control VM at `ip`. The callback runs once, on any
@@ -47,6 +51,8 @@
     using CrashReportsHandler = std::function<void()>;
     using LimitProvider = std::function<RequestLimitReports()>;
     // The permits in the reports were granted by `grantedBy`.
+    // Returns whether this VM knows any limit.
+    using LimitQuery = std::function<bool()>;
     using LimitHandler = std::function<void(const RequestLimitReports&, base::TimePoint grantedBy)>;
 
     FleetPoller(const base::Clock&, SendPoll, Options, UpstreamRegistry&, CrashReportRegistry&, Post);
@@ -59,12 +65,17 @@
     // configuration in the same answer comes into force.
     void setCrashReportsHandler(CrashReportsHandler);
     // Sets how limits of upstreams are exchanged with the preferred control VM. The handler
-    // is called for each of its answers.
-    void setLimitHooks(LimitProvider, LimitHandler);
+    // is called for each of its answers. While the query returns true, that control VM is
+    // polled as often as the load source.
+    void setLimitHooks(LimitProvider, LimitHandler, LimitQuery);
     // Sets the initial control VMs. Control VMs listed in answers are polled as well.
     void setSeeds(const std::vector<std::uint32_t>& ips);
     // Starts the polls that are due. Must be called several times a second.
     void tick();
+    // Sends the polls that must not wait until outstanding ones are answered: to a new load
+    // source, and to the control VM that divides the permits once there is a limit. tick()
+    // calls this; it may be called more often.
+    void sendUrgentPolls();
 
     // Sends changed crash reports to the preferred control VM at once. Its outstanding poll
     // may be answered only after other VMs have sent such requests.
@@ -79,16 +90,28 @@
     // Returns the largest number of entry VMs that any control VM reports, at least 1.
     std::uint32_t entryVmCount() const;
     // Returns the in-flight load of the other entry VMs by upstream, from the latest
-    // answer of the preferred control VM.
+    // answer of the load source: a responsive control VM of the own data centre if there is
+    // one, otherwise any responsive one.
     const std::map<std::string, UpstreamInFlightLoad>& peerLoad() const { return peerLoad_; }
     // Returns whether the peer load has been updated since the last call.
     bool takePeerLoadChange() { return std::exchange(hasNewPeerLoad_, false); }
+    // Returns the IP address of the load source, or nullopt while no control VM is responsive;
+    // then all are asked for the load.
+    std::optional<std::uint32_t> loadSource() const;
     // Returns the addresses of all polled control VMs.
     std::vector<std::uint32_t> knownReplicas() const;
 
 private:
     struct Peer {
         bool isPolling = false;
+        // Counts the polls. Only the answer to the latest one is used.
+        std::uint64_t pollNumber = 0;
+        // Whether the last answered poll failed.
+        bool hasFailed = false;
+        // From its answers.
+        std::string dataCentre;
+        // Of the peers that are otherwise equal, the one with the highest is the load source.
+        std::uint64_t weight = 0;
         base::TimePoint nextPollAt;
         base::TimePoint lastHeardAt;
         std::uint64_t epoch = 0;
@@ -102,6 +125,13 @@
         base::TimePoint polledAt;
         // Whether the outstanding poll asks for the load of the other entry VMs.
         bool isFetchingPeerLoad = false;
+        // Whether the outstanding poll asks for permits, and whether it reports limits.
+        bool isFetchingPermits = false;
+        bool hasSentLimits = false;
+        // How long the peer may wait before it answers the outstanding poll.
+        std::chrono::milliseconds pollWait {};
+        // The peer's revision of limits that this VM knows.
+        std::uint64_t limitRevision = 0;
         std::uint32_t entryVmCount = 0;
         // The peer's revision of crash reports that this VM knows.
         std::uint64_t crashRevision = 0;
@@ -130,10 +160,17 @@
     // Adds a peer, or refreshes its listing time. The own address is not added.
     void addOrRefreshPeer(std::uint32_t ip);
     void poll(std::uint32_t ip, Peer&);
+    // Adds the parts of a poll that depend on the peer's role.
+    void addLoad(FleetPoll&, std::uint32_t ip);
+    void addLimits(FleetPoll&, std::uint32_t ip, const Peer&);
+    std::chrono::milliseconds pollWait(const FleetPoll&, const Peer&) const;
+    bool isResponsive(const Peer&) const;
     bool isPreferred(std::uint32_t ip) const;
+    bool needsUrgentPoll(std::uint32_t ip, const Peer&) const;
     bool shouldFetchRoutes(std::uint32_t ip, const Peer&) const;
-    void handlePollResult(std::uint32_t ip, const base::Result<std::string>&);
-    void merge(Peer&, FleetAnswer);
+    void handlePollResult(std::uint32_t ip, std::uint64_t pollNumber, const base::Result<std::string>&);
+    void merge(std::uint32_t ip, Peer&, FleetAnswer);
+    void mergePeerLoad(std::uint32_t ip, const Peer&, FleetAnswer&);
     void mergeCrashReports(Peer&, const FleetAnswer&);
     void adoptRoutes(const FleetAnswer&);
     bool isFetchingRoutesFromOther(std::uint32_t ip) const;
@@ -150,6 +187,7 @@
     CrashReportsHandler crashReportsHandler_;
     LimitProvider limitProvider_;
     LimitHandler limitHandler_;
+    LimitQuery limitQuery_;
     std::set<std::uint32_t> seeds_;
     std::map<std::uint32_t, Peer> peers_;
     // The configuration in force on this VM. Newer versions are fetched relative to it.
@@ -160,6 +198,7 @@
     RoutesDelivery delivery_;
     std::map<std::string, UpstreamInFlightLoad> peerLoad_;
     bool hasNewPeerLoad_ = false;
+    std::uint64_t loadRevision_ = 0;
     ProcessReports leaveReports_;
     ProcessReports goneReports_;
     std::shared_ptr<bool> isAlive_ = std::make_shared<bool>(true);
--- a/include/fleet/RequestPermitAllocator.h
+++ b/include/fleet/RequestPermitAllocator.h
@@ -33,6 +33,8 @@
     // Forgets limits that nobody has reported for long, and entry VMs that are gone.
     void expire(base::TimePoint now);
 
+    // Increases with every change of a limit that entry VMs must learn.
+    std::uint64_t revision() const { return revision_; }
     std::size_t limitCount() const { return limits_.size(); }
 
 private:
@@ -57,6 +59,7 @@
     void evictOldest();
 
     std::map<std::string, Limit> limits_;
+    std::uint64_t revision_ = 1;
     std::map<std::string, EntryVm> entryVms_;
     // How many of them take their permits from this control VM.
     std::size_t takerCount_ = 0;
--- a/include/forwarding/ReverseProxy.h
+++ b/include/forwarding/ReverseProxy.h
@@ -91,6 +91,8 @@
     // Returns what the control VMs must learn of the upstreams' limits, and the permits that
     // this VM wants. Call once for each poll.
     fleet::RequestLimitReports takeLimitReports();
+    // Whether the limit of any upstream is known.
+    bool hasLimits() const;
     // Merges the limits and permits of a control VM's answer. The permits were granted by
     // `grantedBy`, a time of base::bootNow().
     void applyLimitReports(const fleet::RequestLimitReports&, base::TimePoint grantedBy);
--- a/src/entry/ControlPlane.cpp
+++ b/src/entry/ControlPlane.cpp
@@ -116,6 +116,7 @@
     case FrameKind::FleetPoll:
     case FrameKind::ReplicaJoin:
     case FrameKind::ReplicaLeave:
+    case FrameKind::LoadUpdate:
         break;
     }
     return std::nullopt;
--- a/src/fleet/FleetMessages.cpp
+++ b/src/fleet/FleetMessages.cpp
@@ -26,11 +26,13 @@
 
 template std::string encode(const FleetPoll&);
 template std::string encode(const FleetAnswer&);
+template std::string encode(const LoadUpdate&);
 template std::string encode(const JoinRequest&);
 template std::string encode(const LeaveRequest&);
 template std::string encode(const LeaveAnswer&);
 template base::Result<FleetPoll> decode(std::string_view);
 template base::Result<FleetAnswer> decode(std::string_view);
+template base::Result<LoadUpdate> decode(std::string_view);
 template base::Result<JoinRequest> decode(std::string_view);
 template base::Result<LeaveRequest> decode(std::string_view);
 template base::Result<LeaveAnswer> decode(std::string_view);
--- a/src/fleet/FleetPollServer.cpp
+++ b/src/fleet/FleetPollServer.cpp
@@ -2,6 +2,8 @@
 
 namespace arbutus::fleet {
 
+static constexpr std::chrono::milliseconds expiryInterval(100);
+
 bool FleetPollServer::shouldSendRoutes(const FleetPoll& poll, base::TimePoint now) const
 {
     return poll.wantsRoutes && poll.routesVersion < announcedRoutesVersion() && routesPublisher_.maySend(now);
@@ -10,12 +12,14 @@
 bool FleetPollServer::hasUpdates(const FleetPoll& poll, base::TimePoint now) const
 {
     bool hasNewRoutes = poll.wantsRoutes ? shouldSendRoutes(poll, now) : poll.routesVersion < announcedRoutesVersion();
-    return poll.epoch != epoch_ || poll.revision < registry_.revision() || poll.crashRevision < crashReports_.revision() || hasNewRoutes;
+    bool hasNewLimits = poll.limitRevision && poll.limitRevision != permitAllocator_.revision();
+    return poll.epoch != epoch_ || hasNewLimits || poll.revision < registry_.revision() || poll.crashRevision < crashReports_.revision() || hasNewRoutes;
 }
 
 FleetAnswer FleetPollServer::answer(const FleetPoll& poll, base::TimePoint now)
 {
     FleetAnswer result;
+    result.dataCentre = dataCentre_;
     result.epoch = epoch_;
     result.revision = registry_.revision();
     result.upstreams = registry_.changesSince(poll.epoch == epoch_ ? poll.revision : 0);
@@ -29,10 +33,11 @@
     }
     result.replicas = replicas_;
     result.entryVmCount = static_cast<std::uint32_t>(peerLoad_.entryVmCount());
-    if (poll.wantsPeerLoad) {
+    result.limitRevision = permitAllocator_.revision();
+    if (poll.wantsPeerLoad)
         result.peerLoad = peerLoad_.loadExcluding(poll.sender);
+    if (poll.wantsPermits)
         result.limits = permitAllocator_.allocate(poll.limits, now);
-    }
     return result;
 }
 
@@ -71,6 +76,15 @@
     return isChanged;
 }
 
+void FleetPollServer::applyLoad(FleetPoll& poll, base::TimePoint now)
+{
+    peerLoad_.recordPoll(poll.sender, now);
+    if (poll.wantsPeerLoad)
+        peerLoad_.record({ poll.sender, poll.incarnation, poll.loadRevision, 0, std::move(poll.load) });
+    else
+        peerLoad_.release(poll.sender);
+}
+
 void FleetPollServer::poll(FleetPoll poll, Reply reply, base::TimePoint now)
 {
     bool hasNewReports = applyCrashReports(poll, now);
@@ -79,9 +93,12 @@
     if (hasNewReports || hasNewLeaves || hasNewDepartures)
         answerPendingPolls(now);
     if (poll.isEntry) {
-        peerLoad_.record(poll.sender, poll.load, now);
-        permitAllocator_.entryVmPolled(poll.sender, poll.wantsPeerLoad, now);
+        applyLoad(poll, now);
+        permitAllocator_.entryVmPolled(poll.sender, poll.wantsPermits, now);
+        auto limitRevision = permitAllocator_.revision();
         permitAllocator_.apply(poll.limits, now);
+        if (permitAllocator_.revision() != limitRevision)
+            answerPendingPolls(now);
     }
     if (hasUpdates(poll, now) || !poll.maxWaitMilliseconds) {
         sendAnswer(poll, reply, now);
@@ -94,13 +111,20 @@
 void FleetPollServer::answerPendingPolls(base::TimePoint now)
 {
     for (auto it = pendingPolls_.begin(); it != pendingPolls_.end();) {
-        if (now < it->deadline && !hasUpdates(it->poll, now)) {
+        if (now + answerInterval <= it->deadline && !hasUpdates(it->poll, now)) {
             ++it;
             continue;
         }
         sendAnswer(it->poll, it->reply, now);
         it = pendingPolls_.erase(it);
     }
+    if (now >= nextExpiryAt_)
+        expire(now);
+}
+
+void FleetPollServer::expire(base::TimePoint now)
+{
+    nextExpiryAt_ = now + expiryInterval;
     peerLoad_.expire(now - entryVmTimeout);
     crashReports_.expire(now);
     permitAllocator_.expire(now);
--- a/src/fleet/FleetPoller.cpp
+++ b/src/fleet/FleetPoller.cpp
@@ -2,18 +2,24 @@
 
 #include "include/base/Compression.h"
 #include "include/base/Logger.h"
+#include "include/base/Random.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace arbutus::fleet {
 
 static constexpr base::Logger logger("fleet");
 
-// Bounds the age of the reported load of other entry VMs. It is far below the time
-// within which a drain must take effect.
+// Changes are answered at once. The wait bounds how late a poll brings news of this VM, and
+// is far below the time within which a drain must take effect.
 static constexpr std::chrono::milliseconds maxPollWait(400);
-// The preferred control VM is polled more often, so that entry VMs do not place streams
-// based on stale load. The load is at most this old, plus the network delay.
+// An entry VM and a control VM of different data centres exchange nothing but changes, so
+// fewer polls cross. Twice this time is below entryVmTimeout.
+static constexpr std::chrono::milliseconds remotePollWait(800);
+// The load source is polled more often, so that entry VMs do not place streams based on
+// stale load. The load is at most this old, plus the time that control VMs take to exchange
+// it. Permits are divided as often while there are limits.
 static constexpr std::chrono::milliseconds loadPollWait(120);
 static constexpr std::chrono::milliseconds answerTimeout(1200);
 // Beyond the wait that a poll asks for, on a calm network.
@@ -49,10 +55,11 @@
 
 void FleetPoller::setCrashReportsHandler(CrashReportsHandler handler) { crashReportsHandler_ = std::move(handler); }
 
-void FleetPoller::setLimitHooks(LimitProvider limitProvider, LimitHandler limitHandler)
+void FleetPoller::setLimitHooks(LimitProvider limitProvider, LimitHandler limitHandler, LimitQuery limitQuery)
 {
     limitProvider_ = std::move(limitProvider);
     limitHandler_ = std::move(limitHandler);
+    limitQuery_ = std::move(limitQuery);
 }
 
 void FleetPoller::setSeeds(const std::vector<std::uint32_t>& ips)
@@ -62,10 +69,20 @@
         addOrRefreshPeer(ip);
 }
 
+// Differs between entry VMs, so that they spread over the control VMs.
+static std::uint64_t loadSourceWeight(const std::string& entryVm, std::uint32_t controlVm)
+{
+    return base::Random(std::hash<std::string>()(entryVm) ^ (std::uint64_t { controlVm } << 32)).next();
+}
+
 void FleetPoller::addOrRefreshPeer(std::uint32_t ip)
 {
-    if (ip != options_.ownIp)
-        peers_[ip].lastListedAt = clock_.now();
+    if (ip == options_.ownIp)
+        return;
+    auto [found, isNew] = peers_.try_emplace(ip);
+    found->second.lastListedAt = clock_.now();
+    if (isNew)
+        found->second.weight = loadSourceWeight(options_.self, ip);
 }
 
 void FleetPoller::dropStalePeers()
@@ -87,6 +104,7 @@
         if (!peer.isPolling && clock_.now() >= peer.nextPollAt)
             poll(ip, peer);
     }
+    sendUrgentPolls();
 }
 
 void FleetPoller::addReport(ProcessReports& reports, UpstreamProcess process)
@@ -145,18 +163,82 @@
 }
 
 // The responsive control VM with the lowest address is preferred, or any if none has
-// answered recently. It provides route configurations without delay and the load of other
-// entry VMs frequently.
+// answered recently. It provides route configurations without delay and divides the permits
+// of limited upstreams.
 bool FleetPoller::isPreferred(std::uint32_t ip) const
 {
-    auto recent = clock_.now() - answerTimeout;
     for (const auto& [other, state] : peers_) {
-        if (state.lastHeardAt >= recent)
+        if (isResponsive(state))
             return other == ip;
     }
     return true;
 }
 
+bool FleetPoller::isResponsive(const Peer& peer) const { return peer.lastHeardAt >= clock_.now() - answerTimeout; }
+
+std::optional<std::uint32_t> FleetPoller::loadSource() const
+{
+    auto rank = [this](const Peer& peer) { return std::make_tuple(!peer.hasFailed, peer.dataCentre == options_.dataCentre, peer.weight); };
+    auto best = peers_.end();
+    for (auto it = peers_.begin(); it != peers_.end(); ++it) {
+        if (isResponsive(it->second) && (best == peers_.end() || rank(it->second) > rank(best->second)))
+            best = it;
+    }
+    return best == peers_.end() ? std::nullopt : std::optional(best->first);
+}
+
+// A poll with limits is not replaced, because its answer may contain permits.
+bool FleetPoller::needsUrgentPoll(std::uint32_t ip, const Peer& peer) const
+{
+    if (!options_.isEntry || !peer.isPolling || peer.hasSentLimits || !isResponsive(peer))
+        return false;
+    if (!peer.isFetchingPeerLoad && loadSource() == ip)
+        return true;
+    bool isWaitingForPermits = !peer.isFetchingPermits || peer.pollWait > loadPollWait;
+    return limitQuery_ && limitQuery_() && isPreferred(ip) && isWaitingForPermits;
+}
+
+void FleetPoller::sendUrgentPolls()
+{
+    for (auto& [ip, peer] : peers_) {
+        if (needsUrgentPoll(ip, peer))
+            poll(ip, peer);
+    }
+}
+
+void FleetPoller::addLoad(FleetPoll& poll, std::uint32_t ip)
+{
+    // Nothing counts twice if several control VMs get the same load.
+    poll.wantsPeerLoad = options_.isEntry && loadSource().value_or(ip) == ip;
+    if (!poll.wantsPeerLoad || !loadProvider_)
+        return;
+    poll.load = loadProvider_();
+    poll.incarnation = options_.incarnation;
+    poll.loadRevision = ++loadRevision_;
+}
+
+void FleetPoller::addLimits(FleetPoll& poll, std::uint32_t ip, const Peer& peer)
+{
+    poll.wantsPermits = options_.isEntry && isPreferred(ip);
+    if (!poll.wantsPermits)
+        return;
+    if (limitProvider_)
+        poll.limits = limitProvider_();
+    bool isLimited = !poll.limits.empty() || (limitQuery_ && limitQuery_());
+    poll.limitRevision = isLimited ? 0 : peer.limitRevision;
+}
+
+std::chrono::milliseconds FleetPoller::pollWait(const FleetPoll& poll, const Peer& peer) const
+{
+    bool isLimited = poll.wantsPermits && !poll.limitRevision;
+    auto wait = maxPollWait;
+    if (poll.wantsPeerLoad || isLimited)
+        wait = loadPollWait;
+    else if (options_.isEntry && !poll.wantsPermits && peer.dataCentre != options_.dataCentre)
+        wait = remotePollWait;
+    return peer.newerRoutesSince ? std::min(wait, routesFallbackDelay) : wait;
+}
+
 void FleetPoller::poll(std::uint32_t ip, Peer& peer)
 {
     FleetPoll poll;
@@ -171,9 +253,13 @@
     poll.routesBase = needsWholeRoutes_ ? 0 : routesVersion_;
     peer.polledAt = clock_.now();
     peer.isFetchingRoutes = poll.wantsRoutes;
-    poll.wantsPeerLoad = peer.isFetchingPeerLoad = options_.isEntry && isPreferred(ip);
-    auto maxWait = poll.wantsPeerLoad ? loadPollWait : maxPollWait;
-    poll.maxWaitMilliseconds = static_cast<std::uint32_t>((peer.newerRoutesSince ? std::min(maxWait, routesFallbackDelay) : maxWait).count());
+    addLoad(poll, ip);
+    addLimits(poll, ip, peer);
+    peer.isFetchingPeerLoad = poll.wantsPeerLoad;
+    peer.isFetchingPermits = poll.wantsPermits;
+    peer.hasSentLimits = !poll.limits.empty();
+    peer.pollWait = pollWait(poll, peer);
+    poll.maxWaitMilliseconds = static_cast<std::uint32_t>(peer.pollWait.count());
     poll.crashRevision = peer.crashRevision;
     poll.crashReports = crashReports_.changesSince(peer.confirmedCrashRevision, clock_.now());
     peer.sentCrashRevision = crashReports_.revision();
@@ -181,14 +267,10 @@
         poll.leaving.push_back(report.process);
     for (const auto& report : goneReports_)
         poll.gone.push_back(report.process);
-    if (loadProvider_)
-        poll.load = loadProvider_();
-    if (limitProvider_ && poll.wantsPeerLoad)
-        poll.limits = limitProvider_();
-    auto done = [this, ip, isAlive = std::weak_ptr<bool>(isAlive_), post = post_](base::Result<std::string> answer) {
-        post([this, ip, isAlive, answer = std::move(answer)] {
+    auto done = [this, ip, number = ++peer.pollNumber, isAlive = std::weak_ptr<bool>(isAlive_), post = post_](base::Result<std::string> answer) {
+        post([this, ip, number, isAlive, answer = std::move(answer)] {
             if (auto alive = isAlive.lock(); alive && *alive)
-                handlePollResult(ip, answer);
+                handlePollResult(ip, number, answer);
         });
     };
     peer.isPolling = sendPoll_(ip, encode(poll), answerTimeout, std::move(done));
@@ -196,43 +278,55 @@
         peer.nextPollAt = clock_.now() + retryDelay;
 }
 
-void FleetPoller::handlePollResult(std::uint32_t ip, const base::Result<std::string>& answer)
+void FleetPoller::handlePollResult(std::uint32_t ip, std::uint64_t pollNumber, const base::Result<std::string>& answer)
 {
     auto found = peers_.find(ip);
-    if (found == peers_.end())
+    if (found == peers_.end() || found->second.pollNumber != pollNumber)
         return;
     auto& peer = found->second;
     peer.isPolling = false;
     peer.isFetchingRoutes = false;
     auto decoded = answer ? decode<FleetAnswer>(answer.value()) : base::Result<FleetAnswer>(answer.error());
+    peer.hasFailed = !decoded;
     if (!decoded) {
         ++delivery_.failedPolls;
         peer.nextPollAt = clock_.now() + retryDelay;
+        sendUrgentPolls();
         return;
     }
     peer.lastHeardAt = clock_.now();
-    merge(peer, std::move(decoded).value());
+    merge(ip, peer, std::move(decoded).value());
     if (auto current = peers_.find(ip); current != peers_.end() && !current->second.isPolling)
         poll(ip, current->second);
+    sendUrgentPolls();
 }
 
-void FleetPoller::merge(Peer& peer, FleetAnswer answer)
+// The answer of a control VM that is no load source any more may be older than the load that
+// is known.
+void FleetPoller::mergePeerLoad(std::uint32_t ip, const Peer& peer, FleetAnswer& answer)
+{
+    if (!peer.isFetchingPeerLoad || loadSource() != ip)
+        return;
+    hasNewPeerLoad_ = true;
+    peerLoad_.clear();
+    for (auto& load : answer.peerLoad)
+        peerLoad_[load.upstream] = std::move(load);
+}
+
+void FleetPoller::merge(std::uint32_t ip, Peer& peer, FleetAnswer answer)
 {
     mergeCrashReports(peer, answer);
+    peer.dataCentre = answer.dataCentre;
+    peer.limitRevision = answer.limitRevision;
     peer.epoch = answer.epoch;
     peer.revision = answer.revision;
     peer.entryVmCount = answer.entryVmCount;
     peer.routesVersion = answer.routesVersion;
     for (const auto& record : answer.upstreams)
         mergeUpstream(record);
-    if (peer.isFetchingPeerLoad) {
-        hasNewPeerLoad_ = true;
-        peerLoad_.clear();
-        for (auto& load : answer.peerLoad)
-            peerLoad_[load.upstream] = std::move(load);
-        if (limitHandler_)
-            limitHandler_(answer.limits, peer.polledAt + loadPollWait + maxAnswerDelay);
-    }
+    mergePeerLoad(ip, peer, answer);
+    if (peer.isFetchingPermits && limitHandler_)
+        limitHandler_(answer.limits, peer.polledAt + peer.pollWait + maxAnswerDelay);
     if (!answer.packedRoutes.empty())
         adoptRoutes(answer);
     if (answer.routesVersion > routesVersion_ && options_.isEntry) {
--- a/src/fleet/RequestPermitAllocator.cpp
+++ b/src/fleet/RequestPermitAllocator.cpp
@@ -43,7 +43,8 @@
     if (observationTime(report, now) <= limit.named.observedAt)
         return;
     refill(limit, now);
-    limit.named.update(report, now);
+    if (limit.named.update(report, now))
+        ++revision_;
 }
 
 void RequestPermitAllocator::evictOldest()
--- a/src/forwarding/ReverseProxy.cpp
+++ b/src/forwarding/ReverseProxy.cpp
@@ -183,6 +183,11 @@
     return reports;
 }
 
+bool ReverseProxy::hasLimits() const
+{
+    return std::any_of(services_.begin(), services_.end(), [](const auto& entry) { return entry.second.rateLimiter.limitCount() > 0; });
+}
+
 void ReverseProxy::applyLimitReports(const fleet::RequestLimitReports& reports, base::TimePoint grantedBy)
 {
     auto now = base::bootNow();
--- a/src/node/ControlNode.cpp
+++ b/src/node/ControlNode.cpp
@@ -69,6 +69,7 @@
     , fleetPoller_(
           clock_, [this](auto&&... request) { return links_.sendPoll(std::forward<decltype(request)>(request)...); }, pollerOptions(options_), registry_, crashReports_, [this](std::function<void()> task) { boost::asio::post(context_, std::move(task)); })
     , timer_(context, tickInterval, [this] { tick(); })
+    , answerTimer_(context, fleet::FleetPollServer::answerInterval, [this] { answerPolls(); })
     , heartbeatMonitor_(net::ipText(options_.ip), options_.heartbeatInterval)
     , engineClient_(context, codec_, registry_, net::ipText(options_.ip), [this] { fleetPollServer_.answerPendingPolls(clock_.now()); })
 {
@@ -83,8 +84,11 @@
 Result<void> ControlNode::start()
 {
     fleetPoller_.setSeeds(options_.seeds);
+    fleetPollServer_.setDataCentre(options_.dataCentre);
+    fleetPollServer_.loadExchange().setSelf(options_.ip);
     BOOST_OUTCOME_TRYV(startReplica());
     timer_.start();
+    answerTimer_.start();
     return base::outcome::success();
 }
 
@@ -182,6 +186,10 @@
         if (auto poll = fleet::decode<fleet::FleetPoll>(frame.body))
             boost::asio::post(context_, [this, poll = std::move(poll).value(), reply] { fleetPollServer_.poll(poll, reply, clock_.now()); });
         return std::nullopt;
+    case FrameKind::LoadUpdate:
+        if (auto update = fleet::decode<fleet::LoadUpdate>(frame.body))
+            boost::asio::post(context_, [this, update = std::move(update).value()]() mutable { fleetPollServer_.loadExchange().receive(std::move(update), clock_.now()); });
+        return std::nullopt;
     case FrameKind::ReplicaJoin:
         if (auto join = fleet::decode<fleet::JoinRequest>(frame.body))
             boost::asio::post(context_, [this, join = join.value()] { replicaSet_->recordJoinRequest(join); });
@@ -333,6 +341,27 @@
     tickDueAt_ = clock_.now() + tickInterval;
 }
 
+void ControlNode::answerPolls()
+{
+    auto now = clock_.now();
+    fleetPollServer_.answerPendingPolls(now);
+    if (now < nextExchangeAt_)
+        return;
+    // A tick that is a little late must not delay all later ones.
+    nextExchangeAt_ = std::max(nextExchangeAt_ + fleet::LoadExchange::interval, now);
+    std::vector<std::uint32_t> peers;
+    for (auto ip : fleetPoller_.knownReplicas()) {
+        if (fleetPoller_.hasHeardFrom(ip, now - fleet::LoadExchange::sourceTimeout))
+            peers.push_back(ip);
+    }
+    fleetPollServer_.loadExchange().tick(
+        peers, [this](std::uint32_t ip, const std::string& update) {
+            if (auto* link = links_.link(ip))
+                link->send(static_cast<std::uint8_t>(FrameKind::LoadUpdate), update);
+        },
+        now);
+}
+
 void ControlNode::reportActivity(base::TimePoint now)
 {
     if (now < nextReportAt_)
--- a/src/node/ControlNode.h
+++ b/src/node/ControlNode.h
@@ -25,6 +25,7 @@
 struct ControlOptions {
     std::string name;
     std::uint32_t ip = 0;
+    std::string dataCentre;
     std::uint16_t internalPort = 0;
     std::string dataFolder;
     std::string sharedKey;
@@ -105,6 +106,8 @@
     void sendMessage(const consensus::Message&);
 
     void tick();
+    // Answers polls and exchanges the load of the entry VMs with the other control VMs.
+    void answerPolls();
     // Logs once a second what was sent and how late this VM acted.
     void reportActivity(base::TimePoint now);
     void placeLayers(base::TimePoint now);
@@ -127,6 +130,8 @@
     std::unique_ptr<replica::ReplicaNode> replica_;
     std::unique_ptr<transport::FrameServer> frameServer_;
     net::RepeatingTimer timer_;
+    net::RepeatingTimer answerTimer_;
+    base::TimePoint nextExchangeAt_;
     base::LatenessMeter tickLateness_;
     base::TimePoint tickDueAt_;
     base::TimePoint nextReportAt_;
--- a/src/node/EntryNode.cpp
+++ b/src/node/EntryNode.cpp
@@ -48,6 +48,8 @@
     fleet::FleetPoller::Options result;
     result.self = options.name;
     result.isEntry = true;
+    result.dataCentre = options.dataCentre;
+    result.incarnation = static_cast<std::uint32_t>(options.seed);
     return result;
 }
 
@@ -73,7 +75,7 @@
 {
     fleetPoller_.setEntryHooks([this](std::uint64_t version, const std::string& document, const auto& delivery) { return applyRoutes(version, document, delivery); }, [this] { return proxy_.ownLoad(); });
     fleetPoller_.setCrashReportsHandler([this] { exchangeCrashReports(std::chrono::steady_clock::now()); });
-    fleetPoller_.setLimitHooks([this] { return proxy_.takeLimitReports(); }, [this](const auto& reports, base::TimePoint grantedBy) { proxy_.applyLimitReports(reports, grantedBy); });
+    fleetPoller_.setLimitHooks([this] { return proxy_.takeLimitReports(); }, [this](const auto& reports, base::TimePoint grantedBy) { proxy_.applyLimitReports(reports, grantedBy); }, [this] { return proxy_.hasLimits(); });
     fleetPoller_.setSeeds(options_.seeds);
     BOOST_OUTCOME_TRY(callerServer, http1::Server::Make(context_, tcpEndpoint(options_.callerEndpoint), proxy_));
     callerServer_ = std::move(callerServer);
@@ -145,6 +147,7 @@
         proxy_.setPeerLoad(fleetPoller_.peerLoad());
     proxy_.tick(now);
     exchangeCrashReports(now);
+    fleetPoller_.sendUrgentPolls();
     if (stoppingSince_)
         endRemainingRequests(now);
     if (++ticks_ % ticksPerSlowTick)
--- a/src/replica/ReplicaProcess.cpp
+++ b/src/replica/ReplicaProcess.cpp
@@ -235,6 +235,7 @@
     case FrameKind::FleetPoll:
     case FrameKind::ReplicaJoin:
     case FrameKind::ReplicaLeave:
+    case FrameKind::LoadUpdate:
         break;
     }
     return std::nullopt;
--- a/tests/FleetNetwork.h
+++ b/tests/FleetNetwork.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,7 @@
         std::unique_ptr<FleetPollServer> server;
         Link uplink;
         bool isReachable = true;
+        std::string dataCentre;
         // The longest time that a message handed to the uplink would have waited.
         std::chrono::nanoseconds longestWait {};
     };
@@ -44,11 +46,19 @@
         std::map<std::uint64_t, base::TimePoint> appliedAt;
     };
 
+    // What was sent from one data centre to another, without frame headers.
+    struct CrossingBytes {
+        std::uint64_t messages = 0;
+        std::uint64_t bytes = 0;
+    };
+
     static constexpr std::uint32_t firstIp = 0x0a010001;
 
-    FleetNetwork(std::size_t controlCount, double controlMegabits, std::size_t entryCount, double entryMegabits)
+    // The VMs are in the data centres in turn.
+    FleetNetwork(std::size_t controlCount, double controlMegabits, std::size_t entryCount, double entryMegabits, std::size_t dataCentres = 1)
         : control(controlCount)
         , entry(entryCount)
+        , dataCentres_(dataCentres)
     {
         for (std::size_t i = 0; i < controlCount; ++i) {
             control[i].uplink.bytesPerSecond = bytesPerSecond(controlMegabits);
@@ -68,6 +78,9 @@
         for (std::size_t peer = 0; peer < control.size(); ++peer)
             ips.push_back(firstIp + static_cast<std::uint32_t>(peer));
         vm.server = std::make_unique<FleetPollServer>(vm.registry, vm.crashReports, ++lastEpoch_, RoutesPublisher::maxLinkShare * vm.uplink.bytesPerSecond);
+        vm.dataCentre = dataCentreOf(i);
+        vm.server->setDataCentre(vm.dataCentre);
+        vm.server->loadExchange().setSelf(firstIp + static_cast<std::uint32_t>(i));
         vm.server->setReplicas(ips);
         vm.server->leaderFound();
     }
@@ -94,6 +107,8 @@
         FleetPoller::Options options;
         options.self = fmt::format("entry-{}", i);
         options.isEntry = true;
+        options.dataCentre = dataCentreOf(i);
+        options.incarnation = static_cast<std::uint32_t>(++lastEpoch_);
         vm.version = 0;
         vm.document.clear();
         auto send = [this, i](std::uint32_t ip, std::string poll, Milliseconds timeout, Done done) {
@@ -101,7 +116,7 @@
             return true;
         };
         vm.poller = std::make_unique<FleetPoller>(clock, send, options, vm.registry, vm.crashReports, [](const auto& task) { task(); });
-        vm.poller->setEntryHooks([this, i](std::uint64_t version, const std::string& document, const auto&) { return apply(i, version, document); }, [] { return std::vector<UpstreamInFlightLoad>(); });
+        vm.poller->setEntryHooks([this, i](std::uint64_t version, const std::string& document, const auto&) { return apply(i, version, document); }, [this, i] { return ownLoad ? ownLoad(i) : std::vector<UpstreamInFlightLoad>(); });
         std::vector<std::uint32_t> seeds;
         for (std::size_t seed = 0; seed < std::min<std::size_t>(3, control.size()); ++seed)
             seeds.push_back(firstIp + static_cast<std::uint32_t>(seed));
@@ -157,6 +172,24 @@
         return std::chrono::duration_cast<Milliseconds>(longest);
     }
 
+    // Cuts or restores the connection between two control VMs.
+    void setLinked(std::size_t left, std::size_t right, bool isLinked)
+    {
+        auto link = std::minmax(left, right);
+        if (isLinked)
+            cutLinks_.erase(link);
+        else
+            cutLinks_.insert(link);
+    }
+
+    std::string dataCentreOf(std::size_t i) const { return fmt::format("d{}", i % dataCentres_); }
+
+    // Returns the load that an entry VM reports.
+    std::function<std::vector<UpstreamInFlightLoad>(std::size_t entryVm)> ownLoad;
+    // Called with each poll that arrives at a control VM.
+    std::function<void(std::size_t controlVm, const FleetPoll&)> pollObserver;
+    CrossingBytes crossing;
+
     base::VirtualClock clock;
     std::vector<ControlVm> control;
     std::vector<EntryVm> entry;
@@ -167,8 +200,8 @@
     using Done = std::function<void(base::Result<std::string>)>;
 
     static constexpr Milliseconds heartbeatInterval { 100 };
-    static constexpr Milliseconds controlTickInterval { 100 };
     static constexpr Milliseconds entryTickInterval { 200 };
+    static constexpr Milliseconds urgentPollInterval { 40 };
     static constexpr Milliseconds networkDelay { 1 };
 
     static double bytesPerSecond(double megabits) { return megabits * 1e6 / 8; }
@@ -191,9 +224,14 @@
                 callback(base::makeError(base::ErrorKind::RequestTimeout, "no answer before the deadline"));
         });
         auto reply = [this, from, to, pending](std::string answer) { sendAnswer(from, to, std::move(answer), pending); };
+        countCrossing(dataCentreOf(from), dataCentreOf(to), poll.size());
         schedule(networkDelay, [this, to, reply, poll = std::move(poll)] {
-            if (control[to].isReachable)
-                control[to].server->poll(decode<FleetPoll>(poll).value(), reply, clock.now());
+            if (!control[to].isReachable)
+                return;
+            auto decoded = decode<FleetPoll>(poll).value();
+            if (pollObserver)
+                pollObserver(to, decoded);
+            control[to].server->poll(decoded, reply, clock.now());
         });
     }
 
@@ -201,6 +239,7 @@
     {
         auto& vm = control[from];
         sentBytes += answer.size();
+        countCrossing(dataCentreOf(from), dataCentreOf(to), answer.size());
         auto sent = occupy(vm.uplink, answer.size(), clock.now());
         vm.longestWait = std::max(vm.longestWait, sent);
         auto received = occupy(entry[to].downlink, answer.size(), clock.now() + sent);
@@ -210,6 +249,37 @@
         });
     }
 
+    void countCrossing(const std::string& from, const std::string& to, std::size_t bytes)
+    {
+        if (from == to)
+            return;
+        ++crossing.messages;
+        crossing.bytes += bytes;
+    }
+
+    void sendUpdate(std::size_t from, std::uint32_t toIp, const std::string& update)
+    {
+        std::size_t to = toIp - firstIp;
+        if (!control[from].isReachable || cutLinks_.count(std::minmax(from, to)))
+            return;
+        countCrossing(dataCentreOf(from), dataCentreOf(to), update.size());
+        schedule(networkDelay, [this, to, update] {
+            if (control[to].isReachable)
+                control[to].server->loadExchange().receive(decode<LoadUpdate>(update).value(), clock.now());
+        });
+    }
+
+    void exchangeLoad(std::size_t i)
+    {
+        std::vector<std::uint32_t> others;
+        for (std::size_t other = 0; other < control.size(); ++other) {
+            if (other != i)
+                others.push_back(firstIp + static_cast<std::uint32_t>(other));
+        }
+        control[i].server->loadExchange().tick(
+            others, [this, i](std::uint32_t ip, const std::string& update) { sendUpdate(i, ip, update); }, clock.now());
+    }
+
     bool apply(std::size_t i, std::uint64_t version, const std::string& document)
     {
         entry[i].version = version;
@@ -221,16 +291,26 @@
     void tick()
     {
         auto elapsed = clock.now().time_since_epoch();
-        if (elapsed % controlTickInterval == std::chrono::nanoseconds(0)) {
+        if (elapsed % FleetPollServer::answerInterval == std::chrono::nanoseconds(0)) {
             for (auto& vm : control)
                 vm.server->answerPendingPolls(clock.now());
         }
+        if (elapsed % LoadExchange::interval == std::chrono::nanoseconds(0)) {
+            for (std::size_t i = 0; i < control.size(); ++i)
+                exchangeLoad(i);
+        }
+        if (elapsed % urgentPollInterval == std::chrono::nanoseconds(0)) {
+            for (auto& vm : entry)
+                vm.poller->sendUrgentPolls();
+        }
         if (elapsed % entryTickInterval == std::chrono::nanoseconds(0)) {
             for (auto& vm : entry)
                 vm.poller->tick();
         }
     }
 
+    const std::size_t dataCentres_;
+    std::set<std::pair<std::size_t, std::size_t>> cutLinks_;
     std::uint64_t lastEpoch_ = 0;
     std::multimap<base::TimePoint, std::function<void()>> events_;
 };
--- a/tests/LimitSpreadTest.cpp
+++ b/tests/LimitSpreadTest.cpp
@@ -42,7 +42,7 @@
         network.entry[i].poller->setLimitHooks([this, i] { return limiters[i].takeReports(0, network.clock.now()); }, [this, i](const auto& reports, base::TimePoint grantedBy) {
             limiters[i].allocatorAnswered(network.clock.now());
             for (const auto& report : reports)
-                limiters[i].apply(report, grantedBy, network.clock.now()); });
+                limiters[i].apply(report, grantedBy, network.clock.now()); }, [this, i] { return limiters[i].limitCount() > 0; });
     }
 
     void run(Milliseconds duration)
--- a/tests/UpstreamRegistryTest.cpp
+++ b/tests/UpstreamRegistryTest.cpp
@@ -311,7 +311,8 @@
         for (auto count = random.below(5); count > 0; --count)
             load.push_back({ "engine-" + std::to_string(random.below(6)), static_cast<std::uint32_t>(random.below(3)), random.between(0, 1000) });
         reports[name] = load;
-        table.record(name, load, now);
+        table.recordPoll(name, now);
+        table.record({ name, 1, static_cast<std::uint64_t>(round), 0, load });
         std::map<std::string, std::pair<std::uint32_t, double>> expected;
         for (const auto& [other, loads] : reports) {
             for (const auto& part : loads) {
