Count the bytes that cross between data centres by kind

TrafficAccount counts, at control and entry VMs, polls, loads, documents, replication, and requests to and responses from upstreams, by the other data centre. Control VMs add it to their line of activity; entry VMs log a line a second when something crossed. The data centre of a peer comes from its answers, from its polls, or from the upstream's record. Calls of upstreams to control VMs (heartbeats) are not counted. Frame headers are not counted.

--- a/include/base/LockRanks.h
+++ b/include/base/LockRanks.h
@@ -13,6 +13,7 @@
 constexpr int membership = 70;
 constexpr int replica = 80;
 constexpr int transport = 90;
+constexpr int traffic = 95;
 constexpr int timeline = 100;
 } // namespace lock_rank
 
--- a/include/fleet/FleetMessages.h
+++ b/include/fleet/FleetMessages.h
@@ -18,6 +18,7 @@
 // A long poll that asks a control VM for changes.
 struct FleetPoll {
     std::string sender;
+    std::string dataCentre;
     // False for polls between control VMs. Entry VMs also report their load.
     bool isEntry = false;
     // Identifies the registry that `revision` refers to. 0 in the first poll.
@@ -57,7 +58,7 @@
     // Upstreams that the receiver has recently told to be present although the sender knows
     // that they are gone.
     std::vector<UpstreamProcess> gone;
-    MSGPACK_DEFINE(sender, isEntry, epoch, revision, routesVersion, wantsRoutes, routesBase, wantsPeerLoad, wantsPermits, maxWaitMilliseconds, load, incarnation, loadRevision, crashRevision, crashReports, limits, limitRevision, leaving, gone)
+    MSGPACK_DEFINE(sender, dataCentre, isEntry, epoch, revision, routesVersion, wantsRoutes, routesBase, wantsPeerLoad, wantsPermits, maxWaitMilliseconds, load, incarnation, loadRevision, crashRevision, crashReports, limits, limitRevision, leaving, gone)
 };
 
 // The answer to a FleetPoll.
--- a/include/fleet/FleetPollServer.h
+++ b/include/fleet/FleetPollServer.h
@@ -6,6 +6,7 @@
 #include "include/fleet/PeerLoadTable.h"
 #include "include/fleet/RequestPermitAllocator.h"
 #include "include/fleet/RoutesPublisher.h"
+#include "include/fleet/TrafficAccount.h"
 #include "include/fleet/UpstreamRegistry.h"
 
 #include <functional>
@@ -53,6 +54,8 @@
     void setReplicas(std::vector<std::uint32_t> ips) { replicas_ = std::move(ips); }
     // Sets the data centre of this VM, which the answers state.
     void setDataCentre(std::string dataCentre) { dataCentre_ = std::move(dataCentre); }
+    // Sets where answers are counted.
+    void setTraffic(TrafficAccount& traffic) { traffic_ = &traffic; }
     // Exchanges the load of the entry VMs with the other control VMs.
     LoadExchange& loadExchange() { return loadExchange_; }
 
@@ -93,6 +96,7 @@
     bool hasFoundLeader_ = false;
     std::vector<std::uint32_t> replicas_;
     std::string dataCentre_;
+    TrafficAccount* traffic_ = nullptr;
     std::list<PendingPoll> pendingPolls_;
     PeerLoadTable peerLoad_;
     LoadExchange loadExchange_;
--- a/include/fleet/FleetPoller.h
+++ b/include/fleet/FleetPoller.h
@@ -3,6 +3,7 @@
 #include "include/base/Clock.h"
 #include "include/fleet/CrashReportRegistry.h"
 #include "include/fleet/FleetMessages.h"
+#include "include/fleet/TrafficAccount.h"
 #include "include/fleet/UpstreamRegistry.h"
 
 #include <deque>
@@ -68,6 +69,8 @@
     // is called for each of its answers. While the query returns true, that control VM is
     // polled as often as the load source.
     void setLimitHooks(LimitProvider, LimitHandler, LimitQuery);
+    // Sets where polls and answers are counted.
+    void setTraffic(TrafficAccount& traffic) { traffic_ = &traffic; }
     // Sets the initial control VMs. Control VMs listed in answers are polled as well.
     void setSeeds(const std::vector<std::uint32_t>& ips);
     // Starts the polls that are due. Must be called several times a second.
@@ -170,6 +173,7 @@
     bool shouldFetchRoutes(std::uint32_t ip, const Peer&) const;
     void handlePollResult(std::uint32_t ip, std::uint64_t pollNumber, const base::Result<std::string>&);
     void merge(std::uint32_t ip, Peer&, FleetAnswer);
+    void countAnswer(std::uint32_t ip, const FleetAnswer&, std::size_t bytes);
     void mergePeerLoad(std::uint32_t ip, const Peer&, FleetAnswer&);
     void mergeCrashReports(Peer&, const FleetAnswer&);
     void adoptRoutes(const FleetAnswer&);
@@ -188,6 +192,7 @@
     LimitProvider limitProvider_;
     LimitHandler limitHandler_;
     LimitQuery limitQuery_;
+    TrafficAccount* traffic_ = nullptr;
     std::set<std::uint32_t> seeds_;
     std::map<std::uint32_t, Peer> peers_;
     // The configuration in force on this VM. Newer versions are fetched relative to it.
--- a/include/fleet/UpstreamRegistry.h
+++ b/include/fleet/UpstreamRegistry.h
@@ -63,6 +63,9 @@
     std::vector<UpstreamRecord> changesSince(std::uint64_t revision) const;
     // Returns null if the upstream is unknown.
     const UpstreamRecord* find(const std::string& id) const;
+    // Returns the data centre of the present upstream at an address, or an empty string if
+    // there is none. Takes time in proportion to the number of upstreams.
+    std::string dataCentreAt(const net::Endpoint&) const;
     // Returns all records, ordered by id.
     std::vector<const UpstreamRecord*> all() const;
 
--- a/include/forwarding/ReverseProxy.h
+++ b/include/forwarding/ReverseProxy.h
@@ -76,6 +76,8 @@
     ReverseProxy(boost::asio::io_context&, const HeaderCodec&, ReverseProxyOptions);
     ~ReverseProxy() override;
 
+    // Sets where the bytes to and from upstreams are counted.
+    void setTrafficLookup(UpstreamConnectionPool::TrafficLookup lookup) { pool_.setTrafficLookup(std::move(lookup)); }
     // Activates a route table. Requests that were already admitted keep the previous one.
     void setRoutes(std::shared_ptr<const routes::RouteTable>);
     const routes::RouteTable* routes() const { return routes_.get(); }
--- a/include/forwarding/UpstreamConnection.h
+++ b/include/forwarding/UpstreamConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "include/base/Time.h"
+#include "include/fleet/TrafficAccount.h"
 #include "include/http1/MessageReader.h"
 #include "include/net/Endpoint.h"
 #include "include/net/StreamSocket.h"
@@ -64,6 +65,9 @@
     UpstreamConnection(boost::asio::io_context&, const net::Endpoint&, std::uint64_t number, ReusableCallback);
     ~UpstreamConnection() override;
 
+    // Sets where bytes are counted; null for nowhere.
+    void setTraffic(fleet::TrafficCounter* traffic) { traffic_ = traffic; }
+
     // Sends a request, and connects first if necessary. The connection must be new or
     // idle. `listener` must stay alive until the response ends or abandon() is called.
     void send(std::string head, std::string_view body, bool hasNoResponseBody, ResponseListener&, base::TimePoint connectDeadline);
@@ -103,6 +107,7 @@
     const std::uint64_t number_;
     const ReusableCallback reusableCallback_;
     ResponseListener* listener_ = nullptr;
+    fleet::TrafficCounter* traffic_ = nullptr;
     // Holds the request until the connection is established.
     std::string request_;
     std::string input_;
@@ -123,11 +128,15 @@
 // Pool of idle upstream connections.
 class UpstreamConnectionPool {
 public:
+    // Returns where the bytes to and from an upstream are counted, or null.
+    using TrafficLookup = std::function<fleet::TrafficCounter*(const net::Endpoint&)>;
+
     explicit UpstreamConnectionPool(boost::asio::io_context& context)
         : context_(context)
     {
     }
 
+    void setTrafficLookup(TrafficLookup lookup) { trafficLookup_ = std::move(lookup); }
     // Returns an idle connection, or a new one if there is none. Closes connections that
     // have been idle for more than `keepAliveFraction` of the upstream's keep-alive time.
     // Never returns one of those in `excluded`, which are identified by their numbers.
@@ -142,6 +151,7 @@
 
 private:
     boost::asio::io_context& context_;
+    TrafficLookup trafficLookup_;
     std::map<net::Endpoint, std::vector<std::shared_ptr<UpstreamConnection>>> idle_;
     std::uint64_t lastNumber_ = 0;
 };
--- a/src/fleet/FleetPollServer.cpp
+++ b/src/fleet/FleetPollServer.cpp
@@ -49,6 +49,8 @@
     sent_.answerBytes += bytes.size();
     sent_.routeDocuments += content.packedRoutes.empty() ? 0 : 1;
     sent_.routeDocumentBytes += content.packedRoutes.size();
+    if (traffic_)
+        traffic_->add(content, TrafficAccount::Direction::Sent, poll.dataCentre, bytes.size());
     reply(std::move(bytes));
 }
 
--- a/src/fleet/FleetPoller.cpp
+++ b/src/fleet/FleetPoller.cpp
@@ -140,6 +140,7 @@
     const auto& [ip, peer] = *preferred;
     FleetPoll poll;
     poll.sender = options_.self;
+    poll.dataCentre = options_.dataCentre;
     poll.epoch = peer.epoch;
     poll.revision = peer.revision;
     poll.routesVersion = peer.routesVersion;
@@ -243,6 +244,7 @@
 {
     FleetPoll poll;
     poll.sender = options_.self;
+    poll.dataCentre = options_.dataCentre;
     poll.isEntry = options_.isEntry;
     poll.epoch = peer.epoch;
     poll.revision = peer.revision;
@@ -273,7 +275,10 @@
                 handlePollResult(ip, number, answer);
         });
     };
-    peer.isPolling = sendPoll_(ip, encode(poll), answerTimeout, std::move(done));
+    auto encoded = encode(poll);
+    if (traffic_)
+        traffic_->add(poll, TrafficAccount::Direction::Sent, peer.dataCentre, encoded.size());
+    peer.isPolling = sendPoll_(ip, std::move(encoded), answerTimeout, std::move(done));
     if (!peer.isPolling)
         peer.nextPollAt = clock_.now() + retryDelay;
 }
@@ -295,12 +300,21 @@
         return;
     }
     peer.lastHeardAt = clock_.now();
+    countAnswer(ip, decoded.value(), answer.value().size());
     merge(ip, peer, std::move(decoded).value());
     if (auto current = peers_.find(ip); current != peers_.end() && !current->second.isPolling)
         poll(ip, current->second);
     sendUrgentPolls();
 }
 
+void FleetPoller::countAnswer(std::uint32_t ip, const FleetAnswer& answer, std::size_t bytes)
+{
+    if (!traffic_)
+        return;
+    traffic_->setDataCentre(ip, answer.dataCentre);
+    traffic_->add(answer, TrafficAccount::Direction::Received, answer.dataCentre, bytes);
+}
+
 // The answer of a control VM that is no load source any more may be older than the load that
 // is known.
 void FleetPoller::mergePeerLoad(std::uint32_t ip, const Peer& peer, FleetAnswer& answer)
--- a/src/fleet/UpstreamRegistry.cpp
+++ b/src/fleet/UpstreamRegistry.cpp
@@ -233,6 +233,13 @@
     return found == upstreams_.end() ? nullptr : &found->second.record;
 }
 
+std::string UpstreamRegistry::dataCentreAt(const net::Endpoint& endpoint) const
+{
+    auto isThere = [&endpoint](const auto& entry) { return entry.second.record.state != UpstreamState::Gone && entry.second.record.ip == endpoint.ip && entry.second.record.port == endpoint.port; };
+    auto found = std::find_if(upstreams_.begin(), upstreams_.end(), isThere);
+    return found == upstreams_.end() ? std::string() : found->second.record.dataCentre;
+}
+
 std::vector<const UpstreamRecord*> UpstreamRegistry::all() const
 {
     std::vector<const UpstreamRecord*> result;
--- a/src/forwarding/UpstreamConnection.cpp
+++ b/src/forwarding/UpstreamConnection.cpp
@@ -35,6 +35,8 @@
     staleResponseBytes_ = 0;
     interimResponses_ = 0;
     resetReader();
+    if (traffic_)
+        traffic_->sent += head.size() + body.size();
     if (isConnected_) {
         socket_->write(head, body);
         return;
@@ -79,6 +81,8 @@
 void UpstreamConnection::onBytes(std::string_view bytes)
 {
     auto self = shared_from_this();
+    if (traffic_)
+        traffic_->received += bytes.size();
     if (!listener_) {
         // Unsolicited bytes belong to no request.
         socket_->close();
@@ -213,7 +217,10 @@
 
 std::shared_ptr<UpstreamConnection> UpstreamConnectionPool::create(const net::Endpoint& endpoint)
 {
-    return std::make_shared<UpstreamConnection>(context_, endpoint, ++lastNumber_, [this](const std::shared_ptr<UpstreamConnection>& connection) { idle_[connection->endpoint()].push_back(connection); });
+    auto connection = std::make_shared<UpstreamConnection>(context_, endpoint, ++lastNumber_, [this](const std::shared_ptr<UpstreamConnection>& reusable) { idle_[reusable->endpoint()].push_back(reusable); });
+    if (trafficLookup_)
+        connection->setTraffic(trafficLookup_(endpoint));
+    return connection;
 }
 
 void UpstreamConnectionPool::tick(base::TimePoint now)
--- a/src/node/ControlNode.cpp
+++ b/src/node/ControlNode.cpp
@@ -18,6 +18,7 @@
 using base::makeError;
 using base::Result;
 using control::FrameKind;
+using fleet::TrafficAccount;
 
 static constexpr base::Logger logger("control");
 
@@ -51,6 +52,7 @@
     fleet::FleetPoller::Options result;
     result.self = options.name;
     result.ownIp = options.ip;
+    result.dataCentre = options.dataCentre;
     return result;
 }
 
@@ -64,6 +66,7 @@
     , codec_(codec)
     , options_(std::move(options))
     , timeline_(clock_, options_.name, timelineCapacity)
+    , traffic_(options_.dataCentre)
     , links_(linkOptions(options_))
     , fleetPollServer_(registry_, crashReports_, options_.seed | 1, routesBytesPerSecond(options_))
     , fleetPoller_(
@@ -84,7 +87,10 @@
 Result<void> ControlNode::start()
 {
     fleetPoller_.setSeeds(options_.seeds);
+    fleetPoller_.setTraffic(traffic_);
+    fleetPollServer_.setTraffic(traffic_);
     fleetPollServer_.setDataCentre(options_.dataCentre);
+    engineClient_.setTrafficLookup([this](const net::Endpoint& endpoint) { return traffic_.counter(TrafficAccount::Kind::Upstream, registry_.dataCentreAt(endpoint)); });
     fleetPollServer_.loadExchange().setSelf(options_.ip);
     BOOST_OUTCOME_TRYV(startReplica());
     timer_.start();
@@ -177,18 +183,20 @@
 {
     switch (static_cast<FrameKind>(frame.kind)) {
     case FrameKind::Replication:
-        if (auto message = consensus::decode<consensus::Message>(frame.body))
+        if (auto message = consensus::decode<consensus::Message>(frame.body)) {
+            traffic_.add(TrafficAccount::Kind::Replication, TrafficAccount::Direction::Received, static_cast<std::uint32_t>(message.value().from.replica), frame.body.size());
             replica_->receive(std::move(message).value());
+        }
         return std::nullopt;
     case FrameKind::ReplicaHello:
         return encodeIntroduction();
     case FrameKind::FleetPoll:
         if (auto poll = fleet::decode<fleet::FleetPoll>(frame.body))
-            boost::asio::post(context_, [this, poll = std::move(poll).value(), reply] { fleetPollServer_.poll(poll, reply, clock_.now()); });
+            boost::asio::post(context_, [this, poll = std::move(poll).value(), bytes = frame.body.size(), reply]() mutable { receivePoll(std::move(poll), bytes, reply); });
         return std::nullopt;
     case FrameKind::LoadUpdate:
         if (auto update = fleet::decode<fleet::LoadUpdate>(frame.body))
-            boost::asio::post(context_, [this, update = std::move(update).value()]() mutable { fleetPollServer_.loadExchange().receive(std::move(update), clock_.now()); });
+            boost::asio::post(context_, [this, update = std::move(update).value(), bytes = frame.body.size()]() mutable { receiveLoad(std::move(update), bytes); });
         return std::nullopt;
     case FrameKind::ReplicaJoin:
         if (auto join = fleet::decode<fleet::JoinRequest>(frame.body))
@@ -204,10 +212,27 @@
     }
 }
 
+void ControlNode::receivePoll(fleet::FleetPoll poll, std::size_t bytes, const transport::FrameServer::Reply& reply)
+{
+    traffic_.add(poll, TrafficAccount::Direction::Received, poll.dataCentre, bytes);
+    fleetPollServer_.poll(std::move(poll), reply, clock_.now());
+}
+
+void ControlNode::receiveLoad(fleet::LoadUpdate update, std::size_t bytes)
+{
+    traffic_.add(TrafficAccount::Kind::Load, TrafficAccount::Direction::Received, update.sender, bytes);
+    fleetPollServer_.loadExchange().receive(std::move(update), clock_.now());
+}
+
 void ControlNode::sendMessage(const consensus::Message& message)
 {
-    if (auto* link = links_.link(static_cast<std::uint32_t>(message.to.replica)))
-        link->send(static_cast<std::uint8_t>(FrameKind::Replication), consensus::encode(message));
+    auto ip = static_cast<std::uint32_t>(message.to.replica);
+    auto* link = links_.link(ip);
+    if (!link)
+        return;
+    auto encoded = consensus::encode(message);
+    traffic_.add(TrafficAccount::Kind::Replication, TrafficAccount::Direction::Sent, ip, encoded.size());
+    link->send(static_cast<std::uint8_t>(FrameKind::Replication), std::move(encoded));
 }
 
 // Runs on the replica's thread after each iteration of its loop.
@@ -356,8 +381,11 @@
     }
     fleetPollServer_.loadExchange().tick(
         peers, [this](std::uint32_t ip, const std::string& update) {
-            if (auto* link = links_.link(ip))
-                link->send(static_cast<std::uint8_t>(FrameKind::LoadUpdate), update);
+            auto* link = links_.link(ip);
+            if (!link)
+                return;
+            traffic_.add(TrafficAccount::Kind::Load, TrafficAccount::Direction::Sent, ip, update.size());
+            link->send(static_cast<std::uint8_t>(FrameKind::LoadUpdate), update);
         },
         now);
 }
@@ -368,7 +396,7 @@
         return;
     nextReportAt_ = now + activityReportInterval;
     auto sent = fleetPollServer_.takeSentTotals();
-    logger.info("Activity of the last second.", { { "answers", sent.answers }, { "answer_bytes", sent.answerBytes }, { "route_documents", sent.routeDocuments }, { "route_document_bytes", sent.routeDocumentBytes }, { "tick_late_ms", tickLateness_.take().count() }, { "replica_late_ms", replica_->takeLateness().count() }, { "lease_age_ms", replica_->takeLeaseAge().count() } });
+    logger.info("Activity of the last second.", { { "answers", sent.answers }, { "answer_bytes", sent.answerBytes }, { "route_documents", sent.routeDocuments }, { "route_document_bytes", sent.routeDocumentBytes }, { "tick_late_ms", tickLateness_.take().count() }, { "replica_late_ms", replica_->takeLateness().count() }, { "lease_age_ms", replica_->takeLeaseAge().count() }, { "crossed", traffic_.take() } });
 }
 
 void ControlNode::placeLayers(base::TimePoint now)
--- a/src/node/ControlNode.h
+++ b/src/node/ControlNode.h
@@ -98,6 +98,8 @@
 
     base::Result<void> startReplica();
     base::Result<consensus::Configuration> agreeOnInitialConfiguration();
+    void receivePoll(fleet::FleetPoll, std::size_t bytes, const transport::FrameServer::Reply&);
+    void receiveLoad(fleet::LoadUpdate, std::size_t bytes);
     std::optional<std::string> handleFrame(const transport::Frame&, const transport::FrameServer::Reply&);
     void publishReplicaView(const replica::ReplicaStatus&, const state::StateMachine&);
     void applyReplicaView(const ReplicaView&);
@@ -122,6 +124,7 @@
     const ControlOptions options_;
     base::BootClock clock_;
     base::Timeline timeline_;
+    fleet::TrafficAccount traffic_;
     fleet::PeerLinks links_;
     fleet::UpstreamRegistry registry_;
     fleet::CrashReportRegistry crashReports_;
--- a/src/node/EngineClient.h
+++ b/src/node/EngineClient.h
@@ -26,6 +26,8 @@
     EngineClient(boost::asio::io_context&, const PlatformCodec&, fleet::UpstreamRegistry& registry, std::string registrar, StatusChangeCallback);
     ~EngineClient();
 
+    // Sets where the bytes to and from engines are counted.
+    void setTrafficLookup(forwarding::UpstreamConnectionPool::TrafficLookup lookup) { pool_.setTrafficLookup(std::move(lookup)); }
     // Starts the status calls that are due.
     void pollEngines(base::TimePoint now);
     // Ends the calls whose deadline has passed.
--- a/src/node/EntryNode.cpp
+++ b/src/node/EntryNode.cpp
@@ -22,6 +22,7 @@
 static constexpr std::chrono::milliseconds deliveryMargin(100);
 // Idle connections are closed after this time while stopping.
 static constexpr std::chrono::milliseconds stopIdleTimeout(200);
+static constexpr std::chrono::seconds activityReportInterval(1);
 
 // Answers the load balancer's readiness probes: 200 if ready, otherwise 503.
 class EntryNode::ReadinessHandler final : public http1::RequestHandler {
@@ -62,6 +63,7 @@
     : context_(context)
     , decodeRoutes_(std::move(decodeRoutes))
     , options_(std::move(options))
+    , traffic_(options_.dataCentre)
     , proxy_(context, headerCodec, { options_.dataCentre, options_.retryBudget, options_.seed })
     , readinessHandler_(std::make_shared<ReadinessHandler>(*this))
     , links_({ options_.name, options_.internalPort, options_.sharedKey, options_.seed })
@@ -76,7 +78,9 @@
     fleetPoller_.setEntryHooks([this](std::uint64_t version, const std::string& document, const auto& delivery) { return applyRoutes(version, document, delivery); }, [this] { return proxy_.ownLoad(); });
     fleetPoller_.setCrashReportsHandler([this] { exchangeCrashReports(std::chrono::steady_clock::now()); });
     fleetPoller_.setLimitHooks([this] { return proxy_.takeLimitReports(); }, [this](const auto& reports, base::TimePoint grantedBy) { proxy_.applyLimitReports(reports, grantedBy); }, [this] { return proxy_.hasLimits(); });
+    fleetPoller_.setTraffic(traffic_);
     fleetPoller_.setSeeds(options_.seeds);
+    proxy_.setTrafficLookup([this](const net::Endpoint& endpoint) { return traffic_.counter(fleet::TrafficAccount::Kind::Upstream, registry_.dataCentreAt(endpoint)); });
     BOOST_OUTCOME_TRY(callerServer, http1::Server::Make(context_, tcpEndpoint(options_.callerEndpoint), proxy_));
     callerServer_ = std::move(callerServer);
     BOOST_OUTCOME_TRY(readinessServer, http1::Server::Make(context_, tcpEndpoint(options_.readinessEndpoint), *readinessHandler_));
@@ -155,12 +159,22 @@
     fleetPoller_.tick();
     registry_.purge(clock_.now() - fleet::UpstreamRegistry::absentRetention);
     proxy_.setEntryVmCount(fleetPoller_.entryVmCount());
+    reportActivity(now);
     callerServer_->tick(now);
     readinessServer_->tick(now);
     if (stoppingSince_)
         tryFinishStopping(now);
 }
 
+void EntryNode::reportActivity(base::TimePoint now)
+{
+    if (now < nextReportAt_)
+        return;
+    nextReportAt_ = now + activityReportInterval;
+    if (auto crossed = traffic_.take(); !crossed.empty())
+        logger.info("Activity of the last second.", { { "crossed", crossed } });
+}
+
 void EntryNode::stop(std::function<void()> onStopped)
 {
     if (stoppingSince_)
--- a/src/node/EntryNode.h
+++ b/src/node/EntryNode.h
@@ -48,6 +48,8 @@
     class ReadinessHandler;
 
     void tick();
+    // Logs once a second what was exchanged with other data centres, if anything.
+    void reportActivity(base::TimePoint now);
     bool applyRoutes(std::uint64_t version, const std::string& document, const fleet::FleetPoller::RoutesDelivery&);
     // Adds what the proxy has observed to the reports that the other VMs get.
     void record(const routing::CrashGuard::PartCrashed&);
@@ -64,6 +66,7 @@
     const DecodeRoutes decodeRoutes_;
     const EntryOptions options_;
     base::BootClock clock_;
+    fleet::TrafficAccount traffic_;
     fleet::UpstreamRegistry registry_;
     std::uint64_t registryRevision_ = 0;
     fleet::CrashReportRegistry crashReports_;
@@ -75,6 +78,7 @@
     fleet::PeerLinks links_;
     fleet::FleetPoller fleetPoller_;
     net::RepeatingTimer timer_;
+    base::TimePoint nextReportAt_;
     unsigned ticks_ = 0;
     std::uint64_t requestsAtLastCheck_ = 0;
     std::optional<base::TimePoint> stoppingSince_;
