Fewer wake-ups for polls; leaves are reported without waiting

An entry VM polls the control VMs that are not its load source every 800 ms.

LeaveSpreadTest failed while polls of 800 ms carried the reports of leaves, so a new report now replaces the outstanding polls.

--- a/include/fleet/FleetPollServer.h
+++ b/include/fleet/FleetPollServer.h
@@ -24,9 +24,10 @@
 public:
     using Reply = std::function<void(std::string)>;
 
-    // How often answerPendingPolls() must be called. A poll is answered no later than its
-    // maximum wait after it has arrived, so that the load's age does not grow by this.
-    static constexpr std::chrono::milliseconds answerInterval { 30 };
+    // How often answerPendingPolls() must be called. It answers the polls whose maximum wait
+    // ends next to its call, so that polls for load keep their period. Polls of many entry VMs
+    // are answered together, which takes fewer wake-ups.
+    static constexpr std::chrono::milliseconds answerInterval = LoadExchange::interval;
 
     // What was sent to pollers. Bytes exclude frame headers.
     struct SentTotals {
--- a/include/fleet/FleetPoller.h
+++ b/include/fleet/FleetPoller.h
@@ -76,8 +76,9 @@
     // Starts the polls that are due. Must be called several times a second.
     void tick();
     // Sends the polls that must not wait until outstanding ones are answered: to a new load
-    // source, and to the control VM that divides the permits once there is a limit. tick()
-    // calls this; it may be called more often.
+    // source, to the control VM that divides the permits once there is a limit, and to all
+    // once an upstream is known to leave or to be gone. tick() calls this; it may be called
+    // more often.
     void sendUrgentPolls();
 
     // Sends changed crash reports to the preferred control VM at once. Its outstanding poll
@@ -133,6 +134,8 @@
         bool hasSentLimits = false;
         // How long the peer may wait before it answers the outstanding poll.
         std::chrono::milliseconds pollWait {};
+        // How many reports of processes this VM had made when the outstanding poll was sent.
+        std::uint64_t sentReports = 0;
         // The peer's revision of limits that this VM knows.
         std::uint64_t limitRevision = 0;
         std::uint32_t entryVmCount = 0;
@@ -206,6 +209,7 @@
     std::uint64_t loadRevision_ = 0;
     ProcessReports leaveReports_;
     ProcessReports goneReports_;
+    std::uint64_t reportCount_ = 0;
     std::shared_ptr<bool> isAlive_ = std::make_shared<bool>(true);
 };
 
--- a/src/fleet/FleetPollServer.cpp
+++ b/src/fleet/FleetPollServer.cpp
@@ -113,7 +113,7 @@
 void FleetPollServer::answerPendingPolls(base::TimePoint now)
 {
     for (auto it = pendingPolls_.begin(); it != pendingPolls_.end();) {
-        if (now + answerInterval <= it->deadline && !hasUpdates(it->poll, now)) {
+        if (now + answerInterval / 2 <= it->deadline && !hasUpdates(it->poll, now)) {
             ++it;
             continue;
         }
--- a/src/fleet/FleetPoller.cpp
+++ b/src/fleet/FleetPoller.cpp
@@ -11,12 +11,11 @@
 
 static constexpr base::Logger logger("fleet");
 
-// Changes are answered at once. The wait bounds how late a poll brings news of this VM, and
-// is far below the time within which a drain must take effect.
-static constexpr std::chrono::milliseconds maxPollWait(400);
-// An entry VM and a control VM of different data centres exchange nothing but changes, so
-// fewer polls cross. Twice this time is below entryVmTimeout.
-static constexpr std::chrono::milliseconds remotePollWait(800);
+// Changes are answered at once, and an entry VM does not wait until the poll ends to report a
+// leave or a limit. Twice this time is below entryVmTimeout.
+static constexpr std::chrono::milliseconds entryPollWait(800);
+// Bounds how late a control VM learns that another one is lost.
+static constexpr std::chrono::milliseconds controlPollWait(400);
 // The load source is polled more often, so that entry VMs do not place streams based on
 // stale load. The load is at most this old, plus the time that control VMs take to exchange
 // it. Permits are divided as often while there are limits.
@@ -110,7 +109,11 @@
 void FleetPoller::addReport(ProcessReports& reports, UpstreamProcess process)
 {
     auto isSame = [&process](const ProcessReport& report) { return report.process.id == process.id && report.process.startedAtMilliseconds == process.startedAtMilliseconds; };
-    reports.erase(std::remove_if(reports.begin(), reports.end(), isSame), reports.end());
+    auto same = std::find_if(reports.begin(), reports.end(), isSame);
+    if (same == reports.end())
+        ++reportCount_;
+    else
+        reports.erase(same);
     reports.push_back({ std::move(process), clock_.now() + reportLifetime });
     if (reports.size() > maxReports)
         reports.pop_front();
@@ -193,7 +196,8 @@
 {
     if (!options_.isEntry || !peer.isPolling || peer.hasSentLimits || !isResponsive(peer))
         return false;
-    if (!peer.isFetchingPeerLoad && loadSource() == ip)
+    bool isNewLoadSource = !peer.isFetchingPeerLoad && loadSource() == ip;
+    if (isNewLoadSource || peer.sentReports != reportCount_)
         return true;
     bool isWaitingForPermits = !peer.isFetchingPermits || peer.pollWait > loadPollWait;
     return limitQuery_ && limitQuery_() && isPreferred(ip) && isWaitingForPermits;
@@ -232,11 +236,9 @@
 std::chrono::milliseconds FleetPoller::pollWait(const FleetPoll& poll, const Peer& peer) const
 {
     bool isLimited = poll.wantsPermits && !poll.limitRevision;
-    auto wait = maxPollWait;
+    auto wait = poll.isEntry ? entryPollWait : controlPollWait;
     if (poll.wantsPeerLoad || isLimited)
         wait = loadPollWait;
-    else if (options_.isEntry && !poll.wantsPermits && peer.dataCentre != options_.dataCentre)
-        wait = remotePollWait;
     return peer.newerRoutesSince ? std::min(wait, routesFallbackDelay) : wait;
 }
 
@@ -265,6 +267,7 @@
     poll.crashRevision = peer.crashRevision;
     poll.crashReports = crashReports_.changesSince(peer.confirmedCrashRevision, clock_.now());
     peer.sentCrashRevision = crashReports_.revision();
+    peer.sentReports = reportCount_;
     for (const auto& report : leaveReports_)
         poll.leaving.push_back(report.process);
     for (const auto& report : goneReports_)
--- a/src/node/ControlNode.cpp
+++ b/src/node/ControlNode.cpp
@@ -370,10 +370,6 @@
 {
     auto now = clock_.now();
     fleetPollServer_.answerPendingPolls(now);
-    if (now < nextExchangeAt_)
-        return;
-    // A tick that is a little late must not delay all later ones.
-    nextExchangeAt_ = std::max(nextExchangeAt_ + fleet::LoadExchange::interval, now);
     std::vector<std::uint32_t> peers;
     for (auto ip : fleetPoller_.knownReplicas()) {
         if (fleetPoller_.hasHeardFrom(ip, now - fleet::LoadExchange::sourceTimeout))
--- a/src/node/ControlNode.h
+++ b/src/node/ControlNode.h
@@ -134,7 +134,6 @@
     std::unique_ptr<transport::FrameServer> frameServer_;
     net::RepeatingTimer timer_;
     net::RepeatingTimer answerTimer_;
-    base::TimePoint nextExchangeAt_;
     base::LatenessMeter tickLateness_;
     base::TimePoint tickDueAt_;
     base::TimePoint nextReportAt_;
