--- a/include/fleet/DemandTable.h
+++ b/include/fleet/DemandTable.h
@@ -19,6 +19,8 @@
     // Replaces what the entry VM reported before. Rows with a rate that is negative or not
     // finite are ignored.
     void record(const std::string& entryVm, const ServiceDemands&, base::TimePoint now);
+    // Forgets an entry VM, which reports to another control VM.
+    void release(const std::string& entryVm);
     // Forgets entry VMs that have not reported since `before`.
     void expire(base::TimePoint before);
 
--- a/include/fleet/FleetPollServer.h
+++ b/include/fleet/FleetPollServer.h
@@ -3,9 +3,11 @@
 #include "include/fleet/CrashReportRegistry.h"
 #include "include/fleet/DemandTable.h"
 #include "include/fleet/FleetMessages.h"
+#include "include/fleet/LoadExchange.h"
 #include "include/fleet/PeerLoadTable.h"
 #include "include/fleet/RequestPermitAllocator.h"
 #include "include/fleet/RoutesPublisher.h"
+#include "include/fleet/TrafficAccount.h"
 #include "include/fleet/UpstreamRegistry.h"
 
 #include <functional>
@@ -23,6 +25,11 @@
 public:
     using Reply = std::function<void(std::string)>;
 
+    // How often answerPendingPolls() must be called. It answers the polls whose maximum wait
+    // ends next to its call, so that polls for load keep their period. Polls of many entry VMs
+    // are answered together, which takes fewer wake-ups.
+    static constexpr std::chrono::milliseconds answerInterval = LoadExchange::interval;
+
     // What was sent to pollers. Bytes exclude frame headers.
     struct SentTotals {
         std::uint64_t answers = 0;
@@ -38,6 +45,7 @@
         , crashReports_(crashReports)
         , epoch_(epoch)
         , routesPublisher_(routesBytesPerSecond)
+        , loadExchange_(peerLoad_, epoch)
     {
     }
 
@@ -46,6 +54,12 @@
     // announced: after a restart, the stored one may have been replaced.
     void leaderFound() { hasFoundLeader_ = true; }
     void setReplicas(std::vector<std::uint32_t> ips) { replicas_ = std::move(ips); }
+    // Sets the data centre of this VM, which the answers state.
+    void setDataCentre(std::string dataCentre) { dataCentre_ = std::move(dataCentre); }
+    // Sets where answers are counted.
+    void setTraffic(TrafficAccount& traffic) { traffic_ = &traffic; }
+    // Exchanges the load of the entry VMs with the other control VMs.
+    LoadExchange& loadExchange() { return loadExchange_; }
 
     // Calls the reply now, or keeps it until answerPendingPolls() calls it. A poll that
     // brings crash reports, leaves or departures also has the pending ones answered.
@@ -69,6 +83,12 @@
     void sendAnswer(const FleetPoll&, const Reply&, base::TimePoint now);
     FleetAnswer answer(const FleetPoll&, base::TimePoint now);
 
+    void applyLoad(FleetPoll&, base::TimePoint now);
+    void applyDemand(const FleetPoll&, base::TimePoint now);
+    // Adds the demand at all entry VMs.
+    void addDemand(FleetAnswer&) const;
+    void expire(base::TimePoint now);
+
     // Each returns whether the poll brings anything new.
     bool applyCrashReports(const FleetPoll&, base::TimePoint now);
     bool applyLeaves(const FleetPoll&, base::TimePoint now);
@@ -80,10 +100,14 @@
     RoutesPublisher routesPublisher_;
     bool hasFoundLeader_ = false;
     std::vector<std::uint32_t> replicas_;
+    std::string dataCentre_;
+    TrafficAccount* traffic_ = nullptr;
     std::list<PendingPoll> pendingPolls_;
     PeerLoadTable peerLoad_;
     DemandTable demand_;
+    LoadExchange loadExchange_;
     RequestPermitAllocator permitAllocator_;
+    base::TimePoint nextExpiryAt_;
     SentTotals sent_;
 };
 
--- a/include/forwarding/ReverseProxy.h
+++ b/include/forwarding/ReverseProxy.h
@@ -96,6 +96,8 @@
     ReverseProxy(boost::asio::io_context&, const HeaderCodec&, ReverseProxyOptions);
     ~ReverseProxy() override;
 
+    // Sets where the bytes to and from upstreams are counted.
+    void setTrafficLookup(UpstreamConnectionPool::TrafficLookup lookup) { pool_.setTrafficLookup(std::move(lookup)); }
     // Activates a route table. Requests that were already admitted keep the previous one.
     void setRoutes(std::shared_ptr<const routes::RouteTable>);
     const routes::RouteTable* routes() const { return routes_.get(); }
@@ -117,6 +119,8 @@
     // Returns what the control VMs must learn of the upstreams' limits, and the permits that
     // this VM wants. Call once for each poll.
     fleet::RequestLimitReports takeLimitReports();
+    // Whether the limit of any upstream is known.
+    bool hasLimits() const;
     // Merges the limits and permits of a control VM's answer. The permits were granted by
     // `grantedBy`, a time of base::bootNow().
     void applyLimitReports(const fleet::RequestLimitReports&, base::TimePoint grantedBy);
--- a/src/fleet/DemandTable.cpp
+++ b/src/fleet/DemandTable.cpp
@@ -44,6 +44,15 @@
     }
 }
 
+void DemandTable::release(const std::string& entryVm)
+{
+    auto found = entryVms_.find(entryVm);
+    if (found == entryVms_.end())
+        return;
+    subtract(found->second.demand);
+    entryVms_.erase(found);
+}
+
 void DemandTable::expire(base::TimePoint before)
 {
     for (auto it = entryVms_.begin(); it != entryVms_.end();) {
--- a/src/fleet/FleetPollServer.cpp
+++ b/src/fleet/FleetPollServer.cpp
@@ -2,6 +2,8 @@
 
 namespace arbutus::fleet {
 
+static constexpr std::chrono::milliseconds expiryInterval(100);
+
 bool FleetPollServer::shouldSendRoutes(const FleetPoll& poll, base::TimePoint now) const
 {
     return poll.wantsRoutes && poll.routesVersion < announcedRoutesVersion() && routesPublisher_.maySend(now);
@@ -10,12 +12,14 @@
 bool FleetPollServer::hasUpdates(const FleetPoll& poll, base::TimePoint now) const
 {
     bool hasNewRoutes = poll.wantsRoutes ? shouldSendRoutes(poll, now) : poll.routesVersion < announcedRoutesVersion();
-    return poll.epoch != epoch_ || poll.revision < registry_.revision() || poll.crashRevision < crashReports_.revision() || hasNewRoutes;
+    bool hasNewLimits = poll.limitRevision && poll.limitRevision != permitAllocator_.revision();
+    return poll.epoch != epoch_ || hasNewLimits || poll.revision < registry_.revision() || poll.crashRevision < crashReports_.revision() || hasNewRoutes;
 }
 
 FleetAnswer FleetPollServer::answer(const FleetPoll& poll, base::TimePoint now)
 {
     FleetAnswer result;
+    result.dataCentre = dataCentre_;
     result.epoch = epoch_;
     result.revision = registry_.revision();
     result.upstreams = registry_.changesSince(poll.epoch == epoch_ ? poll.revision : 0);
@@ -29,11 +33,13 @@
     }
     result.replicas = replicas_;
     result.entryVmCount = static_cast<std::uint32_t>(peerLoad_.entryVmCount());
-    if (poll.wantsPeerLoad) {
+    result.limitRevision = permitAllocator_.revision();
+    if (poll.wantsPeerLoad)
         result.peerLoad = peerLoad_.loadExcluding(poll.sender);
-        result.demand = demand_.sums();
+    if (poll.wantsPeerLoad)
+        addDemand(result);
+    if (poll.wantsPermits)
         result.limits = permitAllocator_.allocate(poll.limits, now);
-    }
     return result;
 }
 
@@ -45,6 +51,8 @@
     sent_.answerBytes += bytes.size();
     sent_.routeDocuments += content.packedRoutes.empty() ? 0 : 1;
     sent_.routeDocumentBytes += content.packedRoutes.size();
+    if (traffic_)
+        traffic_->add(content, TrafficAccount::Direction::Sent, poll.dataCentre, bytes.size());
     reply(std::move(bytes));
 }
 
@@ -72,6 +80,31 @@
     return isChanged;
 }
 
+void FleetPollServer::applyLoad(FleetPoll& poll, base::TimePoint now)
+{
+    peerLoad_.recordPoll(poll.sender, now);
+    if (poll.wantsPeerLoad)
+        peerLoad_.record({ poll.sender, poll.incarnation, poll.loadRevision, 0, std::move(poll.load) });
+    else
+        peerLoad_.release(poll.sender);
+}
+
+void FleetPollServer::applyDemand(const FleetPoll& poll, base::TimePoint now)
+{
+    if (poll.wantsPeerLoad)
+        demand_.record(poll.sender, poll.demand, now);
+    else
+        demand_.release(poll.sender);
+    loadExchange_.setOwnDemand(demand_.sums());
+}
+
+void FleetPollServer::addDemand(FleetAnswer& answer) const
+{
+    answer.demand = demand_.sums();
+    auto ofPeers = loadExchange_.peerDemand();
+    answer.demand.insert(answer.demand.end(), ofPeers.begin(), ofPeers.end());
+}
+
 void FleetPollServer::poll(FleetPoll poll, Reply reply, base::TimePoint now)
 {
     bool hasNewReports = applyCrashReports(poll, now);
@@ -80,10 +113,13 @@
     if (hasNewReports || hasNewLeaves || hasNewDepartures)
         answerPendingPolls(now);
     if (poll.isEntry) {
-        peerLoad_.record(poll.sender, poll.load, now);
-        demand_.record(poll.sender, poll.demand, now);
-        permitAllocator_.entryVmPolled(poll.sender, poll.wantsPeerLoad, now);
+        applyLoad(poll, now);
+        applyDemand(poll, now);
+        permitAllocator_.entryVmPolled(poll.sender, poll.wantsPermits, now);
+        auto limitRevision = permitAllocator_.revision();
         permitAllocator_.apply(poll.limits, now);
+        if (permitAllocator_.revision() != limitRevision)
+            answerPendingPolls(now);
     }
     if (hasUpdates(poll, now) || !poll.maxWaitMilliseconds) {
         sendAnswer(poll, reply, now);
@@ -96,15 +132,23 @@
 void FleetPollServer::answerPendingPolls(base::TimePoint now)
 {
     for (auto it = pendingPolls_.begin(); it != pendingPolls_.end();) {
-        if (now < it->deadline && !hasUpdates(it->poll, now)) {
+        if (now + answerInterval / 2 <= it->deadline && !hasUpdates(it->poll, now)) {
             ++it;
             continue;
         }
         sendAnswer(it->poll, it->reply, now);
         it = pendingPolls_.erase(it);
     }
+    if (now >= nextExpiryAt_)
+        expire(now);
+}
+
+void FleetPollServer::expire(base::TimePoint now)
+{
+    nextExpiryAt_ = now + expiryInterval;
     peerLoad_.expire(now - entryVmTimeout);
     demand_.expire(now - entryVmTimeout);
+    loadExchange_.setOwnDemand(demand_.sums());
     crashReports_.expire(now);
     permitAllocator_.expire(now);
 }
--- a/src/node/ControlNode.h
+++ b/src/node/ControlNode.h
@@ -25,6 +25,7 @@
 struct ControlOptions {
     std::string name;
     std::uint32_t ip = 0;
+    std::string dataCentre;
     std::uint16_t internalPort = 0;
     std::string dataFolder;
     std::string sharedKey;
@@ -97,6 +98,8 @@
 
     base::Result<void> startReplica();
     base::Result<consensus::Configuration> agreeOnInitialConfiguration();
+    void receivePoll(fleet::FleetPoll, std::size_t bytes, const transport::FrameServer::Reply&);
+    void receiveLoad(fleet::LoadUpdate, std::size_t bytes);
     std::optional<std::string> handleFrame(const transport::Frame&, const transport::FrameServer::Reply&);
     void publishReplicaView(const replica::ReplicaStatus&, const state::StateMachine&);
     void applyReplicaView(const ReplicaView&);
@@ -105,6 +108,8 @@
     void sendMessage(const consensus::Message&);
 
     void tick();
+    // Answers polls and exchanges the load of the entry VMs with the other control VMs.
+    void answerPolls();
     // Logs once a second what was sent and how late this VM acted.
     void reportActivity(base::TimePoint now);
     void placeLayers(base::TimePoint now);
@@ -119,6 +124,7 @@
     const ControlOptions options_;
     base::BootClock clock_;
     base::Timeline timeline_;
+    fleet::TrafficAccount traffic_;
     fleet::PeerLinks links_;
     fleet::UpstreamRegistry registry_;
     fleet::CrashReportRegistry crashReports_;
@@ -127,6 +133,7 @@
     std::unique_ptr<replica::ReplicaNode> replica_;
     std::unique_ptr<transport::FrameServer> frameServer_;
     net::RepeatingTimer timer_;
+    net::RepeatingTimer answerTimer_;
     base::LatenessMeter tickLateness_;
     base::TimePoint tickDueAt_;
     base::TimePoint nextReportAt_;
