Memory of connection buffers is freed, and the output buffer is compacted

An assignment of an empty string keeps the capacity of the old one in libstdc++, so the output buffer of a connection was never freed; the new base::freeString frees it. A peer that always left a little unread made the buffer grow by all that was sent, because written bytes were only removed once all were written; they are now removed when they are the larger part.

--- a/include/net/StreamSocket.h
+++ b/include/net/StreamSocket.h
@@ -26,12 +26,17 @@
     void connected() { onConnected(); }
     // All pending bytes have been passed to the kernel.
     void drained() { onDrained(); }
+    // Returns how many bytes may arrive at a time.
+    std::size_t maxReadBytes() const { return onMaxReadBytes(); }
+
+    static constexpr std::size_t fullReadBytes = std::size_t { 64 } << 10;
 
 private:
     virtual void onBytes(std::string_view) = 0;
     virtual void onEnd(EndReason) = 0;
     virtual void onConnected() { }
     virtual void onDrained() { }
+    virtual std::size_t onMaxReadBytes() const { return fullReadBytes; }
 };
 
 // A TCP connection on an event loop. Waits until the socket is readable and then reads
@@ -62,6 +67,8 @@
     // if the connection is closed.
     void write(std::string_view first, std::string_view second = {});
     std::size_t pendingBytes() const { return pending_.size() - pendingOffset_; }
+    // Returns how much memory the pending bytes take.
+    std::size_t bufferBytes() const { return pending_.empty() ? 0 : pending_.capacity(); }
 
     // Pauses or resumes reading. While paused, TCP flow control slows the peer down.
     void setReading(bool isReading);
@@ -81,6 +88,7 @@
     void readAvailable();
     void writeWhenReady();
     void writePending();
+    void appendPending(std::string_view first, std::string_view second);
     void closeAndNotify(EndReason);
 
     boost::asio::ip::tcp::socket socket_;
--- a/src/net/StreamSocket.cpp
+++ b/src/net/StreamSocket.cpp
@@ -1,7 +1,10 @@
 #include "include/net/StreamSocket.h"
 
+#include "include/base/Strings.h"
+
 #include <boost/asio/buffer.hpp>
 
+#include <algorithm>
 #include <array>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -11,7 +14,6 @@
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 
-static constexpr std::size_t readBufferBytes = std::size_t { 64 } << 10;
 // Idle connections are probed, because a host that lost power sends no reset.
 static constexpr int keepAliveIdleSeconds = 2;
 static constexpr int keepAliveIntervalSeconds = 1;
@@ -92,9 +94,10 @@
 
 void StreamSocket::readAvailable()
 {
-    static thread_local std::array<char, readBufferBytes> buffer;
+    static thread_local std::array<char, StreamListener::fullReadBytes> buffer;
+    std::size_t limit = listener_ ? std::min(buffer.size(), listener_->maxReadBytes()) : buffer.size();
     error_code error;
-    std::size_t count = socket_.read_some(boost::asio::buffer(buffer), error);
+    std::size_t count = socket_.read_some(boost::asio::buffer(buffer.data(), limit), error);
     if (error == boost::asio::error::would_block) {
         readWhenReady();
         return;
@@ -133,9 +136,19 @@
     }
     if (first.empty() && second.empty())
         return;
+    appendPending(first, second);
+    writeWhenReady();
+}
+
+void StreamSocket::appendPending(std::string_view first, std::string_view second)
+{
+    // A peer that always leaves a little unread would otherwise make this grow without end.
+    if (pendingOffset_ > pendingBytes()) {
+        pending_.erase(0, pendingOffset_);
+        pendingOffset_ = 0;
+    }
     pending_.append(first);
     pending_.append(second);
-    writeWhenReady();
 }
 
 void StreamSocket::writeWhenReady()
@@ -167,7 +180,7 @@
         writeWhenReady();
         return;
     }
-    pending_ = std::string();
+    base::freeString(pending_);
     pendingOffset_ = 0;
     if (isClosingAfterWrite_)
         close();
@@ -181,6 +194,8 @@
         return;
     isOpen_ = false;
     listener_ = nullptr;
+    base::freeString(pending_);
+    pendingOffset_ = 0;
     error_code ignored;
     socket_.close(ignored);
 }
