What callers hold is limited by the memory and descriptors of the machine

Cause: each message had a limit, but nothing limited what all connections hold together, what a body costs besides its bytes, or the number of connections. Boost.Beast leaves trailers and chunk extensions unparsed until they end. A failing accept was repeated at once.

Now a ByteBudget, derived from limits.memory_mb, counts what is read, runs, is buffered of answers or is unread. When it is exceeded, the server ends unfinished requests of more than 8 KiB, the oldest first (503 with Retry-After), then drops pipelined requests and unread responses whose request has ended. Requests that were passed on and started streams are not ended. Connections, running requests and idle connections to upstreams are limited from limits.max_fds or the limit of the process. The unparsed rest of a request and the framing of its body are limited (431). A body is no longer copied whole for the upstream.

Ruled out: a share for each connection, pausing instead of ending, a limit on the time of a request; see docs/design/caller-memory.md.

ForwardingFixture gives server and proxy one budget, so that heldBytes() counts unread bytes as before; the bounds of the tests are unchanged.

--- a/include/forwarding/ReverseProxy.h
+++ b/include/forwarding/ReverseProxy.h
@@ -39,6 +39,10 @@
     std::string dataCentre;
     WindowedRetryBudgetOptions retryBudget;
     std::uint64_t seed = 1;
+    // Of the server that passes requests to the proxy.
+    std::shared_ptr<http1::ByteBudget> bytes = std::make_shared<http1::ByteBudget>();
+    // Each running request takes a connection to an upstream. Half as many may be idle.
+    std::size_t maxRequests = 4096;
 };
 
 // Totals since the process started.
@@ -121,7 +125,7 @@
     // answered as unknown, and what has not run is refused.
     void endRequests();
     // Returns the bytes of answers that are buffered or wait for slow callers.
-    std::size_t heldBytes() const { return heldBytes_; }
+    std::size_t heldBytes() const { return options_.bytes->held(http1::HeldFor::Answers); }
     std::size_t openExchangeCount() const { return exchanges_.size(); }
     // Applies request timeouts and polls waiting requests. Call many times a second.
     void tick(base::TimePoint now);
@@ -162,8 +166,8 @@
     std::vector<fleet::UpstreamProcess> leavingUpstreams_;
     std::uint64_t upstreamRevision_ = 0;
     std::uint32_t entryVmCount_ = 1;
-    // Before the exchanges, which take part in it.
-    std::size_t heldBytes_ = 0;
+    // Of the exchanges that have not finished.
+    std::size_t runningCount_ = 0;
     std::list<std::shared_ptr<Exchange>> exchanges_;
     bool isStopping_ = false;
     // When the requests of a stopping VM must have ended.
@@ -176,5 +180,7 @@
 // Returns the problem response for an error that the proxy itself reports. `retryAfter`
 // sets the Retry-After field.
 http1::Response problemResponse(const base::Error&, std::optional<std::chrono::milliseconds> retryAfter);
+// Returns the response to a request that a process has no resources for. It has not run.
+http1::Response overloadResponse();
 
 } // namespace arbutus::forwarding
--- a/include/forwarding/UpstreamConnection.h
+++ b/include/forwarding/UpstreamConnection.h
@@ -6,6 +6,7 @@
 #include "include/net/StreamSocket.h"
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -44,6 +45,8 @@
     void body(std::string_view bytes) { onBody(bytes); }
     void done() { onDone(); }
     void reportFailure(ConnectionFailure reason) { onConnectionFailure(reason); }
+    // Returns how many bytes of the response may arrive at a time.
+    std::size_t maxReadBytes() const { return onMaxReadBytes(); }
 
 private:
     virtual ResponseMatch onMatchResponse(const http1::ResponseHead&) const = 0;
@@ -52,6 +55,7 @@
     virtual void onBody(std::string_view) = 0;
     virtual void onDone() = 0;
     virtual void onConnectionFailure(ConnectionFailure) = 0;
+    virtual std::size_t onMaxReadBytes() const { return net::StreamListener::fullReadBytes; }
 };
 
 // A connection to an upstream. It carries one request at a time and is closed if bytes
@@ -65,7 +69,8 @@
     ~UpstreamConnection() override;
 
     // Sends a request, and connects first if necessary. The connection must be new or
-    // idle. `listener` must stay alive until the response ends or abandon() is called.
+    // idle. `listener` and the bytes of `body`, which are not copied as a whole, must stay
+    // until the response ends or abandon() is called.
     void send(std::string head, std::string_view body, bool hasNoResponseBody, ResponseListener&, base::TimePoint connectDeadline);
     // Closes the connection without notifying the listener.
     void abandon();
@@ -90,7 +95,13 @@
     void onBytes(std::string_view) override;
     void onEnd(net::EndReason) override;
     void onConnected() override;
+    void onDrained() override { sendBody(); }
+    std::size_t onMaxReadBytes() const override { return listener_ ? listener_->maxReadBytes() : fullReadBytes; }
 
+    // Sends the head and the beginning of the body.
+    void sendRequest(std::string_view head);
+    // Sends more of the body until some of it is pending.
+    void sendBody();
     void resetReader();
     // Both return whether reading can continue.
     bool readResponse();
@@ -103,8 +114,9 @@
     const std::uint64_t number_;
     const ReusableCallback reusableCallback_;
     ResponseListener* listener_ = nullptr;
-    // Holds the request until the connection is established.
-    std::string request_;
+    // Holds the head until the connection is established.
+    std::string head_;
+    std::string_view unsentBody_;
     std::string input_;
     std::unique_ptr<http1::ResponseReader> reader_;
     bool hasNoResponseBody_ = false;
@@ -123,8 +135,10 @@
 // Pool of idle upstream connections.
 class UpstreamConnectionPool {
 public:
-    explicit UpstreamConnectionPool(boost::asio::io_context& context)
+    // Keeps at most `maxIdle` idle connections in all.
+    explicit UpstreamConnectionPool(boost::asio::io_context& context, std::size_t maxIdle = std::numeric_limits<std::size_t>::max())
         : context_(context)
+        , maxIdle_(maxIdle)
     {
     }
 
@@ -138,11 +152,19 @@
     void tick(base::TimePoint now);
     // Closes idle connections to an address that now belongs to another upstream process.
     void evict(const net::Endpoint&);
-    void closeAll() { idle_.clear(); }
+    void closeAll()
+    {
+        idle_.clear();
+        idleCount_ = 0;
+    }
 
 private:
+    void keepIdle(const std::shared_ptr<UpstreamConnection>&);
+
     boost::asio::io_context& context_;
+    const std::size_t maxIdle_;
     std::map<net::Endpoint, std::vector<std::shared_ptr<UpstreamConnection>>> idle_;
+    std::size_t idleCount_ = 0;
     std::uint64_t lastNumber_ = 0;
 };
 
--- a/include/http1/MessageReader.h
+++ b/include/http1/MessageReader.h
@@ -37,10 +37,17 @@
     bool expectsContinue() const;
     RequestHead& head();
     std::string releaseBody();
+    // Returns how much memory the parsed part of the request takes.
+    std::size_t heldBytes() const;
 
 private:
     struct Parser;
+    // Whether the framing of the body is out of proportion to its size.
+    bool isFramingExcessive() const;
+
     std::unique_ptr<Parser> parser_;
+    const ReadLimits limits_;
+    std::size_t consumedBytes_ = 0;
 };
 
 // Incrementally parses one response and passes its body to a sink as it arrives.
--- a/include/http1/ServerConnection.h
+++ b/include/http1/ServerConnection.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "include/base/Error.h"
+#include "include/http1/ByteBudget.h"
 #include "include/http1/MessageReader.h"
 #include "include/net/StreamSocket.h"
 
 #include <list>
+#include <vector>
 
 namespace arbutus::http1 {
 
@@ -12,6 +14,8 @@
     RequestHead head;
     std::string body;
     base::TimePoint arrivedAt;
+    // Keep it as long as the head and the body are kept.
+    ByteCharge charge;
 };
 
 struct Response {
@@ -45,6 +49,13 @@
     std::chrono::milliseconds idleTimeout { 15000 };
 };
 
+// What a server may take of its process in total.
+struct ServerResources {
+    // May be shared by several servers.
+    std::shared_ptr<ByteBudget> bytes = std::make_shared<ByteBudget>();
+    std::size_t maxConnections = 4096;
+};
+
 class ServerConnection;
 
 // Handles the requests of a server's connections.
@@ -58,8 +69,8 @@
     ServerLimits limits() const { return onLimits(); }
     // Whether connections are closed after their current request.
     bool isStopping() const { return onIsStopping(); }
-    // Returns the response to a request that cannot be read; `status` is 400, 408, 413 or
-    // 431.
+    // Returns the response to a request that cannot be read; `status` is 400, 408, 413, 431,
+    // or 503 if there is no memory for it.
     Response requestErrorResponse(int status) const { return onRequestErrorResponse(status); }
 
 private:
@@ -73,7 +84,7 @@
 // order; a pipelined request waits until the response before it is complete.
 class ServerConnection : public std::enable_shared_from_this<ServerConnection>, private net::StreamListener {
 public:
-    ServerConnection(boost::asio::io_context&, RequestHandler&);
+    ServerConnection(boost::asio::io_context&, RequestHandler&, std::shared_ptr<ByteBudget>);
     ~ServerConnection() override;
 
     void start(boost::asio::ip::tcp::socket, base::TimePoint now);
@@ -95,6 +106,23 @@
     base::TimePoint idleSince() const { return idleSince_; }
     void closeIdle();
 
+    // Whether a request is being read.
+    bool isReceiving() const { return isOpen() && !isHandling_ && reader_; }
+    // Whether no request is being handled.
+    bool isBetweenRequests() const { return isOpen() && !isHandling_; }
+    // Whether the caller has yet to read the end of a response.
+    bool isDelivering() const { return isOpen() && !isHandling_ && pendingBytes(); }
+    base::TimePoint receivingSince() const { return receivingSince_; }
+    std::size_t inputBytes() const { return inputCharge_.bytes(); }
+    std::size_t outputBytes() const { return outputCharge_.bytes(); }
+    // Refuses the request that is being read, because there is no memory for it.
+    void refuseReceiving();
+    // Forgets the requests that wait for the end of the current one, and closes the
+    // connection after it.
+    void dropPipelined();
+    // Closes the connection although the caller may not have read the last response.
+    void closeUnread();
+
     // Rejects a request with 408 after its read deadline. Closes a connection that has been
     // idle for too long, or whose caller takes too long to read the end of a response.
     void checkTimeouts(base::TimePoint now);
@@ -103,18 +131,29 @@
     void onBytes(std::string_view) override;
     void onEnd(net::EndReason) override;
     void onDrained() override;
+    std::size_t onMaxReadBytes() const override;
 
     void readRequests();
     bool readRequest();
+    // Charges what has been read so far. Returns false after it has refused the request.
+    bool chargeInput();
     void dispatchRequest();
+    void write(std::string_view first, std::string_view second = {});
+    // Whether the caller must read earlier responses first.
+    bool hasUnreadResponses() const;
     void rejectRequest(int status);
     void finishRequest();
     std::string formatHead(const Response&) const;
 
     std::shared_ptr<net::StreamSocket> socket_;
     RequestHandler& handler_;
+    std::shared_ptr<ByteBudget> budget_;
     std::string input_;
+    // Of the input and the request that is being read.
+    ByteCharge inputCharge_;
+    ByteCharge outputCharge_;
     std::unique_ptr<RequestReader> reader_;
+    base::TimePoint receivingSince_;
     bool hasSentContinue_ = false;
     std::shared_ptr<ActiveRequest> active_;
     bool isHandling_ = false;
@@ -129,12 +168,30 @@
     std::optional<base::TimePoint> readDeadline_;
 };
 
-// Listens on one address and owns the accepted connections.
-class Server {
+// What a server has done at a limit.
+struct ServerCounters {
+    // Of the budget, which other servers may share.
+    std::uint64_t refusedRequests = 0;
+    std::uint64_t droppedPipelines = 0;
+    std::uint64_t droppedResponses = 0;
+    std::uint64_t closedConnections = 0;
+    std::uint64_t refusedConnections = 0;
+    std::uint64_t failedAccepts = 0;
+
+    std::uint64_t sum() const { return refusedRequests + droppedPipelines + droppedResponses + closedConnections + refusedConnections + failedAccepts; }
+};
+
+// Listens on one address and owns the accepted connections. At the limit of bytes it ends, in
+// this order: requests that are still being read, the oldest first; requests that wait behind
+// another one of their connection; responses that callers leave unread. At the limit of
+// connections it closes the one that has been without a running request for longest.
+class Server : private Reclaimer {
 public:
     // Fails with InvalidSetting if the address cannot be bound.
-    static base::Result<std::unique_ptr<Server>> Make(boost::asio::io_context&, const boost::asio::ip::tcp::endpoint&, RequestHandler&);
-    ~Server();
+    static base::Result<std::unique_ptr<Server>> Make(boost::asio::io_context&, const boost::asio::ip::tcp::endpoint&, RequestHandler&, ServerResources = {});
+    ~Server() override;
+    Server(const Server&) = delete;
+    Server& operator=(const Server&) = delete;
 
     // Applies the timeouts and drops closed connections; call several times a second.
     void tick(base::TimePoint now);
@@ -144,15 +201,38 @@
     bool hasUnfinishedWork() const;
     void closeAll();
     std::size_t connectionCount() const { return connections_.size(); }
+    // Totals since the start.
+    ServerCounters counters() const;
 
 private:
-    Server(boost::asio::io_context&, RequestHandler&);
+    using Connections = std::vector<std::shared_ptr<ServerConnection>>;
+
+    Server(boost::asio::io_context&, RequestHandler&, ServerResources);
+    void onReclaim() override;
+    void refuseReceiving();
+    void dropPipelines();
+    void dropUnreadResponses();
+    // Returns the connections for which `isSelected` is true, ordered by `timeOf`.
+    Connections select(bool (*isSelected)(const ServerConnection&), base::TimePoint (*timeOf)(const ServerConnection&)) const;
+
     void accept();
+    void onAccept(boost::asio::ip::tcp::socket);
+    void onAcceptFailure(const boost::system::error_code&);
+    // Closes the connection that has been without a running request for longest. Returns
+    // false if each has one.
+    bool closeOldest();
+    void removeClosed();
+    void logLimits(base::TimePoint now);
 
     boost::asio::io_context& context_;
     boost::asio::ip::tcp::acceptor acceptor_;
     RequestHandler& handler_;
+    const ServerResources resources_;
+    boost::asio::steady_timer acceptTimer_;
     std::list<std::shared_ptr<ServerConnection>> connections_;
+    ServerCounters counters_;
+    ServerCounters loggedCounters_;
+    base::TimePoint nextLogAt_;
 };
 
 } // namespace arbutus::http1
--- a/src/forwarding/Exchange.cpp
+++ b/src/forwarding/Exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "include/base/Clock.h"
 #include "include/base/Logger.h"
+#include "include/base/Strings.h"
 
 #include <algorithm>
 
@@ -37,7 +38,7 @@
     , requestMetadata_(proxy.headerCodec_.readRequest(request_.head))
     , routeTable_(proxy.routes_)
     , promptParts_(routing::identifyParts(requestMetadata_.sharedPromptParts))
-    , heldBytes_(proxy.heldBytes_)
+    , answerCharge_(proxy.options_.bytes, http1::HeldFor::Answers)
 {
 }
 
@@ -287,15 +288,18 @@
 
 void Exchange::finish()
 {
-    isFinished_ = true;
+    if (!std::exchange(isFinished_, true))
+        --proxy_.runningCount_;
     caller_.reset();
-    heldBytes_.set(0);
+    answerCharge_.set(0);
     leaveWaitQueue();
     leaveStartupQueue();
     if (connection_) {
         connection_->abandon();
         connection_.reset();
     }
+    base::freeString(request_.body);
+    request_.charge.set(0);
 }
 
 void Exchange::onCallerDisconnected()
--- a/src/forwarding/Exchange.h
+++ b/src/forwarding/Exchange.h
@@ -2,7 +2,6 @@
 
 #include "include/forwarding/EventSplitter.h"
 #include "include/forwarding/ReverseProxy.h"
-#include "src/forwarding/HeldBytes.h"
 
 #include <optional>
 #include <set>
@@ -58,6 +57,7 @@
     void onBody(std::string_view) override;
     void onDone() override;
     void onConnectionFailure(ConnectionFailure) override;
+    std::size_t onMaxReadBytes() const override;
 
     // Admits the request and sends or enqueues it, once the VM has a configuration and
     // the service has upstreams, or once the wait for them is over.
@@ -137,6 +137,8 @@
     // Returns how many bytes this exchange may hold of an answer, and how many may wait for
     // a slow caller. Little while all exchanges together hold much.
     std::size_t maxHeldBytes() const;
+    // Whether reading from the upstream must wait for the caller.
+    bool isCallerBehind() const;
     void countHeldBytes();
     // Drops what an attempt has brought that cannot be used.
     void dropPartialAnswer();
@@ -220,7 +222,8 @@
     EventSplitter eventSplitter_;
     RelayMode relayMode_ = RelayMode::None;
     std::optional<http1::Response> failedResponse_;
-    HeldBytes heldBytes_;
+    // Of what is buffered of an answer.
+    http1::ByteCharge answerCharge_;
 };
 
 } // namespace arbutus::forwarding
--- a/src/forwarding/ExchangeResponse.cpp
+++ b/src/forwarding/ExchangeResponse.cpp
@@ -2,6 +2,7 @@
 
 #include "include/base/Clock.h"
 #include "include/base/Logger.h"
+#include "include/base/Strings.h"
 
 #include <algorithm>
 #include <array>
@@ -17,10 +18,10 @@
 // can still be retried if the response is truncated. A longer event belongs to no
 // response. Reading from the upstream pauses while more is pending to the caller.
 static constexpr std::size_t maxHeldBytesAlone = std::size_t { 256 } << 10;
-// The same while all exchanges together hold more than the total.
+// The same while all answers together hold more than their part of the memory.
 static constexpr std::size_t maxHeldBytesCrowded = std::size_t { 16 } << 10;
-// A small part of an entry VM's memory.
-static constexpr std::size_t maxTotalHeldBytes = std::size_t { 32 } << 20;
+// How much of a response arrives at a time meanwhile.
+static constexpr std::size_t maxReadBytesCrowded = std::size_t { 8 } << 10;
 
 ResponseMatch Exchange::onMatchResponse(const http1::ResponseHead& head) const
 {
@@ -74,23 +75,30 @@
         relayEvents(bytes);
     else
         relayPlainBody(bytes);
-    if (caller_ && connection_ && caller_->pendingBytes() > maxHeldBytes())
+    if (connection_ && isCallerBehind())
         connection_->setReading(false);
     if (!isFinished_)
         countHeldBytes();
 }
 
-std::size_t Exchange::maxHeldBytes() const { return proxy_.heldBytes_ > maxTotalHeldBytes ? maxHeldBytesCrowded : maxHeldBytesAlone; }
+std::size_t Exchange::maxHeldBytes() const { return proxy_.options_.bytes->isCrowdedByAnswers() ? maxHeldBytesCrowded : maxHeldBytesAlone; }
+
+bool Exchange::isCallerBehind() const
+{
+    auto allowed = proxy_.options_.bytes->isExceeded() ? 0 : maxHeldBytes();
+    return caller_ && caller_->pendingBytes() > allowed;
+}
+
+std::size_t Exchange::onMaxReadBytes() const { return proxy_.options_.bytes->isCrowdedByAnswers() ? maxReadBytesCrowded : net::StreamListener::fullReadBytes; }
 
 void Exchange::countHeldBytes()
 {
-    auto ofAnswer = bufferedBody_.size() + eventSplitter_.partialBytes() + (failedResponse_ ? failedResponse_->body.size() : 0);
-    heldBytes_.set(ofAnswer + (caller_ ? caller_->pendingBytes() : 0));
+    answerCharge_.set(http1::allocatedBytes(bufferedBody_) + eventSplitter_.partialBytes() + (failedResponse_ ? http1::allocatedBytes(failedResponse_->body) : 0));
 }
 
 void Exchange::dropPartialAnswer()
 {
-    bufferedBody_ = std::string();
+    base::freeString(bufferedBody_);
     eventSplitter_.discardPartial();
     countHeldBytes();
 }
@@ -137,7 +145,7 @@
     }
     beginRelay(RelayMode::Plain, responseHead_->contentLength);
     caller_->sendBody(bufferedBody_);
-    bufferedBody_.clear();
+    base::freeString(bufferedBody_);
 }
 
 void Exchange::rejectResponse(AttemptOutcome outcome)
--- a/src/forwarding/ReverseProxy.cpp
+++ b/src/forwarding/ReverseProxy.cpp
@@ -14,6 +14,10 @@
 static constexpr std::chrono::seconds poolTickInterval(1);
 static constexpr base::Logger logger("gate");
 
+static constexpr int overloadStatus = 503;
+// Unfinished requests make room as soon as others need it.
+static constexpr std::chrono::milliseconds overloadRetryAfter(1000);
+
 // Limits the rate of path searches when many requests wait for the same service.
 static constexpr std::chrono::milliseconds reachabilityCheckInterval(30);
 // Leaves most of the usual first-event latency objective for the engines.
@@ -34,7 +38,7 @@
     , headerCodec_(headerCodec)
     , options_(std::move(options))
     , random_(options_.seed)
-    , pool_(context)
+    , pool_(context, options_.maxRequests / 2)
     , startupQueue_(std::chrono::steady_clock::now())
     , crashGuard_(options_.seed)
 {
@@ -56,6 +60,14 @@
     return response;
 }
 
+http1::Response overloadResponse()
+{
+    auto response = problemResponse(base::makeError(base::ErrorKind::Overloaded, "this VM has no memory or connections left for the request"), overloadRetryAfter);
+    // Callers take 429 for a limit of their own.
+    response.status = overloadStatus;
+    return response;
+}
+
 ServiceState& ReverseProxy::service(const std::string& name)
 {
     auto found = services_.find(name);
@@ -242,8 +254,15 @@
 
 std::shared_ptr<http1::ActiveRequest> ReverseProxy::onRequest(const std::shared_ptr<http1::ServerConnection>& connection, http1::Request request)
 {
+    if (runningCount_ >= options_.maxRequests) {
+        ++counters_.refused;
+        options_.bytes->countRefusal();
+        connection->send(overloadResponse());
+        return nullptr;
+    }
     auto exchange = std::make_shared<Exchange>(*this, connection, std::move(request));
     exchanges_.push_back(exchange);
+    ++runningCount_;
     exchange->start();
     return exchange;
 }
@@ -262,6 +281,8 @@
 
 http1::Response ReverseProxy::onRequestErrorResponse(int status) const
 {
+    if (status == overloadStatus)
+        return overloadResponse();
     auto response = problemResponse(base::makeError(base::ErrorKind::InvalidRequest, "the request is malformed or exceeds a limit"), std::nullopt);
     response.status = status;
     return response;
--- a/src/forwarding/UpstreamConnection.cpp
+++ b/src/forwarding/UpstreamConnection.cpp
@@ -1,5 +1,7 @@
 #include "include/forwarding/UpstreamConnection.h"
 
+#include "include/net/ReadBufferLoan.h"
+
 #include <algorithm>
 
 namespace arbutus::forwarding {
@@ -13,6 +15,8 @@
 static constexpr std::size_t maxStaleResponseBytes = std::size_t { 1 } << 20;
 // A faulty upstream may send interim responses without end.
 static constexpr int maxInterimResponses = 16;
+// How much of a body the socket gets at a time, and may have to copy.
+static constexpr std::size_t bodyPartBytes = net::StreamListener::fullReadBytes;
 
 // 101 is no interim response: it ends HTTP on the connection, which no request asks for.
 static bool isInterim(int status) { return status >= 100 && status < 200 && status != 101; }
@@ -34,13 +38,13 @@
     isSkippingStaleResponse_ = false;
     staleResponseBytes_ = 0;
     interimResponses_ = 0;
+    unsentBody_ = body;
     resetReader();
     if (isConnected_) {
-        socket_->write(head, body);
+        sendRequest(head);
         return;
     }
-    request_ = std::move(head);
-    request_.append(body);
+    head_ = std::move(head);
     connectDeadline_ = connectDeadline;
     isStarted_ = true;
     socket_->setListener(this);
@@ -60,13 +64,30 @@
 void UpstreamConnection::onConnected()
 {
     isConnected_ = true;
-    socket_->write(request_);
-    request_ = std::string();
+    sendRequest(std::exchange(head_, std::string()));
+}
+
+void UpstreamConnection::sendRequest(std::string_view head)
+{
+    auto part = unsentBody_.substr(0, bodyPartBytes);
+    unsentBody_.remove_prefix(part.size());
+    socket_->write(head, part);
+    sendBody();
+}
+
+void UpstreamConnection::sendBody()
+{
+    while (!unsentBody_.empty() && socket_->isOpen() && !socket_->pendingBytes()) {
+        auto part = unsentBody_.substr(0, bodyPartBytes);
+        unsentBody_.remove_prefix(part.size());
+        socket_->write(part);
+    }
 }
 
 void UpstreamConnection::abandon()
 {
     listener_ = nullptr;
+    unsentBody_ = {};
     socket_->close();
 }
 
@@ -84,6 +105,7 @@
         socket_->close();
         return;
     }
+    net::ReadBufferLoan loan(input_);
     input_.append(bytes);
     while (listener_ && socket_->isOpen() && !input_.empty() && readResponse()) { }
     if (listener_ && (input_.size() > maxUnparsedBytes || staleResponseBytes_ > maxStaleResponseBytes))
@@ -157,7 +179,8 @@
         return;
     }
     auto* listener = std::exchange(listener_, nullptr);
-    bool isReusable = isKeepAlive && input_.empty() && socket_->isOpen() && !socket_->pendingBytes();
+    bool isReusable = isKeepAlive && input_.empty() && socket_->isOpen() && !socket_->pendingBytes() && unsentBody_.empty();
+    unsentBody_ = {};
     if (!isReusable)
         socket_->close();
     idleSince_ = std::chrono::steady_clock::now();
@@ -175,6 +198,7 @@
         return;
     bool isCurrentResponse = !isSkippingStaleResponse_ && reader_->isHeadDone();
     if (reason == net::EndReason::Closed && isCurrentResponse && reader_->readEof() == http1::ReadStatus::Done) {
+        unsentBody_ = {};
         std::exchange(listener_, nullptr)->done();
         return;
     }
@@ -185,6 +209,7 @@
 {
     auto self = shared_from_this();
     auto* listener = std::exchange(listener_, nullptr);
+    unsentBody_ = {};
     socket_->close();
     if (listener)
         listener->reportFailure(reason);
@@ -205,6 +230,7 @@
             continue;
         auto connection = std::move(idle[i]);
         idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
+        --idleCount_;
         if (connection->isIdle() && connection->isFresh(now, keepAliveFraction))
             return connection;
     }
@@ -213,18 +239,36 @@
 
 std::shared_ptr<UpstreamConnection> UpstreamConnectionPool::create(const net::Endpoint& endpoint)
 {
-    return std::make_shared<UpstreamConnection>(context_, endpoint, ++lastNumber_, [this](const std::shared_ptr<UpstreamConnection>& connection) { idle_[connection->endpoint()].push_back(connection); });
+    return std::make_shared<UpstreamConnection>(context_, endpoint, ++lastNumber_, [this](const std::shared_ptr<UpstreamConnection>& connection) { keepIdle(connection); });
+}
+
+void UpstreamConnectionPool::keepIdle(const std::shared_ptr<UpstreamConnection>& connection)
+{
+    // Without this, the last holder closes the connection.
+    if (idleCount_ >= maxIdle_)
+        return;
+    idle_[connection->endpoint()].push_back(connection);
+    ++idleCount_;
 }
 
 void UpstreamConnectionPool::tick(base::TimePoint now)
 {
+    idleCount_ = 0;
     for (auto it = idle_.begin(); it != idle_.end();) {
         auto& idle = it->second;
         idle.erase(std::remove_if(idle.begin(), idle.end(), [now](const auto& connection) { return !connection->isIdle() || !connection->isFresh(now, 0.9); }), idle.end());
+        idleCount_ += idle.size();
         it = idle.empty() ? idle_.erase(it) : std::next(it);
     }
 }
 
-void UpstreamConnectionPool::evict(const net::Endpoint& endpoint) { idle_.erase(endpoint); }
+void UpstreamConnectionPool::evict(const net::Endpoint& endpoint)
+{
+    auto found = idle_.find(endpoint);
+    if (found == idle_.end())
+        return;
+    idleCount_ -= found->second.size();
+    idle_.erase(found);
+}
 
 } // namespace arbutus::forwarding
--- a/src/http1/MessageReader.cpp
+++ b/src/http1/MessageReader.cpp
@@ -1,5 +1,7 @@
 #include "include/http1/MessageReader.h"
 
+#include "include/http1/ByteBudget.h"
+
 #include <boost/beast/http/basic_parser.hpp>
 
 #include <algorithm>
@@ -11,6 +13,11 @@
 namespace http = boost::beast::http;
 using beast::error_code;
 
+// Body bytes in chunks of one byte without extensions take five further bytes each.
+static constexpr std::uint64_t maxFramingRatio = 8;
+// A list of fields takes up to twice the size of its items.
+static constexpr std::size_t bytesPerField = 2 * sizeof(Field);
+
 static std::string_view view(beast::string_view text) { return { text.data(), text.size() }; }
 
 static ReadStatus readStatusOf(const error_code& error)
@@ -30,6 +37,8 @@
 class MessageParser : public http::basic_parser<isRequest> {
 public:
     Fields* fields = nullptr;
+    // The memory that the fields take.
+    std::size_t fieldBytes = 0;
 
     virtual void onBodyBytes(std::string_view) = 0;
 
@@ -70,7 +79,11 @@
     // The number of unread bytes below which the base class must not be called.
     std::size_t requiredBytes_ = 0;
 
-    void on_field_impl(http::field, beast::string_view name, beast::string_view value, error_code&) override { fields->add(view(name), view(value)); }
+    void on_field_impl(http::field, beast::string_view name, beast::string_view value, error_code&) override
+    {
+        fields->add(view(name), view(value));
+        fieldBytes += bytesPerField + name.size() + value.size();
+    }
     void on_header_impl(error_code&) override { }
     void on_body_init_impl(const boost::optional<std::uint64_t>&, error_code&) override { }
     std::size_t on_body_impl(beast::string_view body, error_code&) override
@@ -91,8 +104,14 @@
 struct RequestReader::Parser final : MessageParser<true> {
     RequestHead head;
     std::string body;
+    std::uint64_t bodyLimit = 0;
 
-    void onBodyBytes(std::string_view part) override { body.append(part); }
+    void onBodyBytes(std::string_view part) override
+    {
+        if (body.capacity() - body.size() < part.size())
+            growBody(body.size() + part.size());
+        body.append(part);
+    }
     void on_request_impl(http::verb, beast::string_view method, beast::string_view target, int version, error_code&) override
     {
         head.method = view(method);
@@ -100,6 +119,20 @@
         head.isVersion10 = version == 10;
     }
     void on_response_impl(int, beast::string_view, int, error_code&) override { }
+
+private:
+    // Doubles the capacity, but not beyond what the body can become. A string does not do so
+    // by itself, and its reserve() at least doubles.
+    void growBody(std::size_t needed)
+    {
+        auto length = this->content_length();
+        auto largest = length ? std::min<std::uint64_t>(*length, bodyLimit) : bodyLimit;
+        auto capacity = std::min<std::uint64_t>(largest, std::uint64_t { 2 } * body.capacity());
+        std::string grown;
+        grown.reserve(std::max<std::uint64_t>(needed, capacity));
+        grown.append(body);
+        body = std::move(grown);
+    }
 };
 
 struct ResponseReader::Parser final : MessageParser<false> {
@@ -119,8 +152,10 @@
 
 RequestReader::RequestReader(const ReadLimits& limits)
     : parser_(std::make_unique<Parser>())
+    , limits_(limits)
 {
     parser_->fields = &parser_->head.fields;
+    parser_->bodyLimit = limits.bodyBytes;
     parser_->header_limit(limits.headBytes);
     parser_->body_limit(limits.bodyBytes);
 }
@@ -129,15 +164,33 @@
 
 ReadStatus RequestReader::read(std::string& bytes)
 {
-    if (auto error = parser_->consume(bytes, false))
+    auto before = bytes.size();
+    auto error = parser_->consume(bytes, false);
+    consumedBytes_ += before - bytes.size();
+    if (error)
         return readStatusOf(error);
     if (parser_->is_header_done())
         parser_->head.isKeepAlive = parser_->keep_alive();
+    if (isFramingExcessive())
+        return ReadStatus::HeadTooLarge;
     if (parser_->is_done())
         return ReadStatus::Done;
+    // The parser leaves a chunk header or trailers unread until their end arrives.
+    if (parser_->is_header_done() && bytes.size() > limits_.headBytes)
+        return ReadStatus::HeadTooLarge;
     return parser_->is_header_done() ? ReadStatus::HeadDone : ReadStatus::NeedMore;
 }
 
+bool RequestReader::isFramingExcessive() const
+{
+    // The head, the trailers, and extensions of a small body.
+    std::uint64_t allowed = std::uint64_t { 3 } * limits_.headBytes;
+    std::uint64_t bodyBytes = parser_->body.size();
+    return consumedBytes_ > allowed + bodyBytes + maxFramingRatio * bodyBytes;
+}
+
+std::size_t RequestReader::heldBytes() const { return allocatedBytes(parser_->body) + parser_->fieldBytes; }
+
 bool RequestReader::isHeadDone() const { return parser_->is_header_done(); }
 
 bool RequestReader::expectsContinue() const
--- a/src/http1/ServerConnection.cpp
+++ b/src/http1/ServerConnection.cpp
@@ -1,5 +1,9 @@
 #include "include/http1/ServerConnection.h"
 
+#include "include/base/Logger.h"
+#include "include/base/Strings.h"
+#include "include/net/ReadBufferLoan.h"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <fmt/format.h>
 
@@ -8,8 +12,20 @@
 
 namespace arbutus::http1 {
 
+static constexpr base::Logger logger("server");
+
 // Bytes of pipelined requests that are buffered while a request is being handled.
-static constexpr std::size_t maxPipelinedBytes = std::size_t { 64 } << 10;
+static constexpr std::size_t maxPipelinedBytes = ByteBudget::smallBytes;
+// Bytes that are read at a time while a request is being handled, and before the end of a head.
+static constexpr std::size_t pipelinedReadBytes = std::size_t { 4 } << 10;
+static constexpr std::size_t headReadBytes = std::size_t { 16 } << 10;
+// No further request of a connection is handled while this much of its responses is unread.
+static constexpr std::size_t maxUnreadBytes = std::size_t { 64 } << 10;
+// The part of a body that may be copied for the upstream while the request runs.
+static constexpr std::size_t copiedBodyBytes = net::StreamListener::fullReadBytes;
+// The delay after a failed accept if no connection can be closed.
+static constexpr std::chrono::milliseconds acceptRetryDelay(100);
+static constexpr std::chrono::seconds limitLogInterval(1);
 
 // A caller may pause its reading for longer than an upstream would.
 static constexpr std::chrono::seconds callerStallTimeout(10);
@@ -38,9 +54,12 @@
 
 Response RequestHandler::onRequestErrorResponse(int status) const { return { status, {}, {}, {} }; }
 
-ServerConnection::ServerConnection(boost::asio::io_context& context, RequestHandler& handler)
+ServerConnection::ServerConnection(boost::asio::io_context& context, RequestHandler& handler, std::shared_ptr<ByteBudget> budget)
     : socket_(std::make_shared<net::StreamSocket>(context))
     , handler_(handler)
+    , budget_(std::move(budget))
+    , inputCharge_(budget_, HeldFor::Requests)
+    , outputCharge_(budget_, HeldFor::Answers)
 {
 }
 
@@ -58,15 +77,31 @@
 
 void ServerConnection::onBytes(std::string_view bytes)
 {
+    auto self = shared_from_this();
+    // The rest of a connection that ends after its current response.
+    if (isHandling_ && !isKeepAlive_)
+        return;
+    net::ReadBufferLoan loan(input_);
     input_.append(bytes);
-    if (isHandling_) {
-        if (input_.size() > maxPipelinedBytes)
-            socket_->setReading(false);
+    if (!isHandling_ && !hasUnreadResponses()) {
+        readRequests();
         return;
     }
-    readRequests();
+    inputCharge_.set(input_.size());
+    if (input_.size() > maxPipelinedBytes)
+        socket_->setReading(false);
+    budget_->reclaimIfExceeded();
+}
+
+std::size_t ServerConnection::onMaxReadBytes() const
+{
+    if (isHandling_ || hasUnreadResponses())
+        return pipelinedReadBytes;
+    return reader_ && reader_->isHeadDone() ? fullReadBytes : headReadBytes;
 }
 
+bool ServerConnection::hasUnreadResponses() const { return pendingBytes() > maxUnreadBytes; }
+
 void ServerConnection::readRequests()
 {
     // A handler that responds synchronously re-enters here through finishRequest().
@@ -74,8 +109,51 @@
         return;
     auto self = shared_from_this();
     isReadingRequests_ = true;
-    while (socket_->isOpen() && !isHandling_ && !input_.empty() && readRequest()) { }
+    while (socket_->isOpen() && !isHandling_ && !hasUnreadResponses() && !input_.empty() && readRequest()) { }
     isReadingRequests_ = false;
+    inputCharge_.set(input_.size() + (reader_ ? reader_->heldBytes() : 0));
+}
+
+bool ServerConnection::chargeInput()
+{
+    inputCharge_.set(input_.size() + reader_->heldBytes());
+    budget_->reclaimIfExceeded();
+    // This connection may have been the one to end.
+    if (reader_ && !budget_->allows(inputCharge_.bytes()))
+        refuseReceiving();
+    return reader_ != nullptr;
+}
+
+void ServerConnection::refuseReceiving()
+{
+    auto self = shared_from_this();
+    budget_->countRefusal();
+    rejectRequest(503);
+}
+
+void ServerConnection::dropPipelined()
+{
+    isKeepAlive_ = false;
+    base::freeString(input_);
+    inputCharge_.set(0);
+    if (!isHandling_) {
+        socket_->closeAfterWriting();
+        return;
+    }
+    // Reads on, to learn of the end of the connection.
+    socket_->setReading(true);
+}
+
+void ServerConnection::closeUnread()
+{
+    if (pendingBytes())
+        socket_->reset();
+    else
+        socket_->close();
+    reader_.reset();
+    readDeadline_.reset();
+    outputCharge_.set(0);
+    inputCharge_.set(0);
 }
 
 // Returns whether a complete request was read and dispatched.
@@ -83,7 +161,8 @@
 {
     if (!reader_) {
         reader_ = std::make_unique<RequestReader>(handler_.limits().read);
-        readDeadline_ = base::TimePoint(std::chrono::steady_clock::now()) + handler_.limits().headTimeout;
+        receivingSince_ = std::chrono::steady_clock::now();
+        readDeadline_ = receivingSince_ + handler_.limits().headTimeout;
         hasSentContinue_ = false;
     }
     switch (reader_->read(input_)) {
@@ -91,11 +170,14 @@
         dispatchRequest();
         return true;
     case ReadStatus::NeedMore:
+        chargeInput();
         return false;
     case ReadStatus::HeadDone:
+        if (!chargeInput())
+            return false;
         if (reader_->expectsContinue() && !hasSentContinue_) {
             hasSentContinue_ = true;
-            socket_->write("HTTP/1.1 100 Continue\r\n\r\n");
+            write("HTTP/1.1 100 Continue\r\n\r\n");
         }
         readDeadline_ = base::TimePoint(std::chrono::steady_clock::now()) + handler_.limits().idleTimeout;
         return false;
@@ -114,8 +196,14 @@
 
 void ServerConnection::dispatchRequest()
 {
-    Request request { std::move(reader_->head()), reader_->releaseBody(), std::chrono::steady_clock::now() };
+    if (!chargeInput())
+        return;
+    ByteCharge charge(budget_, HeldFor::Requests);
+    auto heldBytes = reader_->heldBytes();
+    Request request { std::move(reader_->head()), reader_->releaseBody(), std::chrono::steady_clock::now(), std::move(charge) };
+    request.charge.set(heldBytes + std::min(request.body.size(), copiedBodyBytes));
     reader_.reset();
+    inputCharge_.set(input_.size());
     readDeadline_.reset();
     isKeepAlive_ = request.head.isKeepAlive;
     isVersion10_ = request.head.isVersion10;
@@ -133,7 +221,8 @@
     isKeepAlive_ = false;
     reader_.reset();
     readDeadline_.reset();
-    input_.clear();
+    base::freeString(input_);
+    inputCharge_.set(0);
     send(handler_.requestErrorResponse(status));
 }
 
@@ -147,13 +236,20 @@
     return head;
 }
 
+void ServerConnection::write(std::string_view first, std::string_view second)
+{
+    socket_->write(first, second);
+    outputCharge_.set(socket_->bufferBytes());
+    budget_->reclaimIfExceeded();
+}
+
 void ServerConnection::send(const Response& response)
 {
     isKeepAlive_ = isKeepAlive_ && !handler_.isStopping();
     std::string head = formatHead(response);
     appendField(head, "Content-Length", fmt::format("{}", response.body.size()));
     head.append("\r\n");
-    socket_->write(head, response.body);
+    write(head, response.body);
     finishRequest();
 }
 
@@ -170,7 +266,7 @@
         appendField(head, "Transfer-Encoding", "chunked");
     head.append("\r\n");
     hasBegunResponse_ = true;
-    socket_->write(head);
+    write(head);
 }
 
 void ServerConnection::sendBody(std::string_view body)
@@ -178,19 +274,19 @@
     if (body.empty())
         return;
     if (!isChunked_) {
-        socket_->write(body);
+        write(body);
         return;
     }
     std::string chunk = chunkHeader(body.size());
     chunk.append(body);
     chunk.append("\r\n");
-    socket_->write(chunk);
+    write(chunk);
 }
 
 void ServerConnection::finishResponse()
 {
     if (isChunked_)
-        socket_->write("0\r\n\r\n");
+        write("0\r\n\r\n");
     finishRequest();
 }
 
@@ -226,14 +322,26 @@
 {
     auto self = shared_from_this();
     isHandling_ = false;
+    reader_.reset();
+    readDeadline_.reset();
+    base::freeString(input_);
+    inputCharge_.set(0);
+    outputCharge_.set(0);
     if (auto active = std::move(active_))
         active->callerDisconnected();
 }
 
 void ServerConnection::onDrained()
 {
-    if (auto active = active_)
+    outputCharge_.set(socket_->bufferBytes());
+    if (auto active = active_) {
         active->drained();
+        return;
+    }
+    if (isHandling_)
+        return;
+    socket_->setReading(true);
+    readRequests();
 }
 
 void ServerConnection::closeIdle()
@@ -248,25 +356,32 @@
         rejectRequest(408);
         return;
     }
-    bool isDelivering = !isHandling_ && pendingBytes();
-    if (isDelivering && now >= idleSince_ + maxDeliveryTime)
+    outputCharge_.set(socket_->bufferBytes());
+    if (isDelivering() && now >= idleSince_ + maxDeliveryTime)
         socket_->reset();
     else if (isIdle() && now >= idleSince_ + handler_.limits().idleTimeout)
         socket_->close();
 }
 
-Server::Server(boost::asio::io_context& context, RequestHandler& handler)
+Server::Server(boost::asio::io_context& context, RequestHandler& handler, ServerResources resources)
     : context_(context)
     , acceptor_(context)
     , handler_(handler)
+    , resources_(std::move(resources))
+    , acceptTimer_(context)
 {
+    resources_.bytes->addReclaimer(*this);
 }
 
-Server::~Server() { closeAll(); }
+Server::~Server()
+{
+    resources_.bytes->removeReclaimer(*this);
+    closeAll();
+}
 
-base::Result<std::unique_ptr<Server>> Server::Make(boost::asio::io_context& context, const boost::asio::ip::tcp::endpoint& endpoint, RequestHandler& handler)
+base::Result<std::unique_ptr<Server>> Server::Make(boost::asio::io_context& context, const boost::asio::ip::tcp::endpoint& endpoint, RequestHandler& handler, ServerResources resources)
 {
-    std::unique_ptr<Server> server(new Server(context, handler));
+    std::unique_ptr<Server> server(new Server(context, handler, std::move(resources)));
     boost::system::error_code error;
     auto& acceptor = server->acceptor_;
     acceptor.open(endpoint.protocol(), error);
@@ -287,15 +402,111 @@
     acceptor_.async_accept([this](const boost::system::error_code& error, boost::asio::ip::tcp::socket socket) {
         if (error == boost::asio::error::operation_aborted)
             return;
-        if (!error) {
-            auto connection = std::make_shared<ServerConnection>(context_, handler_);
-            connections_.push_back(connection);
-            connection->start(std::move(socket), std::chrono::steady_clock::now());
-        }
+        if (error)
+            onAcceptFailure(error);
+        else
+            onAccept(std::move(socket));
+    });
+}
+
+void Server::onAccept(boost::asio::ip::tcp::socket socket)
+{
+    if (connections_.size() >= resources_.maxConnections)
+        removeClosed();
+    if (connections_.size() < resources_.maxConnections || closeOldest()) {
+        auto connection = std::make_shared<ServerConnection>(context_, handler_, resources_.bytes);
+        connections_.push_back(connection);
+        connection->start(std::move(socket), std::chrono::steady_clock::now());
+    } else {
+        ++counters_.refusedConnections;
+        boost::system::error_code ignored;
+        socket.close(ignored);
+    }
+    accept();
+}
+
+void Server::onAcceptFailure(const boost::system::error_code& error)
+{
+    ++counters_.failedAccepts;
+    if (error == boost::asio::error::no_descriptors && closeOldest()) {
         accept();
+        return;
+    }
+    acceptTimer_.expires_after(acceptRetryDelay);
+    acceptTimer_.async_wait([this](const boost::system::error_code& cancelled) {
+        if (!cancelled)
+            accept();
     });
 }
 
+bool Server::closeOldest()
+{
+    auto oldest = connections_.end();
+    for (auto it = connections_.begin(); it != connections_.end(); ++it) {
+        bool isOlder = oldest == connections_.end() || (*it)->idleSince() < (*oldest)->idleSince();
+        if ((*it)->isBetweenRequests() && isOlder)
+            oldest = it;
+    }
+    if (oldest == connections_.end())
+        return false;
+    ++counters_.closedConnections;
+    (*oldest)->closeUnread();
+    connections_.erase(oldest);
+    return true;
+}
+
+void Server::removeClosed()
+{
+    connections_.remove_if([](const auto& connection) { return !connection->isOpen(); });
+}
+
+Server::Connections Server::select(bool (*isSelected)(const ServerConnection&), base::TimePoint (*timeOf)(const ServerConnection&)) const
+{
+    Connections result;
+    std::copy_if(connections_.begin(), connections_.end(), std::back_inserter(result), [&](const auto& connection) { return isSelected(*connection); });
+    std::stable_sort(result.begin(), result.end(), [&](const auto& left, const auto& right) { return timeOf(*left) < timeOf(*right); });
+    return result;
+}
+
+void Server::onReclaim()
+{
+    refuseReceiving();
+    dropPipelines();
+    dropUnreadResponses();
+}
+
+void Server::refuseReceiving()
+{
+    auto receiving = select([](const ServerConnection& connection) { return connection.isReceiving() && connection.inputBytes() > ByteBudget::smallBytes; }, [](const ServerConnection& connection) { return connection.receivingSince(); });
+    for (const auto& connection : receiving) {
+        if (resources_.bytes->isWithinTarget())
+            return;
+        connection->refuseReceiving();
+    }
+}
+
+void Server::dropPipelines()
+{
+    auto waiting = select([](const ServerConnection& connection) { return connection.isOpen() && !connection.isReceiving() && connection.inputBytes() > ByteBudget::smallBytes; }, [](const ServerConnection& connection) { return connection.idleSince(); });
+    for (const auto& connection : waiting) {
+        if (resources_.bytes->isWithinTarget())
+            return;
+        ++counters_.droppedPipelines;
+        connection->dropPipelined();
+    }
+}
+
+void Server::dropUnreadResponses()
+{
+    auto delivering = select([](const ServerConnection& connection) { return connection.isDelivering() && connection.outputBytes() > ByteBudget::smallBytes; }, [](const ServerConnection& connection) { return connection.idleSince(); });
+    for (const auto& connection : delivering) {
+        if (resources_.bytes->isWithinTarget())
+            return;
+        ++counters_.droppedResponses;
+        connection->closeUnread();
+    }
+}
+
 void Server::tick(base::TimePoint now)
 {
     for (auto it = connections_.begin(); it != connections_.end();) {
@@ -306,6 +517,24 @@
         else
             it = connections_.erase(it);
     }
+    logLimits(now);
+}
+
+ServerCounters Server::counters() const
+{
+    auto result = counters_;
+    result.refusedRequests = resources_.bytes->refusals();
+    return result;
+}
+
+void Server::logLimits(base::TimePoint now)
+{
+    auto total = counters();
+    if (now < nextLogAt_ || total.sum() == loggedCounters_.sum())
+        return;
+    nextLogAt_ = now + limitLogInterval;
+    auto before = std::exchange(loggedCounters_, total);
+    logger.warning("Ended requests or connections at a limit.", { { "refused_requests", total.refusedRequests - before.refusedRequests }, { "dropped_pipelines", total.droppedPipelines - before.droppedPipelines }, { "dropped_responses", total.droppedResponses - before.droppedResponses }, { "closed_connections", total.closedConnections - before.closedConnections }, { "refused_connections", total.refusedConnections - before.refusedConnections }, { "failed_accepts", total.failedAccepts - before.failedAccepts }, { "connections", connections_.size() }, { "held_bytes", resources_.bytes->held() }, { "max_bytes", resources_.bytes->capacity() } });
 }
 
 void Server::closeIdle(base::TimePoint before)
@@ -325,6 +554,7 @@
 {
     boost::system::error_code ignored;
     acceptor_.close(ignored);
+    acceptTimer_.cancel(ignored);
     connections_.clear();
 }
 
--- a/src/node/EntryNode.cpp
+++ b/src/node/EntryNode.cpp
@@ -23,6 +23,9 @@
 // Idle connections are closed after this time while stopping.
 static constexpr std::chrono::milliseconds stopIdleTimeout(200);
 
+// A probe needs no body.
+static constexpr std::uint64_t maxProbeBodyBytes = 4096;
+
 // Answers the load balancer's readiness probes: 200 if ready, otherwise 503.
 class EntryNode::ReadinessHandler final : public http1::RequestHandler {
 public:
@@ -39,6 +42,12 @@
         connection->send(response);
         return nullptr;
     }
+    http1::ServerLimits onLimits() const override
+    {
+        http1::ServerLimits limits;
+        limits.read.bodyBytes = maxProbeBodyBytes;
+        return limits;
+    }
 
     const EntryNode& node_;
 };
@@ -60,7 +69,8 @@
     : context_(context)
     , decodeRoutes_(std::move(decodeRoutes))
     , options_(std::move(options))
-    , proxy_(context, headerCodec, { options_.dataCentre, options_.retryBudget, options_.seed })
+    , resources_(entryResources(options_.machine))
+    , proxy_(context, headerCodec, { options_.dataCentre, options_.retryBudget, options_.seed, resources_.bytes, resources_.maxConnections })
     , readinessHandler_(std::make_shared<ReadinessHandler>(*this))
     , links_({ options_.name, options_.internalPort, options_.sharedKey, options_.seed })
     , fleetPoller_(
@@ -75,12 +85,12 @@
     fleetPoller_.setCrashReportsHandler([this] { exchangeCrashReports(std::chrono::steady_clock::now()); });
     fleetPoller_.setLimitHooks([this] { return proxy_.takeLimitReports(); }, [this](const auto& reports, base::TimePoint grantedBy) { proxy_.applyLimitReports(reports, grantedBy); });
     fleetPoller_.setSeeds(options_.seeds);
-    BOOST_OUTCOME_TRY(callerServer, http1::Server::Make(context_, tcpEndpoint(options_.callerEndpoint), proxy_));
+    BOOST_OUTCOME_TRY(callerServer, http1::Server::Make(context_, tcpEndpoint(options_.callerEndpoint), proxy_, resources_));
     callerServer_ = std::move(callerServer);
-    BOOST_OUTCOME_TRY(readinessServer, http1::Server::Make(context_, tcpEndpoint(options_.readinessEndpoint), *readinessHandler_));
+    BOOST_OUTCOME_TRY(readinessServer, http1::Server::Make(context_, tcpEndpoint(options_.readinessEndpoint), *readinessHandler_, probeResources()));
     readinessServer_ = std::move(readinessServer);
     timer_.start();
-    logger.info("Started the entry VM.", { { "address", options_.callerEndpoint.text() } });
+    logger.info("Started the entry VM.", { { "address", options_.callerEndpoint.text() }, { "max_held_bytes", resources_.bytes->capacity() }, { "max_connections", resources_.maxConnections } });
     return base::outcome::success();
 }
 
--- a/src/node/EntryNode.h
+++ b/src/node/EntryNode.h
@@ -5,6 +5,7 @@
 #include "include/fleet/PeerLinks.h"
 #include "include/forwarding/ReverseProxy.h"
 #include "include/net/RepeatingTimer.h"
+#include "src/node/MachineLimits.h"
 
 #include <functional>
 #include <memory>
@@ -24,6 +25,7 @@
     forwarding::WindowedRetryBudgetOptions retryBudget;
     // Time between the stop request and the forced termination of the process.
     std::chrono::milliseconds stopGrace { 8000 };
+    MachineLimits machine;
     std::uint64_t seed = 1;
 };
 
@@ -63,6 +65,7 @@
     boost::asio::io_context& context_;
     const DecodeRoutes decodeRoutes_;
     const EntryOptions options_;
+    const http1::ServerResources resources_;
     base::BootClock clock_;
     fleet::UpstreamRegistry registry_;
     std::uint64_t registryRevision_ = 0;
--- a/tests/ForwardingFixture.h
+++ b/tests/ForwardingFixture.h
@@ -78,7 +78,7 @@
 
 // Starts a server and sets `address` to its own. Retries because another process may bind the
 // free port before the server does.
-inline std::unique_ptr<http1::Server> listenOnFreePort(boost::asio::io_context& context, http1::RequestHandler& handler, tcp::endpoint& address)
+inline std::unique_ptr<http1::Server> listenOnFreePort(boost::asio::io_context& context, http1::RequestHandler& handler, tcp::endpoint& address, const http1::ServerResources& resources = {})
 {
     std::unique_ptr<http1::Server> server;
     constexpr int attempts = 20;
@@ -86,7 +86,7 @@
         tcp::acceptor probe(context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
         address = probe.local_endpoint();
         probe.close();
-        if (auto made = http1::Server::Make(context, address, handler))
+        if (auto made = http1::Server::Make(context, address, handler, resources))
             server = std::move(made).value();
     }
     BOOST_REQUIRE(server);
@@ -100,7 +100,8 @@
     boost::asio::io_context context { 1 };
     TestHeaderCodec headerCodec;
     forwarding::WindowedRetryBudgetOptions retryBudget { 1, 50, std::chrono::seconds(10) };
-    forwarding::ReverseProxy proxy { context, headerCodec, { "catania", retryBudget, 1 } };
+    http1::ServerResources resources;
+    forwarding::ReverseProxy proxy { context, headerCodec, { "catania", retryBudget, 1, resources.bytes } };
     std::unique_ptr<http1::Server> server;
     tcp::endpoint address;
     tcp::acceptor upstreams { context, tcp::endpoint(boost::asio::ip::address_v4::any(), 0) };
@@ -130,7 +131,7 @@
         configuration.services = { { "service", "", 0, std::nullopt } };
         if (isConfigured)
             configure();
-        server = listenOnFreePort(context, proxy, address);
+        server = listenOnFreePort(context, proxy, address, resources);
         accept();
     }
 
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -40,6 +40,24 @@
     BOOST_TEST(routes::validate(value).has_value());
 }
 
+// Guards against a VM that takes more memory or descriptors than its machine has, and against
+// one that does not start because the platform does not state them.
+BOOST_AUTO_TEST_CASE(ReadsTheLimitsOfTheMachine)
+{
+    const std::string path = "machine-limits.json";
+    auto read = [&](const std::string& limits) {
+        std::ofstream(path) << R"({"node_name":"n","ip":"10.1.0.4","zone":"z","internal_ports":[7340],"seeds":[],"limits":{)" + limits + "}}";
+        return readNodeSettings(path);
+    };
+    BOOST_TEST(read(R"("memory_mb":112.5,"max_fds":2870)").value().memoryMegabytes.value() == 112.5);
+    BOOST_TEST(read(R"("memory_mb":112.5,"max_fds":2870)").value().maxDescriptors.value() == 2870);
+    BOOST_TEST(!read("").value().memoryMegabytes.has_value());
+    BOOST_TEST(!read(R"("max_fds":null)").value().maxDescriptors.has_value());
+    BOOST_TEST(read(R"("memory_mb":0)").has_error());
+    BOOST_TEST(read(R"("max_fds":-1)").has_error());
+    std::remove(path.c_str());
+}
+
 // Guards against storing a configuration of which a part cannot be decoded.
 BOOST_AUTO_TEST_CASE(RejectsUndecodableRoutes)
 {
