--- a/src/node/EntryNode.cpp
+++ b/src/node/EntryNode.cpp
@@ -24,6 +24,9 @@
 static constexpr std::chrono::milliseconds stopIdleTimeout(200);
 static constexpr std::chrono::seconds activityReportInterval(1);
 
+// A probe needs no body.
+static constexpr std::uint64_t maxProbeBodyBytes = 4096;
+
 // Answers the load balancer's readiness probes: 200 if ready, otherwise 503.
 class EntryNode::ReadinessHandler final : public http1::RequestHandler {
 public:
@@ -40,6 +43,12 @@
         connection->send(response);
         return nullptr;
     }
+    http1::ServerLimits onLimits() const override
+    {
+        http1::ServerLimits limits;
+        limits.read.bodyBytes = maxProbeBodyBytes;
+        return limits;
+    }
 
     const EntryNode& node_;
 };
@@ -64,7 +73,8 @@
     , decodeRoutes_(std::move(decodeRoutes))
     , options_(std::move(options))
     , traffic_(options_.dataCentre)
-    , proxy_(context, headerCodec, { options_.dataCentre, options_.retryBudget, options_.seed })
+    , resources_(entryResources(options_.machine))
+    , proxy_(context, headerCodec, { options_.dataCentre, options_.retryBudget, options_.seed, resources_.bytes, resources_.maxConnections })
     , readinessHandler_(std::make_shared<ReadinessHandler>(*this))
     , links_({ options_.name, options_.internalPort, options_.sharedKey, options_.seed })
     , fleetPoller_(
@@ -82,12 +92,12 @@
     fleetPoller_.setTraffic(traffic_);
     fleetPoller_.setSeeds(options_.seeds);
     proxy_.setTrafficLookup([this](const net::Endpoint& endpoint) { return traffic_.counter(fleet::TrafficAccount::Kind::Upstream, registry_.dataCentreAt(endpoint)); });
-    BOOST_OUTCOME_TRY(callerServer, http1::Server::Make(context_, tcpEndpoint(options_.callerEndpoint), proxy_));
+    BOOST_OUTCOME_TRY(callerServer, http1::Server::Make(context_, tcpEndpoint(options_.callerEndpoint), proxy_, resources_));
     callerServer_ = std::move(callerServer);
-    BOOST_OUTCOME_TRY(readinessServer, http1::Server::Make(context_, tcpEndpoint(options_.readinessEndpoint), *readinessHandler_));
+    BOOST_OUTCOME_TRY(readinessServer, http1::Server::Make(context_, tcpEndpoint(options_.readinessEndpoint), *readinessHandler_, probeResources()));
     readinessServer_ = std::move(readinessServer);
     timer_.start();
-    logger.info("Started the entry VM.", { { "address", options_.callerEndpoint.text() } });
+    logger.info("Started the entry VM.", { { "address", options_.callerEndpoint.text() }, { "max_held_bytes", resources_.bytes->capacity() }, { "max_connections", resources_.maxConnections } });
     return base::outcome::success();
 }
 
