An HTTP server of our own bounds what callers hold at entry VMs and replicas

Cause: the listener of cpprestsdk reads heads, bodies and trailers into memory without any limit, also for callers without a token, and its configuration knows only a time limit and the length of the accept queue. Ruled out: limits by Content-Length in front of the handlers (chunked bodies and trailers stay open, and the listener reads before the handler runs); a forwarder to the listener over loopback; the undocumented http_server_api::register_server_api.

HttpServer now accepts connections itself (plain or TLS), reads one request at a time with http1::RequestReader and passes it complete to the handler as ServerRequest. At a limit, unfinished connections are refused as not run or closed first; counted in /metrics and logged at most once a second. The stand-ins of upstreams keep the library's listener (fakes::ListenerServer), because they process bodies while they arrive.

--- a/include/http/AdminServer.h
+++ b/include/http/AdminServer.h
@@ -2,8 +2,7 @@
 
 #include "include/base/Error.h"
 #include "include/base/Timeline.h"
-
-#include <cpprest/http_msg.h>
+#include "include/http/ServerRequest.h"
 
 #include <functional>
 #include <map>
@@ -15,7 +14,7 @@
 // operators' token, the timeline and the endpoints that the process adds.
 class AdminServer {
 public:
-    using EndpointHandler = std::function<void(web::http::http_request)>;
+    using EndpointHandler = std::function<void(ServerRequest)>;
     struct Probes {
         // Returns an empty string if the process is ready, otherwise the reason why not.
         std::function<std::string()> notReadyReason;
@@ -31,11 +30,11 @@
 
     // Returns false and leaves the request unanswered if this server does not serve its
     // path.
-    bool handle(const web::http::http_request&);
+    bool handle(const ServerRequest&);
 
 private:
-    bool isAuthorized(const web::http::http_request&) const;
-    void handleTimeline(const web::http::http_request&);
+    bool isAuthorized(const ServerRequest&) const;
+    void handleTimeline(const ServerRequest&);
 
     base::Timeline& timeline_;
     const std::string adminToken_;
--- a/include/http/EventStream.h
+++ b/include/http/EventStream.h
@@ -1,8 +1,7 @@
 #pragma once
 
 #include "include/http/BodyWriter.h"
-
-#include <cpprest/http_msg.h>
+#include "include/http/ServerRequest.h"
 
 #include <string>
 
@@ -14,7 +13,7 @@
 public:
     // Starts the response to `request`. The returned task completes once the whole
     // response is written and throws if the caller disconnected before that.
-    pplx::task<void> start(web::http::http_request request);
+    pplx::task<void> start(const ServerRequest&);
 
     // Returns false if the caller has disconnected or reads too slowly: at most 1 MiB
     // may be pending.
--- a/include/http/ReplyTracker.h
+++ b/include/http/ReplyTracker.h
@@ -7,6 +7,10 @@
 
 namespace arbutus::http {
 
+// Observes the exception of a reply whose result nobody needs. The library terminates the
+// process for an exception that is never observed.
+void observeFailure(const pplx::task<void>& reply);
+
 // Counts the replies that are still being written to their sockets. Thread-safe.
 class ReplyTracker {
 public:
--- a/include/http/RpcOverHttp.h
+++ b/include/http/RpcOverHttp.h
@@ -2,6 +2,7 @@
 
 #include "include/base/Error.h"
 #include "include/base/Timeline.h"
+#include "include/http/ServerRequest.h"
 #include "include/rpc/JsonRpc.h"
 
 #include <cpprest/http_client.h>
@@ -15,7 +16,7 @@
 // signature by the deployment's key is rejected with PeerRejected before it is parsed.
 // Request and response carry the sender's hybrid time in a header. The references must
 // outlive the request.
-void serveRpc(web::http::http_request request, rpc::RpcDispatcher& dispatcher, const std::string& key, base::Timeline& timeline);
+void serveRpc(const ServerRequest&, rpc::RpcDispatcher& dispatcher, const std::string& key, base::Timeline& timeline);
 
 // Sends RPCs to one address, signed with the deployment's key.
 class RpcClient {
--- a/src/entry/CallerApi.cpp
+++ b/src/entry/CallerApi.cpp
@@ -15,10 +15,9 @@
 using base::ErrorKind;
 using base::makeError;
 using base::Result;
-using web::http::http_request;
+using http::ServerRequest;
 using web::json::value;
 
-static constexpr std::size_t maxBodyBytes = std::size_t { 1 } << 20;
 static constexpr std::int64_t maxTokensLimit = 8192;
 static constexpr std::int64_t defaultMaxTokens = 64;
 static constexpr std::string_view servicesPrefix = "/v1/services/";
@@ -63,7 +62,7 @@
 // order never misses it.
 std::size_t CallerApi::openCount() const
 {
-    std::size_t count = openBodyReads_;
+    std::size_t count = openHandlerCalls_;
     count += openServiceCalls_;
     count += completions_.openRequestCount();
     return count + replies_.count();
@@ -74,7 +73,7 @@
     return fmt::format("{}-{:x}-{}", options_.vm, options_.incarnation, nextRequest_++);
 }
 
-Result<std::string> CallerApi::teamOf(const http_request& request) const
+Result<std::string> CallerApi::teamOf(const ServerRequest& request) const
 {
     static constexpr std::string_view scheme = "Bearer ";
     auto it = request.headers().find("Authorization");
@@ -86,9 +85,9 @@
     return team->second;
 }
 
-bool CallerApi::handle(const http_request& request)
+bool CallerApi::handle(const ServerRequest& request)
 {
-    const Route* route = findRoute(request.method(), request.relative_uri().path());
+    const Route* route = findRoute(request.method(), request.uri().path());
     if (!route)
         return false;
     auto team = teamOf(request);
@@ -99,14 +98,14 @@
     return true;
 }
 
-void CallerApi::refuse(http_request request, const std::string& requestId, const std::string& team, const Error& error)
+void CallerApi::refuse(const ServerRequest& request, const std::string& requestId, const std::string& team, const Error& error)
 {
     timeline_.record("request-refused", { { "request", requestId }, { "team", team }, { "kind", std::string(base::errorRule(error.kind).name) } });
     hooks_.onRequestRefused(team, error.kind);
     replies_.track(request.reply(http::problemResponse(error, requestId, clock_.now())));
 }
 
-void CallerApi::listModels(http_request request, const std::string& team)
+void CallerApi::listModels(const ServerRequest& request, const std::string& team)
 {
     auto configuration = hooks_.admit();
     if (!configuration) {
@@ -139,9 +138,9 @@
     return prompt;
 }
 
-void CallerApi::completeText(http_request request, const std::string& team) { complete(request, team, completionFormat(), &promptOfText); }
+void CallerApi::completeText(const ServerRequest& request, const std::string& team) { complete(request, team, completionFormat(), &promptOfText); }
 
-void CallerApi::completeChat(http_request request, const std::string& team) { complete(request, team, chatFormat(), &promptOfChat); }
+void CallerApi::completeChat(const ServerRequest& request, const std::string& team) { complete(request, team, chatFormat(), &promptOfChat); }
 
 // Throws std::invalid_argument if the value is out of range.
 static std::uint32_t maxTokensOf(const value& body)
@@ -154,94 +153,69 @@
     return static_cast<std::uint32_t>(count);
 }
 
-void CallerApi::complete(http_request request, const std::string& team, const AnswerFormat& format, std::string (*promptOf)(const value&))
+void CallerApi::complete(const ServerRequest& request, const std::string& team, const AnswerFormat& format, std::string (*promptOf)(const value&))
 {
     std::string requestId = nextRequestId();
-    if (request.headers().content_length() > maxBodyBytes) {
-        refuse(request, requestId, team, makeError(ErrorKind::InvalidRequest, "the body is larger than 1 MiB"));
+    ++openHandlerCalls_;
+    serving::CompletionRequest completion;
+    bool isStreamed = false;
+    try {
+        auto body = value::parse(request.releaseBody());
+        completion.model = body.at("model").as_string();
+        completion.prompt = promptOf(body);
+        completion.maxTokens = maxTokensOf(body);
+        isStreamed = body.has_field("stream") && body.at("stream").as_bool();
+        if (completion.prompt.find_first_not_of(" \n\t") == std::string::npos)
+            throw std::invalid_argument("the prompt is empty");
+    } catch (const std::exception& exception) {
+        refuse(request, requestId, team, makeError(ErrorKind::InvalidRequest, exception.what()));
+        --openHandlerCalls_;
         return;
     }
-    ++openBodyReads_;
-    request.extract_string(true).then([this, request, team, requestId, &format, promptOf](pplx::task<std::string> task) mutable {
-        serving::CompletionRequest completion;
-        bool isStreamed = false;
-        try {
-            std::string text = task.get();
-            if (text.size() > maxBodyBytes)
-                throw std::length_error("the body is larger than 1 MiB");
-            auto body = value::parse(text);
-            completion.model = body.at("model").as_string();
-            completion.prompt = promptOf(body);
-            completion.maxTokens = maxTokensOf(body);
-            isStreamed = body.has_field("stream") && body.at("stream").as_bool();
-            if (completion.prompt.find_first_not_of(" \n\t") == std::string::npos)
-                throw std::invalid_argument("the prompt is empty");
-        } catch (const std::exception& exception) {
-            refuse(request, requestId, team, makeError(ErrorKind::InvalidRequest, exception.what()));
-            --openBodyReads_;
-            return;
-        }
-        completion.id = requestId;
-        completion.team = team;
-        completion.deadline = clock_.now() + options_.requestTimeout;
-        if (auto configuration = hooks_.admit(); !configuration)
-            refuse(request, requestId, team, configuration.error());
-        else {
-            completions_.submit(completion, configuration.value(), [&](std::function<void()> onCallerDisconnected) {
-                return makeHttpAnswer(request, replies_, format, isStreamed, requestId, completion.model, std::move(onCallerDisconnected));
-            });
-        }
-        --openBodyReads_;
-    });
+    completion.id = requestId;
+    completion.team = team;
+    completion.deadline = clock_.now() + options_.requestTimeout;
+    if (auto configuration = hooks_.admit(); !configuration)
+        refuse(request, requestId, team, configuration.error());
+    else {
+        completions_.submit(completion, configuration.value(), [&](std::function<void()> onCallerDisconnected) {
+            return makeHttpAnswer(request, replies_, format, isStreamed, requestId, completion.model, std::move(onCallerDisconnected));
+        });
+    }
+    --openHandlerCalls_;
 }
 
-void CallerApi::callService(http_request request, const std::string& team)
+void CallerApi::callService(const ServerRequest& request, const std::string& team)
 {
     std::string requestId = nextRequestId();
-    if (request.headers().content_length() > maxBodyBytes) {
-        refuse(request, requestId, team, makeError(ErrorKind::InvalidRequest, "the body is larger than 1 MiB"));
-        return;
-    }
     // The deadline starts here so that it includes the wait for a worker thread.
     auto deadline = clock_.now() + options_.orderTimeout;
-    ++openBodyReads_;
-    request.extract_string(true).then([this, request, team, requestId, deadline](pplx::task<std::string> task) mutable {
-        std::string body;
+    ++openHandlerCalls_;
+    ++openServiceCalls_;
+    bool isPosted = workers_.post([this, request, team, requestId, deadline, body = request.releaseBody()] {
         try {
-            body = task.get();
-            if (body.size() > maxBodyBytes)
-                throw std::length_error("the body is larger than 1 MiB");
+            runServiceCall(request, team, requestId, body, deadline);
         } catch (const std::exception& exception) {
-            refuse(request, requestId, team, makeError(ErrorKind::InvalidRequest, exception.what()));
-            --openBodyReads_;
-            return;
+            refuse(request, requestId, team, makeError(ErrorKind::Internal, exception.what()));
         }
-        ++openServiceCalls_;
-        bool isPosted = workers_.post([this, request, team, requestId, deadline, body = std::move(body)] {
-            try {
-                runServiceCall(request, team, requestId, body, deadline);
-            } catch (const std::exception& exception) {
-                refuse(request, requestId, team, makeError(ErrorKind::Internal, exception.what()));
-            }
-            --openServiceCalls_;
-        });
-        if (!isPosted) {
-            --openServiceCalls_;
-            refuse(request, requestId, team, makeError(ErrorKind::Overloaded, "the call queue is full"));
-        }
-        --openBodyReads_;
+        --openServiceCalls_;
     });
+    if (!isPosted) {
+        --openServiceCalls_;
+        refuse(request, requestId, team, makeError(ErrorKind::Overloaded, "the call queue is full"));
+    }
+    --openHandlerCalls_;
 }
 
-static std::string headerOf(const http_request& request, const char* name)
+static std::string headerOf(const ServerRequest& request, const char* name)
 {
     auto it = request.headers().find(name);
     return it == request.headers().end() ? std::string() : it->second;
 }
 
-void CallerApi::runServiceCall(http_request request, const std::string& team, const std::string& requestId, std::string body, base::TimePoint deadline)
+void CallerApi::runServiceCall(const ServerRequest& request, const std::string& team, const std::string& requestId, std::string body, base::TimePoint deadline)
 {
-    std::string rest = request.relative_uri().path().substr(servicesPrefix.size());
+    std::string rest = request.uri().path().substr(servicesPrefix.size());
     auto slash = rest.find('/');
     orders::OrderRequest order;
     order.team = team;
@@ -249,7 +223,7 @@
     order.key = headerOf(request, "Idempotency-Key");
     order.method = request.method();
     order.path = slash == std::string::npos ? "/" : rest.substr(slash);
-    if (std::string query = request.relative_uri().query(); !query.empty())
+    if (std::string query = request.uri().query(); !query.empty())
         order.path += "?" + query;
     order.contentType = headerOf(request, "Content-Type");
     order.body = std::move(body);
--- a/src/entry/CallerApi.h
+++ b/src/entry/CallerApi.h
@@ -40,27 +40,27 @@
 
     // Handles the request if its method and path belong to this API. Otherwise
     // returns false and leaves the request unanswered.
-    bool handle(const web::http::http_request&);
+    bool handle(const http::ServerRequest&);
 
     // Returns the number of requests that are not fully answered.
     std::size_t openCount() const;
 
 private:
-    using Handler = void (CallerApi::*)(web::http::http_request, const std::string& team);
+    using Handler = void (CallerApi::*)(const http::ServerRequest&, const std::string& team);
     struct Route;
 
     static const Route* findRoute(const std::string& method, const std::string& path);
-    base::Result<std::string> teamOf(const web::http::http_request&) const;
+    base::Result<std::string> teamOf(const http::ServerRequest&) const;
     std::string nextRequestId();
 
-    void listModels(web::http::http_request, const std::string& team);
-    void completeText(web::http::http_request, const std::string& team);
-    void completeChat(web::http::http_request, const std::string& team);
-    void callService(web::http::http_request, const std::string& team);
+    void listModels(const http::ServerRequest&, const std::string& team);
+    void completeText(const http::ServerRequest&, const std::string& team);
+    void completeChat(const http::ServerRequest&, const std::string& team);
+    void callService(const http::ServerRequest&, const std::string& team);
 
-    void complete(web::http::http_request, const std::string& team, const AnswerFormat&, std::string (*promptOf)(const web::json::value&));
-    void runServiceCall(web::http::http_request, const std::string& team, const std::string& requestId, std::string body, base::TimePoint deadline);
-    void refuse(web::http::http_request, const std::string& requestId, const std::string& team, const base::Error&);
+    void complete(const http::ServerRequest&, const std::string& team, const AnswerFormat&, std::string (*promptOf)(const web::json::value&));
+    void runServiceCall(const http::ServerRequest&, const std::string& team, const std::string& requestId, std::string body, base::TimePoint deadline);
+    void refuse(const http::ServerRequest&, const std::string& requestId, const std::string& team, const base::Error&);
 
     const base::Clock& clock_;
     base::Timeline& timeline_;
@@ -71,7 +71,7 @@
     const AdmissionHooks hooks_;
     std::atomic<std::uint64_t> nextRequest_ { 1 };
     std::atomic<std::size_t> openServiceCalls_ { 0 };
-    std::atomic<std::size_t> openBodyReads_ { 0 };
+    std::atomic<std::size_t> openHandlerCalls_ { 0 };
     http::ReplyTracker replies_;
 };
 
--- a/src/entry/EntryProcess.cpp
+++ b/src/entry/EntryProcess.cpp
@@ -16,7 +16,7 @@
 using base::ErrorKind;
 using base::makeError;
 using base::Result;
-using web::http::http_request;
+using http::ServerRequest;
 using web::http::status_codes;
 using web::json::value;
 
@@ -60,8 +60,8 @@
         { "slots", "model requests that may run at a time on this VM", "256" },
         { "stall-ms", "shortest time after which a step without an answer is given up", "1000" },
     };
-    auto placement = PlacementController::settingSpecs();
-    specs.insert(specs.end(), placement.begin(), placement.end());
+    for (const auto& part : { http::serverLimitSpecs(), PlacementController::settingSpecs() })
+        specs.insert(specs.end(), part.begin(), part.end());
     return specs;
 }
 
@@ -128,6 +128,10 @@
     config.clusterKey = clusterKey;
     config.adminToken = adminToken;
     config.tls = { settings.text("tls-certificate-file"), settings.text("tls-key-file") };
+    BOOST_OUTCOME_TRY(serverLimits, http::readServerLimits(settings));
+    config.serverLimits = serverLimits;
+    config.serverLimits.longBodyPrefix = "/admin/v1/";
+    config.serverLimits.longBodyBytes = http::commandBodyBytes;
     BOOST_OUTCOME_TRY(requestTimeout, settings.milliseconds("request-timeout-ms", milliseconds(100), std::chrono::hours(1)));
     BOOST_OUTCOME_TRY(orderTimeout, settings.milliseconds("order-timeout-ms", milliseconds(100), std::chrono::hours(1)));
     BOOST_OUTCOME_TRY(drainAcceptPeriod, settings.milliseconds("drain-accept-ms", milliseconds(0), std::chrono::hours(1)));
@@ -213,8 +217,9 @@
     placement_ = std::make_unique<PlacementController>(clock_, timeline_, stateClient_, *controlPlane_, config_.vm, config_.placement);
     // Open claims of earlier incarnations of this process will never be sent.
     reporter_.report(state::DeclareEntryGone { config_.vm, config_.callerApi.incarnation - 1 });
-    BOOST_OUTCOME_TRY(server, http::HttpServer::Make(config_.address, config_.port, config_.tls, [this](http_request request) { handle(request); }));
+    BOOST_OUTCOME_TRY(server, http::HttpServer::Make(config_.address, config_.port, config_.tls, config_.serverLimits, [this](const ServerRequest& request) { handle(request); }));
     server_ = std::move(server);
+    server_->start();
     tickThread_ = std::thread([this] { runTicks(); });
     housekeepingThread_ = std::thread([this] { runHousekeeping(); });
     logger.info("Accepting requests.", { { "vm", config_.vm }, { "address", options.self.address } });
@@ -229,25 +234,26 @@
     if (housekeepingThread_.joinable())
         housekeepingThread_.join();
     channels_.close();
-    server_.reset();
+    if (server_)
+        server_->close();
     placement_.reset();
     controlPlane_.reset();
 }
 
 void EntryProcess::addEndpoints()
 {
-    admin_.addEndpoint("GET", "status", [this](const http_request& request) { request.reply(status_codes::OK, status()); });
-    admin_.addEndpoint("GET", "upstreams", [this](const http_request& request) { request.reply(status_codes::OK, upstreams()); });
-    admin_.addEndpoint("GET", "vms", [this](const http_request& request) { request.reply(status_codes::OK, vms()); });
-    admin_.addEndpoint("GET", "placement", [this](const http_request& request) { request.reply(status_codes::OK, placement_->status()); });
-    admin_.addEndpoint("POST", "state/", [this](const http_request& request) { handleStateCall(request); });
+    admin_.addEndpoint("GET", "status", [this](const ServerRequest& request) { request.reply(status_codes::OK, status()); });
+    admin_.addEndpoint("GET", "upstreams", [this](const ServerRequest& request) { request.reply(status_codes::OK, upstreams()); });
+    admin_.addEndpoint("GET", "vms", [this](const ServerRequest& request) { request.reply(status_codes::OK, vms()); });
+    admin_.addEndpoint("GET", "placement", [this](const ServerRequest& request) { request.reply(status_codes::OK, placement_->status()); });
+    admin_.addEndpoint("POST", "state/", [this](const ServerRequest& request) { handleStateCall(request); });
 }
 
-void EntryProcess::handle(http_request request)
+void EntryProcess::handle(const ServerRequest& request)
 {
     if (admin_.handle(request) || callerApi_.handle(request))
         return;
-    if (request.method() == "POST" && request.relative_uri().path() == "/v1/announce") {
+    if (request.method() == "POST" && request.uri().path() == "/v1/announce") {
         handleAnnounce(request);
         return;
     }
@@ -287,30 +293,28 @@
     return descriptor;
 }
 
-void EntryProcess::handleAnnounce(http_request request)
+void EntryProcess::handleAnnounce(const ServerRequest& request)
 {
-    request.extract_string(true).then([this, request](pplx::task<std::string> task) mutable {
-        membership::MemberDescriptor descriptor;
-        try {
-            descriptor = descriptorFromJson(value::parse(task.get()));
-        } catch (const std::exception& exception) {
-            request.reply(http::problemResponse(makeError(ErrorKind::InvalidRequest, exception.what()), "", clock_.now()));
-            return;
-        }
-        auto answer = controlPlane_->announce(descriptor);
-        if (!answer.refusal.empty()) {
-            logger.warning("Refused an announcement.", { { "upstream", descriptor.id }, { "reason", answer.refusal } });
-            request.reply(http::problemResponse(makeError(ErrorKind::InvalidRequest, answer.refusal), "", clock_.now()));
-            return;
-        }
-        std::vector<value> registrars;
-        for (const auto& registrar : answer.registrars)
-            registrars.push_back(value::string(registrar.address));
-        value body = value::object();
-        body["registrars"] = value::array(registrars);
-        body["raiseVersion"] = value::boolean(answer.mustRaiseVersion);
-        request.reply(status_codes::OK, body);
-    });
+    membership::MemberDescriptor descriptor;
+    try {
+        descriptor = descriptorFromJson(value::parse(request.releaseBody()));
+    } catch (const std::exception& exception) {
+        request.reply(http::problemResponse(makeError(ErrorKind::InvalidRequest, exception.what()), "", clock_.now()));
+        return;
+    }
+    auto answer = controlPlane_->announce(descriptor);
+    if (!answer.refusal.empty()) {
+        logger.warning("Refused an announcement.", { { "upstream", descriptor.id }, { "reason", answer.refusal } });
+        request.reply(http::problemResponse(makeError(ErrorKind::InvalidRequest, answer.refusal), "", clock_.now()));
+        return;
+    }
+    std::vector<value> registrars;
+    for (const auto& registrar : answer.registrars)
+        registrars.push_back(value::string(registrar.address));
+    value body = value::object();
+    body["registrars"] = value::array(registrars);
+    body["raiseVersion"] = value::boolean(answer.mustRaiseVersion);
+    request.reply(status_codes::OK, body);
 }
 
 Result<serving::ConfigurationPointer> EntryProcess::admit() const
@@ -339,24 +343,26 @@
     auto counters = completions_.counters();
     auto totals = controlPlane_->totals();
     using http::MetricKind;
-    return http::metricsText({
-        { "requests_total", "Model requests received.", MetricKind::Counter, static_cast<double>(counters.requests) },
-        { "requests_finished_total", "Model requests answered completely.", MetricKind::Counter, static_cast<double>(counters.finished) },
-        { "requests_failed_total", "Model requests that failed after admission.", MetricKind::Counter, static_cast<double>(counters.failed) },
-        { "requests_refused_total", "Model requests refused at admission.", MetricKind::Counter, static_cast<double>(counters.refused) },
-        { "tokens_total", "Tokens given to callers.", MetricKind::Counter, static_cast<double>(counters.tokens) },
-        { "stream_resumes_total", "Attempts after the first one.", MetricKind::Counter, static_cast<double>(counters.resumes) },
-        { "results_dropped_total", "Results that nothing waited for.", MetricKind::Counter, static_cast<double>(counters.droppedResults) },
-        { "engine_deaths_total", "Channels lost while streams ran on them.", MetricKind::Counter, static_cast<double>(counters.engineCrashes) },
-        { "requests_open", "Requests not yet answered.", MetricKind::Gauge, static_cast<double>(callerApi_.openCount()) },
-        { "engines_ready", "Engines with a working channel.", MetricKind::Gauge, static_cast<double>(channels_.readyCount()) },
-        { "ledger_writes_pending", "Writes to the order ledger that wait for a quorum.", MetricKind::Gauge, static_cast<double>(serviceClient_.pendingWriteCount()) },
-        { "reports_pending", "Reports that wait for a quorum.", MetricKind::Gauge, static_cast<double>(reporter_.pendingReportCount()) },
-        { "reports_dropped_total", "Reports dropped because too many waited.", MetricKind::Counter, static_cast<double>(reporter_.droppedCount()) },
-        { "control_bytes_in_total", "Bytes of control frames received.", MetricKind::Counter, static_cast<double>(totals.bytesIn) },
-        { "control_bytes_out_total", "Bytes of control frames sent.", MetricKind::Counter, static_cast<double>(totals.bytesOut) },
-        { "timeline_dropped_total", "Events dropped from the time line.", MetricKind::Counter, static_cast<double>(timeline_.droppedCount()) },
-    });
+    auto metrics = server_ ? http::metricsOf(server_->counters()) : std::vector<http::Metric>();
+    metrics.insert(metrics.end(), {
+                                      { "requests_total", "Model requests received.", MetricKind::Counter, static_cast<double>(counters.requests) },
+                                      { "requests_finished_total", "Model requests answered completely.", MetricKind::Counter, static_cast<double>(counters.finished) },
+                                      { "requests_failed_total", "Model requests that failed after admission.", MetricKind::Counter, static_cast<double>(counters.failed) },
+                                      { "requests_refused_total", "Model requests refused at admission.", MetricKind::Counter, static_cast<double>(counters.refused) },
+                                      { "tokens_total", "Tokens given to callers.", MetricKind::Counter, static_cast<double>(counters.tokens) },
+                                      { "stream_resumes_total", "Attempts after the first one.", MetricKind::Counter, static_cast<double>(counters.resumes) },
+                                      { "results_dropped_total", "Results that nothing waited for.", MetricKind::Counter, static_cast<double>(counters.droppedResults) },
+                                      { "engine_deaths_total", "Channels lost while streams ran on them.", MetricKind::Counter, static_cast<double>(counters.engineCrashes) },
+                                      { "requests_open", "Requests not yet answered.", MetricKind::Gauge, static_cast<double>(callerApi_.openCount()) },
+                                      { "engines_ready", "Engines with a working channel.", MetricKind::Gauge, static_cast<double>(channels_.readyCount()) },
+                                      { "ledger_writes_pending", "Writes to the order ledger that wait for a quorum.", MetricKind::Gauge, static_cast<double>(serviceClient_.pendingWriteCount()) },
+                                      { "reports_pending", "Reports that wait for a quorum.", MetricKind::Gauge, static_cast<double>(reporter_.pendingReportCount()) },
+                                      { "reports_dropped_total", "Reports dropped because too many waited.", MetricKind::Counter, static_cast<double>(reporter_.droppedCount()) },
+                                      { "control_bytes_in_total", "Bytes of control frames received.", MetricKind::Counter, static_cast<double>(totals.bytesIn) },
+                                      { "control_bytes_out_total", "Bytes of control frames sent.", MetricKind::Counter, static_cast<double>(totals.bytesOut) },
+                                      { "timeline_dropped_total", "Events dropped from the time line.", MetricKind::Counter, static_cast<double>(timeline_.droppedCount()) },
+                                  });
+    return http::metricsText(metrics);
 }
 
 value EntryProcess::status() const
@@ -428,32 +434,30 @@
     return body;
 }
 
-void EntryProcess::handleStateCall(http_request request)
+void EntryProcess::handleStateCall(const ServerRequest& request)
 {
-    std::string path = request.relative_uri().path();
+    std::string path = request.uri().path();
     std::string method = path.substr(path.rfind('/') + 1);
     if (std::find(operatorMethods.begin(), operatorMethods.end(), method) == operatorMethods.end()) {
         request.reply(http::problemResponse(makeError(ErrorKind::NotFound, "unknown operator method " + method), "", clock_.now()));
         return;
     }
-    request.extract_string(true).then([this, request, method](pplx::task<std::string> task) mutable {
-        rpc::Parameters parameters;
-        try {
-            parameters = http::parametersFromJson(value::parse(task.get()));
-        } catch (const std::exception& exception) {
-            request.reply(http::problemResponse(makeError(ErrorKind::InvalidRequest, exception.what()), "", clock_.now()));
-            return;
-        }
-        bool isPosted = workers_.post([this, request, method, parameters] {
-            auto reply = stateClient_.call(method, parameters, clock_.now() + stateTimeout);
-            if (reply)
-                request.reply(status_codes::OK, http::toJson(reply.value()));
-            else
-                request.reply(http::problemResponse(reply.error(), "", clock_.now()));
-        });
-        if (!isPosted)
-            request.reply(http::problemResponse(makeError(ErrorKind::Overloaded, "the call queue is full"), "", clock_.now()));
+    rpc::Parameters parameters;
+    try {
+        parameters = http::parametersFromJson(value::parse(request.releaseBody()));
+    } catch (const std::exception& exception) {
+        request.reply(http::problemResponse(makeError(ErrorKind::InvalidRequest, exception.what()), "", clock_.now()));
+        return;
+    }
+    bool isPosted = workers_.post([this, request, method, parameters = std::move(parameters)] {
+        auto reply = stateClient_.call(method, parameters, clock_.now() + stateTimeout);
+        if (reply)
+            request.reply(status_codes::OK, http::toJson(reply.value()));
+        else
+            request.reply(http::problemResponse(reply.error(), "", clock_.now()));
     });
+    if (!isPosted)
+        request.reply(http::problemResponse(makeError(ErrorKind::Overloaded, "the call queue is full"), "", clock_.now()));
 }
 
 void EntryProcess::runTicks()
--- a/src/entry/EntryProcess.h
+++ b/src/entry/EntryProcess.h
@@ -50,6 +50,7 @@
         std::vector<membership::PeerAddress> replicas;
         std::vector<std::string> replicaUrls;
         http::TlsFiles tls;
+        http::ServerLimits serverLimits;
         std::chrono::nanoseconds drainAcceptPeriod {};
         CallerApi::Options callerApi;
         serving::CompletionService::Options completions;
@@ -61,15 +62,15 @@
     static base::Result<Config> readConfig(const base::Settings&);
     base::Result<void> start();
     void addEndpoints();
-    void handle(web::http::http_request);
-    void handleAnnounce(web::http::http_request);
+    void handle(const http::ServerRequest&);
+    void handleAnnounce(const http::ServerRequest&);
     base::Result<serving::ConfigurationPointer> admit() const;
     std::string notReadyReason() const;
     std::string metrics() const;
     web::json::value status() const;
     web::json::value upstreams() const;
     web::json::value vms() const;
-    void handleStateCall(web::http::http_request);
+    void handleStateCall(const http::ServerRequest&);
     void runTicks();
     void runHousekeeping();
 
--- a/src/entry/HttpAnswer.cpp
+++ b/src/entry/HttpAnswer.cpp
@@ -6,7 +6,6 @@
 namespace arbutus::entry {
 
 using streams::FinishReason;
-using web::http::http_request;
 using web::json::value;
 
 struct AnswerFormat {
@@ -81,7 +80,7 @@
 
 // State shared by collected and streamed answers.
 struct AnswerContext {
-    http_request request;
+    http::ServerRequest request;
     http::ReplyTracker& replies;
     const AnswerFormat& format;
     std::string requestId;
@@ -177,7 +176,7 @@
 
 } // namespace
 
-std::unique_ptr<serving::ResponseSink> makeHttpAnswer(const http_request& request, http::ReplyTracker& replies, const AnswerFormat& format, bool isStreamed, std::string requestId, std::string model, std::function<void()> onCallerDisconnected)
+std::unique_ptr<serving::ResponseSink> makeHttpAnswer(const http::ServerRequest& request, http::ReplyTracker& replies, const AnswerFormat& format, bool isStreamed, std::string requestId, std::string model, std::function<void()> onCallerDisconnected)
 {
     AnswerContext context { request, replies, format, std::move(requestId), std::move(model), std::move(onCallerDisconnected) };
     if (isStreamed)
--- a/src/entry/HttpAnswer.h
+++ b/src/entry/HttpAnswer.h
@@ -1,10 +1,9 @@
 #pragma once
 
 #include "include/http/ReplyTracker.h"
+#include "include/http/ServerRequest.h"
 #include "include/serving/ResponseSink.h"
 
-#include <cpprest/http_msg.h>
-
 #include <functional>
 #include <memory>
 #include <string>
@@ -20,6 +19,6 @@
 // Creates the answer to a request, either streamed as server-sent events or buffered
 // into one body. A streamed answer calls `onCallerDisconnected`, from any thread, if
 // the response cannot be written completely. The ReplyTracker must outlive the answer.
-std::unique_ptr<serving::ResponseSink> makeHttpAnswer(const web::http::http_request&, http::ReplyTracker&, const AnswerFormat&, bool isStreamed, std::string requestId, std::string model, std::function<void()> onCallerDisconnected);
+std::unique_ptr<serving::ResponseSink> makeHttpAnswer(const http::ServerRequest&, http::ReplyTracker&, const AnswerFormat&, bool isStreamed, std::string requestId, std::string model, std::function<void()> onCallerDisconnected);
 
 } // namespace arbutus::entry
--- a/src/http/AdminServer.cpp
+++ b/src/http/AdminServer.cpp
@@ -8,7 +8,6 @@
 
 using base::ErrorKind;
 using base::makeError;
-using web::http::http_request;
 using web::http::status_codes;
 using web::json::value;
 
@@ -19,7 +18,7 @@
     , adminToken_(std::move(adminToken))
     , probes_(std::move(probes))
 {
-    addEndpoint("GET", "timeline", [this](const http_request& request) { handleTimeline(request); });
+    addEndpoint("GET", "timeline", [this](const ServerRequest& request) { handleTimeline(request); });
 }
 
 void AdminServer::addEndpoint(const std::string& method, const std::string& path, EndpointHandler handler)
@@ -27,15 +26,15 @@
     endpoints_[{ method, adminPrefix + path }] = std::move(handler);
 }
 
-bool AdminServer::isAuthorized(const http_request& request) const
+bool AdminServer::isAuthorized(const ServerRequest& request) const
 {
     auto it = request.headers().find("Authorization");
     return it != request.headers().end() && base::isEqualConstantTime(it->second, "Bearer " + adminToken_);
 }
 
-bool AdminServer::handle(const http_request& request)
+bool AdminServer::handle(const ServerRequest& request)
 {
-    std::string path = request.relative_uri().path();
+    std::string path = request.uri().path();
     if (path == "/healthz") {
         request.reply(status_codes::OK, "alive\n");
         return true;
@@ -71,9 +70,9 @@
     return true;
 }
 
-void AdminServer::handleTimeline(const http_request& request)
+void AdminServer::handleTimeline(const ServerRequest& request)
 {
-    auto query = web::uri::split_query(request.relative_uri().query());
+    auto query = web::uri::split_query(request.uri().query());
     auto events = timeline_.events(web::uri::decode(query["field"]), web::uri::decode(query["value"]));
     std::vector<value> list;
     list.reserve(events.size());
--- a/src/http/EventStream.cpp
+++ b/src/http/EventStream.cpp
@@ -5,7 +5,7 @@
 // Limits the memory used for a caller that does not read.
 static constexpr std::size_t maxPendingBytes = std::size_t { 1 } << 20;
 
-pplx::task<void> EventStream::start(web::http::http_request request)
+pplx::task<void> EventStream::start(const ServerRequest& request)
 {
     web::http::http_response response(web::http::status_codes::OK);
     response.set_body(body_.stream(), "text/event-stream");
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "include/http/HttpServer.h"
 
-#include <boost/asio/ssl.hpp>
+#include "src/http/ServerCore.h"
+
 #include <fmt/format.h>
 
 namespace arbutus::http {
@@ -8,70 +9,72 @@
 using base::ErrorKind;
 using base::makeError;
 using base::Result;
-using web::http::experimental::listener::http_listener;
-using web::http::experimental::listener::http_listener_config;
 
-static http_listener_config tlsConfig(const TlsFiles& tls)
+std::vector<base::SettingSpec> serverLimitSpecs()
 {
-    http_listener_config config;
-    config.set_ssl_context_callback([tls](boost::asio::ssl::context& context) {
-        context.set_options(boost::asio::ssl::context::default_workarounds | boost::asio::ssl::context::no_sslv2
-            | boost::asio::ssl::context::no_sslv3 | boost::asio::ssl::context::no_tlsv1 | boost::asio::ssl::context::no_tlsv1_1);
-        context.use_certificate_chain_file(tls.certificateFile);
-        context.use_private_key_file(tls.keyFile, boost::asio::ssl::context::pem);
-    });
-    return config;
+    return {
+        { "http-memory-mb", "MiB that the connections and requests of HTTP callers may hold together", "48" },
+        { "http-connections", "HTTP connections; 0 for three quarters of the descriptors", "0" },
+    };
 }
 
-// The library reads the files only when a client connects. Reading them here makes a
-// bad file fail at startup.
-static Result<void> checkTlsFiles(const TlsFiles& tls)
+Result<ServerLimits> readServerLimits(const base::Settings& settings)
 {
-    try {
-        boost::asio::ssl::context context(boost::asio::ssl::context::tls_server);
-        context.use_certificate_chain_file(tls.certificateFile);
-        context.use_private_key_file(tls.keyFile, boost::asio::ssl::context::pem);
-    } catch (const std::exception& exception) {
-        return makeError(ErrorKind::InvalidSetting, fmt::format("the TLS certificate or key cannot be used: {}", exception.what()));
-    }
-    return base::outcome::success();
+    ServerLimits limits;
+    BOOST_OUTCOME_TRY(mebibytes, settings.integer("http-memory-mb", 40, 1 << 20));
+    BOOST_OUTCOME_TRY(connections, settings.integer("http-connections", 0, 1 << 20));
+    limits.heldBytes = static_cast<std::size_t>(mebibytes) << 20;
+    limits.connections = static_cast<std::size_t>(connections);
+    return limits;
 }
 
-HttpServer::HttpServer(std::unique_ptr<http_listener> listener)
-    : listener_(std::move(listener))
+std::vector<Metric> metricsOf(const ServerCounters& counters)
 {
+    return {
+        { "http_connections", "HTTP connections.", MetricKind::Gauge, static_cast<double>(counters.connections) },
+        { "http_held_bytes", "Estimated memory of the HTTP connections and their requests.", MetricKind::Gauge, static_cast<double>(counters.heldBytes) },
+        { "http_refused_for_memory_total", "Requests refused and connections closed at the limit of their memory.", MetricKind::Counter, static_cast<double>(counters.refusedForMemory) },
+        { "http_closed_for_connections_total", "Connections closed at the limit of their number.", MetricKind::Counter, static_cast<double>(counters.closedForConnections) },
+    };
 }
 
-Result<std::unique_ptr<HttpServer>> HttpServer::Make(const std::string& address, int port, const TlsFiles& tls, Handler handler)
+HttpServer::HttpServer(std::shared_ptr<ServerCore> core)
+    : core_(std::move(core))
 {
-    bool usesTls = !tls.certificateFile.empty() || !tls.keyFile.empty();
-    if (usesTls) {
-        if (auto checked = checkTlsFiles(tls); !checked)
-            return checked.error();
+}
+
+Result<std::unique_ptr<HttpServer>> HttpServer::Make(const std::string& address, int port, const TlsFiles& tls, const ServerLimits& limits, Handler handler)
+{
+    auto core = std::make_shared<ServerCore>(limits, std::move(handler));
+    try {
+        if (!tls.certificateFile.empty() || !tls.keyFile.empty())
+            core->readTlsFiles(tls);
+    } catch (const std::exception& exception) {
+        return makeError(ErrorKind::InvalidSetting, fmt::format("the TLS certificate or key cannot be used: {}", exception.what()));
     }
     try {
-        web::uri uri(fmt::format("{}://{}:{}/", usesTls ? "https" : "http", address, port));
-        auto listener = std::make_unique<http_listener>(uri, usesTls ? tlsConfig(tls) : http_listener_config());
-        listener->support([handler = std::move(handler)](web::http::http_request request) { handler(request); });
-        listener->open().wait();
-        return std::unique_ptr<HttpServer>(new HttpServer(std::move(listener)));
+        core->listen(address, port);
     } catch (const std::exception& exception) {
         return makeError(ErrorKind::InvalidSetting, fmt::format("{}:{} cannot be bound: {}", address, port, exception.what()));
     }
+    return std::unique_ptr<HttpServer>(new HttpServer(std::move(core)));
+}
+
+void HttpServer::start()
+{
+    thread_ = std::thread([core = core_] { core->run(); });
 }
 
 void HttpServer::close()
 {
-    if (!listener_)
+    if (!thread_.joinable())
         return;
-    try {
-        listener_->close().wait();
-    } catch (const std::exception&) {
-        // The listener is destroyed in any case.
-    }
-    listener_.reset();
+    core_->stop();
+    thread_.join();
 }
 
+ServerCounters HttpServer::counters() const { return core_->counters(); }
+
 HttpServer::~HttpServer() { close(); }
 
 } // namespace arbutus::http
--- a/src/http/ReplyTracker.cpp
+++ b/src/http/ReplyTracker.cpp
@@ -2,6 +2,17 @@
 
 namespace arbutus::http {
 
+void observeFailure(const pplx::task<void>& reply)
+{
+    reply.then([](pplx::task<void> task) {
+        try {
+            task.get();
+        } catch (const std::exception&) {
+            // The caller has disconnected.
+        }
+    });
+}
+
 pplx::task<bool> ReplyTracker::track(const pplx::task<void>& reply)
 {
     ++*count_;
--- a/src/http/RpcOverHttp.cpp
+++ b/src/http/RpcOverHttp.cpp
@@ -38,25 +38,23 @@
     return base::toHex(base::hmacSha256(key, time + '\n' + body));
 }
 
-void serveRpc(web::http::http_request request, rpc::RpcDispatcher& dispatcher, const std::string& key, base::Timeline& timeline)
+void serveRpc(const ServerRequest& request, rpc::RpcDispatcher& dispatcher, const std::string& key, base::Timeline& timeline)
 {
-    request.extract_string(true).then([request, &dispatcher, &key, &timeline](pplx::task<std::string> task) mutable {
-        try {
-            std::string body = task.get();
-            std::string time = headerOf(request.headers(), timeHeader);
-            if (!base::isEqualConstantTime(headerOf(request.headers(), signatureHeader), signatureOf(key, time, body))) {
-                request.reply(problemResponse(makeError(ErrorKind::PeerRejected, "the signature is missing or wrong"), "", {}));
-                return;
-            }
-            timeline.observe(base::hybridTimeFromString(time));
-            web::http::http_response response(web::http::status_codes::OK);
-            response.set_body(dispatcher.handle(body), "application/json");
-            response.headers().add(timeHeader, base::toString(timeline.now()));
-            request.reply(response);
-        } catch (const std::exception& exception) {
-            request.reply(problemResponse(makeError(ErrorKind::MalformedFrame, exception.what()), "", {}));
+    try {
+        std::string body = request.releaseBody();
+        std::string time = headerOf(request.headers(), timeHeader);
+        if (!base::isEqualConstantTime(headerOf(request.headers(), signatureHeader), signatureOf(key, time, body))) {
+            request.reply(problemResponse(makeError(ErrorKind::PeerRejected, "the signature is missing or wrong"), "", {}));
+            return;
         }
-    });
+        timeline.observe(base::hybridTimeFromString(time));
+        web::http::http_response response(web::http::status_codes::OK);
+        response.set_body(dispatcher.handle(body), "application/json");
+        response.headers().add(timeHeader, base::toString(timeline.now()));
+        request.reply(response);
+    } catch (const std::exception& exception) {
+        request.reply(problemResponse(makeError(ErrorKind::MalformedFrame, exception.what()), "", {}));
+    }
 }
 
 RpcClient::RpcClient(const std::string& url, std::string key, base::Timeline& timeline)
--- a/src/replica/ReplicaProcess.cpp
+++ b/src/replica/ReplicaProcess.cpp
@@ -30,7 +30,7 @@
 
 std::vector<base::SettingSpec> ReplicaProcess::settingSpecs()
 {
-    return {
+    std::vector<base::SettingSpec> specs {
         { "replica", "number of this replica", std::nullopt },
         { "address", "IP number to listen on", std::nullopt },
         { "control-port", "port for the other processes of the system", "8181" },
@@ -41,6 +41,9 @@
         { "admin-token-file", "file with the operators' token", std::nullopt },
         { "snapshot-every", "applied entries between two snapshots", "4096" },
     };
+    auto limits = http::serverLimitSpecs();
+    specs.insert(specs.end(), limits.begin(), limits.end());
+    return specs;
 }
 
 Result<ReplicaProcess::Config> ReplicaProcess::readConfig(const base::Settings& settings)
@@ -52,6 +55,9 @@
     BOOST_OUTCOME_TRY(snapshotIntervalEntries, settings.integer("snapshot-every", 1, 100000000));
     BOOST_OUTCOME_TRY(clusterKey, settings.secretFromFile("cluster-key-file"));
     BOOST_OUTCOME_TRY(adminToken, settings.secretFromFile("admin-token-file"));
+    BOOST_OUTCOME_TRY(serverLimits, http::readServerLimits(settings));
+    config.serverLimits = serverLimits;
+    config.serverLimits.bodyBytes = http::commandBodyBytes;
     config.replica = static_cast<std::uint64_t>(replica);
     config.address = settings.text("address");
     config.controlPort = static_cast<std::uint16_t>(controlPort);
@@ -95,7 +101,8 @@
 
 ReplicaProcess::~ReplicaProcess()
 {
-    httpServer_.reset();
+    if (httpServer_)
+        httpServer_->close();
     frameServer_.reset();
     // Stops the node's thread before the clients through which it sends are destroyed.
     api_.reset();
@@ -129,7 +136,7 @@
     api_ = std::make_unique<ReplicaApi>(clock_, *node_);
     // Every replica serves this page, so that an operator can compare the replicas. Only
     // the leader answers the RPC method "status".
-    admin_.addEndpoint("GET", "replica", [this](web::http::http_request request) { request.reply(web::http::status_codes::OK, http::toJson(api_->describe())); });
+    admin_.addEndpoint("GET", "replica", [this](const http::ServerRequest& request) { request.reply(web::http::status_codes::OK, http::toJson(api_->describe())); });
 
     transport::FrameServerOptions frames;
     frames.address = config_.address;
@@ -146,8 +153,9 @@
         bootstrap = std::move(agreed);
     }
     BOOST_OUTCOME_TRYV(node_->start(bootstrap));
-    BOOST_OUTCOME_TRY(server, http::HttpServer::Make(config_.address, config_.rpcPort, {}, [this](web::http::http_request request) { handle(request); }));
+    BOOST_OUTCOME_TRY(server, http::HttpServer::Make(config_.address, config_.rpcPort, {}, config_.serverLimits, [this](const http::ServerRequest& request) { handle(request); }));
     httpServer_ = std::move(server);
+    httpServer_->start();
     logger.info("The replica started.", { { "replica", config_.replica }, { "disk", fmt::format("{:x}", node_->diskNumber()) }, { "new", bootstrap.voters.empty() ? "no" : "yes" } });
     return base::outcome::success();
 }
@@ -293,11 +301,11 @@
     }
 }
 
-void ReplicaProcess::handle(web::http::http_request request)
+void ReplicaProcess::handle(const http::ServerRequest& request)
 {
     if (admin_.handle(request))
         return;
-    if (request.method() == "POST" && request.relative_uri().path() == "/rpc") {
+    if (request.method() == "POST" && request.uri().path() == "/rpc") {
         http::serveRpc(request, api_->dispatcher(), config_.clusterKey, timeline_);
         return;
     }
@@ -314,17 +322,19 @@
         totals.bytesOut += part.bytesOut;
     }
     using http::MetricKind;
-    return http::metricsText({
-        { "state_is_leader", "1 while this replica leads.", MetricKind::Gauge, status.role == consensus::Role::Leader ? 1.0 : 0.0 },
-        { "state_term", "The current term.", MetricKind::Gauge, static_cast<double>(status.term) },
-        { "state_commit_index", "The last committed entry.", MetricKind::Gauge, static_cast<double>(status.commitIndex) },
-        { "state_applied_index", "The last applied entry.", MetricKind::Gauge, static_cast<double>(status.appliedIndex) },
-        { "state_syncs_total", "Syncs of the log.", MetricKind::Counter, static_cast<double>(status.syncCount) },
-        { "state_snapshots_total", "Snapshots taken.", MetricKind::Counter, static_cast<double>(status.snapshotCount) },
-        { "state_disk_full", "1 while the disk is full.", MetricKind::Gauge, status.isDiskFull ? 1.0 : 0.0 },
-        { "control_bytes_in_total", "Bytes of control frames received.", MetricKind::Counter, static_cast<double>(totals.bytesIn) },
-        { "control_bytes_out_total", "Bytes of control frames sent.", MetricKind::Counter, static_cast<double>(totals.bytesOut) },
-    });
+    auto metrics = httpServer_ ? http::metricsOf(httpServer_->counters()) : std::vector<http::Metric>();
+    metrics.insert(metrics.end(), {
+                                      { "state_is_leader", "1 while this replica leads.", MetricKind::Gauge, status.role == consensus::Role::Leader ? 1.0 : 0.0 },
+                                      { "state_term", "The current term.", MetricKind::Gauge, static_cast<double>(status.term) },
+                                      { "state_commit_index", "The last committed entry.", MetricKind::Gauge, static_cast<double>(status.commitIndex) },
+                                      { "state_applied_index", "The last applied entry.", MetricKind::Gauge, static_cast<double>(status.appliedIndex) },
+                                      { "state_syncs_total", "Syncs of the log.", MetricKind::Counter, static_cast<double>(status.syncCount) },
+                                      { "state_snapshots_total", "Snapshots taken.", MetricKind::Counter, static_cast<double>(status.snapshotCount) },
+                                      { "state_disk_full", "1 while the disk is full.", MetricKind::Gauge, status.isDiskFull ? 1.0 : 0.0 },
+                                      { "control_bytes_in_total", "Bytes of control frames received.", MetricKind::Counter, static_cast<double>(totals.bytesIn) },
+                                      { "control_bytes_out_total", "Bytes of control frames sent.", MetricKind::Counter, static_cast<double>(totals.bytesOut) },
+                                  });
+    return http::metricsText(metrics);
 }
 
 } // namespace arbutus::replica
--- a/src/replica/ReplicaProcess.h
+++ b/src/replica/ReplicaProcess.h
@@ -43,6 +43,7 @@
         std::string dataFolder;
         std::string clusterKey;
         std::string adminToken;
+        http::ServerLimits serverLimits;
         std::vector<Peer> peers;
         std::uint64_t snapshotIntervalEntries = 0;
         std::uint64_t seed = 0;
@@ -65,7 +66,7 @@
     void send(const consensus::Message&);
     void answerFeedPolls(const ReplicaStatus&, const state::StateMachine&);
     std::string feedBody(const membership::FeedAnswer&, const state::StateMachine&, std::uint64_t childRevision);
-    void handle(web::http::http_request);
+    void handle(const http::ServerRequest&);
     std::string metrics() const;
 
     const Config config_;
--- a/tests/ProductProcess.h
+++ b/tests/ProductProcess.h
@@ -256,11 +256,10 @@
     void serve(Caller& caller, short events, std::size_t bytesPerTurn)
     {
         char buffer[16384];
-        if (events & (POLLERR | POLLHUP))
+        bool hasEnded = (events & (POLLERR | POLLHUP)) || ((events & POLLIN) && ::recv(caller.poll.fd, buffer, sizeof buffer, MSG_DONTWAIT) == 0);
+        if (hasEnded) {
             caller.poll.fd = endOf(caller);
-        else if ((events & POLLIN) && ::recv(caller.poll.fd, buffer, sizeof buffer, MSG_DONTWAIT) == 0)
-            caller.poll.fd = endOf(caller);
-        else if (events & POLLOUT) {
+        } else if (events & POLLOUT) {
             auto sent = ::send(caller.poll.fd, message_.data() + caller.offset, std::min(bytesPerTurn, message_.size() - caller.offset), MSG_DONTWAIT | MSG_NOSIGNAL);
             if (sent > 0)
                 caller.offset += static_cast<std::size_t>(sent);
--- a/tools/fakes/engine/EngineServer.cpp
+++ b/tools/fakes/engine/EngineServer.cpp
@@ -65,7 +65,7 @@
             return base::makeError(base::ErrorKind::InvalidSetting, "--models must be a list of model:version");
         core_.addModel(parts[0], parts[1]);
     }
-    BOOST_OUTCOME_TRY(server, http::HttpServer::Make(settings.text("address"), static_cast<int>(port), {}, [this](http_request request) { handle(request); }));
+    BOOST_OUTCOME_TRY(server, fakes::ListenerServer::Make(settings.text("address"), static_cast<int>(port), [this](http_request request) { handle(request); }));
     server_ = std::move(server);
     batchThread_ = std::thread([this] { runBatches(); });
     reportThread_ = std::thread([this] { reportLoad(); });
--- a/tools/fakes/engine/EngineServer.h
+++ b/tools/fakes/engine/EngineServer.h
@@ -3,9 +3,9 @@
 #include "include/base/Error.h"
 #include "include/base/Settings.h"
 #include "include/http/BodyWriter.h"
-#include "include/http/HttpServer.h"
 #include "include/streams/ChannelCodec.h"
 #include "tools/fakes/common/Announcer.h"
+#include "tools/fakes/common/ListenerServer.h"
 #include "tools/fakes/engine/EngineCore.h"
 
 #include <atomic>
@@ -83,7 +83,7 @@
     // Multiplies every step time, to simulate a degraded accelerator.
     double stepTimeFactor_ = 1.0;
     std::atomic<bool> isStopping_ { false };
-    std::unique_ptr<http::HttpServer> server_;
+    std::unique_ptr<fakes::ListenerServer> server_;
     std::unique_ptr<Announcer> announcer_;
     std::thread batchThread_;
     std::thread reportThread_;
--- a/tools/fakes/orders/OrdersMain.cpp
+++ b/tools/fakes/orders/OrdersMain.cpp
@@ -1,8 +1,8 @@
 #include "include/base/Logger.h"
 #include "include/base/Settings.h"
 #include "include/base/StopSignal.h"
-#include "include/http/HttpServer.h"
 #include "tools/fakes/common/Announcer.h"
+#include "tools/fakes/common/ListenerServer.h"
 
 #include <fmt/format.h>
 
@@ -123,7 +123,7 @@
         return 2;
     }
     OrderService service(settings.value().text("service"));
-    auto server = http::HttpServer::Make(settings.value().text("address"), static_cast<int>(port.value()), {}, [&](http_request request) { service.handle(request); });
+    auto server = fakes::ListenerServer::Make(settings.value().text("address"), static_cast<int>(port.value()), [&](http_request request) { service.handle(request); });
     if (!server) {
         logger.error("Failed to start the server.", { { "reason", server.error().detail } });
         return 2;
--- a/tools/fakes/weights/WeightsMain.cpp
+++ b/tools/fakes/weights/WeightsMain.cpp
@@ -1,7 +1,7 @@
 #include "include/base/Logger.h"
 #include "include/base/Settings.h"
 #include "include/base/StopSignal.h"
-#include "include/http/HttpServer.h"
+#include "tools/fakes/common/ListenerServer.h"
 
 #include <fmt/format.h>
 
@@ -111,7 +111,7 @@
         }
     }
     WeightStore store(rate.value(), size.value(), settings.value().list("missing"));
-    auto server = http::HttpServer::Make(settings.value().text("address"), static_cast<int>(port.value()), {}, [&](http_request request) { store.handle(request); });
+    auto server = fakes::ListenerServer::Make(settings.value().text("address"), static_cast<int>(port.value()), [&](http_request request) { store.handle(request); });
     if (!server) {
         logger.error("Failed to start the server.", { { "reason", server.error().detail } });
         return 2;
