The heap returns freed request bodies to the system

Cause: with the sum of held bytes bounded, three scenarios of OwnInterfaceMemoryTest still exceeded 102,400 kB, because the C library raises its threshold for mapped blocks with the first large block freed, and keeps freed bodies in one of many arenas.

--- a/src/entry/EntryMain.cpp
+++ b/src/entry/EntryMain.cpp
@@ -1,3 +1,4 @@
+#include "include/base/Heap.h"
 #include "include/base/Logger.h"
 #include "include/base/Settings.h"
 #include "include/base/StopSignal.h"
@@ -12,6 +13,7 @@
 
 int main(int argc, const char** argv)
 {
+    base::limitHeapFragmentation();
     base::blockStopSignals();
     base::Logger logger("entry");
     auto settings = base::Settings::Make(argc, argv, entry::EntryProcess::settingSpecs());
