The plan for other data centres and the limit for refusing engines are off by default

A path has about eight engines, and an engine that is left out takes paths away from streams that have begun; a plan that fills the own data centre first leaves less room there for answers that are longer than estimated. Not traced further. Result: PathSpreadTest, LayerPathSelectorTest, CrossSiteTest and ForwardingTest pass.

--- a/include/forwarding/ReverseProxy.h
+++ b/include/forwarding/ReverseProxy.h
@@ -38,6 +38,16 @@
     std::chrono::milliseconds window { 10000 };
 };
 
+// Decisions that a deployment switches on by settings.
+struct RoutingOptions {
+    // Whether a plan from the demand in all data centres says in which one a stream begins,
+    // and plain calls stay in their data centre while it has free slots. Otherwise, a first
+    // engine or upstream elsewhere has a fixed cost.
+    bool plansDataCentres = false;
+    // Whether all entry VMs together limit how often they try an engine that refuses streams.
+    bool limitsRefusingEngines = false;
+};
+
 struct ReverseProxyOptions {
     std::string dataCentre;
     WindowedRetryBudgetOptions retryBudget;
@@ -46,6 +56,7 @@
     std::shared_ptr<http1::ByteBudget> bytes = std::make_shared<http1::ByteBudget>();
     // Each running request takes a connection to an upstream. Half as many may be idle.
     std::size_t maxRequests = 4096;
+    RoutingOptions routing = {};
 };
 
 // Totals since the process started.
--- a/include/routing/LayerPathSelector.h
+++ b/include/routing/LayerPathSelector.h
@@ -113,9 +113,11 @@
     // Excludes an engine from selection until `until`. Call after a failure on it.
     void markSuspect(const std::string& upstream, base::TimePoint until);
 
+    // Sets whether refusals steer the choice. They are recorded and reported in any case.
+    void setLimitsRefusing(bool limits) { limitsRefusing_ = limits; }
     // Call when an engine has refused a stream for lack of memory or slots, or because it does
-    // not hold the layers. It counts as fuller than reported for a while, and all entry VMs
-    // together try it at a limited rate.
+    // not hold the layers. If refusals steer the choice, it counts as fuller than reported for
+    // a while, and all entry VMs together try it at a limited rate.
     void recordRefusal(const std::string& upstream, base::TimePoint now) { refusals_.record(upstream, now); }
 
     // Returns the cheapest of some paths without suspect engines and those in `avoided`, or
@@ -186,6 +188,7 @@
     std::map<std::string, InFlightLoad> ownLoad_;
     std::map<std::string, InFlightLoad> peerLoad_;
     std::map<std::string, base::TimePoint> suspectUntil_;
+    bool limitsRefusing_ = false;
     RefusalTracker refusals_;
     base::TimePoint lastChoiceAt_;
     base::Random random_;
--- a/src/forwarding/ReverseProxy.cpp
+++ b/src/forwarding/ReverseProxy.cpp
@@ -140,6 +140,7 @@
     bool isLayered = service && service->model;
     if (isLayered && !state.pathSelector) {
         state.pathSelector = std::make_unique<routing::LayerPathSelector>(*service->model, options_.dataCentre, random_.next());
+        state.pathSelector->setLimitsRefusing(options_.routing.limitsRefusingEngines);
         upstreamRevision_ = 0;
     }
     if (!isLayered && !state.balancer) {
@@ -158,7 +159,7 @@
         if (definition.model && state.pathSelector)
             state.pathSelector->setModel(*definition.model);
         if (state.balancer)
-            state.balancer->setStaysLocal(hasDelays);
+            state.balancer->setStaysLocal(hasDelays && options_.routing.plansDataCentres);
         if (state.pathSelector)
             state.pathSelector->setFirstEventAim(firstEventAim(routes_->routes(), definition.name));
     }
@@ -316,7 +317,8 @@
         if (!state.pathSelector)
             continue;
         const auto& ofService = byService[name];
-        state.pathSelector->setDemand(ofService, now);
+        if (options_.routing.plansDataCentres)
+            state.pathSelector->setDemand(ofService, now);
         if (routes_ && routes_->differsInPriority(name))
             state.admission.update(sumByClass(ofService), state.pathSelector->freeStreams(now), now);
     }
--- a/src/node/EntryNode.cpp
+++ b/src/node/EntryNode.cpp
@@ -74,7 +74,7 @@
     , options_(std::move(options))
     , resources_(entryResources(options_.machine))
     , traffic_(options_.dataCentre)
-    , proxy_(context, headerCodec, { options_.dataCentre, options_.retryBudget, options_.seed, resources_.bytes, resources_.maxConnections })
+    , proxy_(context, headerCodec, { options_.dataCentre, options_.retryBudget, options_.seed, resources_.bytes, resources_.maxConnections, options_.routing })
     , readinessHandler_(std::make_shared<ReadinessHandler>(*this))
     , links_({ options_.name, options_.internalPort, options_.sharedKey, options_.seed })
     , fleetPoller_(
--- a/src/node/EntryNode.h
+++ b/src/node/EntryNode.h
@@ -23,6 +23,7 @@
     std::vector<std::uint32_t> seeds;
     std::string dataCentre;
     forwarding::WindowedRetryBudgetOptions retryBudget;
+    forwarding::RoutingOptions routing;
     // Time between the stop request and the forced termination of the process.
     std::chrono::milliseconds stopGrace { 8000 };
     MachineLimits machine;
--- a/src/routing/LayerPathSelector.cpp
+++ b/src/routing/LayerPathSelector.cpp
@@ -113,6 +113,8 @@
 InFlightLoad LayerPathSelector::believedLoad(const Engine& engine, base::TimePoint now) const
 {
     auto load = loadAt(engine.record.id);
+    if (!limitsRefusing_)
+        return load;
     double level = refusals_.level(engine.record.id, now);
     load.cacheTokenLayers = std::max(load.cacheTokenLayers, cacheCapacity(engine) * level / (1 + level));
     return load;
@@ -179,9 +181,11 @@
 
 LayerPathSelector::EngineSet LayerPathSelector::drawRefusing(const std::vector<const Engine*>& engines, base::TimePoint now)
 {
+    EngineSet refusing;
+    if (!limitsRefusing_)
+        return refusing;
     auto sinceLastChoice = now - lastChoiceAt_;
     lastChoiceAt_ = now;
-    EngineSet refusing;
     for (const auto* engine : engines) {
         double probability = refusals_.tryProbability(engine->record.id, sinceLastChoice, entryVmCount_, now);
         if (probability < 1 && random_.unit() >= probability)
--- a/tests/PathSpread.h
+++ b/tests/PathSpread.h
@@ -79,6 +79,7 @@
             copies_.push_back({ recordOf(i), isFast(i) ? fastPrefill : slowPrefill, isFast(i) ? fastTokenTime : slowTokenTime, {}, 0, 0 });
         for (std::size_t i = 0; i < options.entryVms; ++i) {
             vms_.push_back({ std::make_unique<routing::LayerPathSelector>(modelWithDelays(), dataCentreOf(i), options.seed * 1000 + i), {} });
+            vms_.back().selector->setLimitsRefusing(true);
             for (const auto& copy : copies_)
                 vms_.back().selector->setEngine(copy.record);
         }
