--- a/tests/CallerMemoryTest.cpp
+++ b/tests/CallerMemoryTest.cpp
@@ -112,7 +112,7 @@
     }
     void startEntry()
     {
-        entry_ = start("entry", entryIp_, fmt::format(R"("front":"{0}:{1}","readiness":"{0}:{2}")", entryIp_, entryPort_, freePort(entryIp_)));
+        entry_ = start("entry", entryIp_, fmt::format(R"("front":"{0}:{1}","readiness":"{0}:{2}")", entryIp_, entryPort_, readinessPort_));
     }
     void configure()
     {
@@ -181,10 +181,13 @@
     const std::string controlIp_ = ownIp(1);
     const std::string entryIp_ = ownIp(2);
     const std::string upstreamIp_ = ownIp(3);
-    const std::uint16_t controlPort_ = freePort(controlIp_);
-    const std::uint16_t internalPort_ = freePort(controlIp_);
-    const std::uint16_t entryPort_ = freePort(entryIp_);
-    const std::uint16_t upstreamPort_ = freePort(upstreamIp_);
+    // Below the ports that the kernel gives to outgoing connections: a port that it had named
+    // as free was in use when the control VM started.
+    const std::uint16_t controlPort_ = 8229;
+    const std::uint16_t internalPort_ = 7340;
+    const std::uint16_t entryPort_ = 8227;
+    const std::uint16_t readinessPort_ = 8220;
+    const std::uint16_t upstreamPort_ = 8080;
     boost::asio::io_context context_ { 1 };
     StandInUpstream upstreamHandler_;
     std::unique_ptr<http1::Server> upstream_;
--- a/tests/PlatformProcess.h
+++ b/tests/PlatformProcess.h
@@ -92,18 +92,6 @@
     return address;
 }
 
-// Returns a port that is free now.
-inline std::uint16_t freePort(const std::string& ip)
-{
-    int probe = ::socket(AF_INET, SOCK_STREAM, 0);
-    auto address = socketAddress(ip, 0);
-    socklen_t size = sizeof address;
-    BOOST_REQUIRE(!::bind(probe, reinterpret_cast<sockaddr*>(&address), size));
-    BOOST_REQUIRE(!::getsockname(probe, reinterpret_cast<sockaddr*>(&address), &size));
-    ::close(probe);
-    return ntohs(address.sin_port);
-}
-
 // A caller's connection that never blocks. Sends `message` in pieces of at most
 // `pieceBytes` and collects the answer, or leaves it unread.
 class RawCaller {
