--- a/bench/FleetBench.cpp
+++ b/bench/FleetBench.cpp
@@ -2,6 +2,7 @@
 
 #include "include/fleet/CrashReportRegistry.h"
 #include "include/fleet/FleetMessages.h"
+#include "include/fleet/LoadExchange.h"
 #include "include/fleet/RequestPermitAllocator.h"
 #include "include/routing/CrashGuard.h"
 
@@ -85,6 +86,70 @@
     }));
 }
 
+// The reports of an entry VM: `upstreams` loads, of which a tenth changes with each.
+static fleet::EntryVmLoad reportOf(std::size_t entryVm, std::uint64_t revision, std::size_t upstreams, std::size_t allUpstreams)
+{
+    fleet::EntryVmLoad report { fmt::format("entry-{}", entryVm), 1, revision, 0, {} };
+    for (std::size_t i = 0; i < upstreams; ++i)
+        report.load.push_back({ upstreamName((entryVm * 17 + i * 131) % allUpstreams), 1 + static_cast<std::uint32_t>(i % 10 == revision % 10), 20'000, 0 });
+    return report;
+}
+
+// One control VM of several, whose entry VMs report every second update.
+static void benchLoadExchange(std::size_t controlVms, std::size_t entryVms, std::size_t allUpstreams)
+{
+    constexpr std::size_t upstreamsEach = 30;
+    const auto own = entryVms / controlVms;
+    base::TimePoint now { std::chrono::hours(1) };
+    fleet::PeerLoadTable table;
+    fleet::PeerLoadTable peerTable;
+    fleet::LoadExchange exchange(table, 1);
+    fleet::LoadExchange peer(peerTable, 2);
+    exchange.setSelf(1);
+    peer.setSelf(2);
+    std::vector<std::string> updates;
+    std::uint64_t revision = 0;
+    auto step = [&] {
+        ++revision;
+        now += fleet::LoadExchange::interval;
+        for (std::size_t i = revision % 2; i < own; i += 2)
+            table.record(reportOf(i, revision, upstreamsEach, allUpstreams));
+        exchange.tick(
+            { 2 }, [&updates](std::uint32_t, const std::string& update) { updates.push_back(update); }, now);
+    };
+    std::chrono::duration<double, std::micro> spent {};
+    std::size_t bytes = 0;
+    constexpr std::uint64_t steps = 40;
+    for (std::uint64_t i = 0; i < steps; ++i) {
+        step();
+        auto start = std::chrono::steady_clock::now();
+        peer.receive(fleet::decode<fleet::LoadUpdate>(updates.back()).value(), now);
+        if (i >= 2) {
+            spent += std::chrono::steady_clock::now() - start;
+            bytes += updates.back().size();
+        }
+    }
+    auto size = fmt::format("{} control VMs with {} entry VMs and {} upstreams", controlVms, entryVms, allUpstreams);
+    fmt::print("load updates,{},bytes an update,{}\n", size, bytes / (steps - 2));
+    fmt::print("load updates,{},us to decode and merge an update,{:.1f}\n", size, spent.count() / (steps - 2));
+    auto start = std::chrono::steady_clock::now();
+    for (std::uint64_t i = 0; i < steps; ++i)
+        step();
+    spent = std::chrono::steady_clock::now() - start;
+    fmt::print("load updates,{},us to record the reports of a step and to encode an update,{:.1f}\n", size, spent.count() / steps);
+    for (std::size_t i = own; i < entryVms; ++i)
+        table.record(reportOf(i, revision, upstreamsEach, allUpstreams));
+    fleet::FleetAnswer answer;
+    start = std::chrono::steady_clock::now();
+    for (std::uint64_t i = 0; i < steps; ++i) {
+        answer.peerLoad = table.loadExcluding("entry-1");
+        bytes = fleet::encode(answer).size();
+    }
+    spent = std::chrono::steady_clock::now() - start;
+    fmt::print("load answer,{},bytes,{}\n", size, bytes);
+    fmt::print("load answer,{},us to encode,{:.1f}\n", size, spent.count() / steps);
+}
+
 void benchFleet()
 {
     fmt::print("state,size,measure,value\n");
@@ -96,6 +161,8 @@
         benchPermits(61, upstreams);
         benchPermits(1500, upstreams);
     }
+    benchLoadExchange(6, 130, 98);
+    benchLoadExchange(7, 1500, 6700);
 }
 
 } // namespace arbutus::bench
--- a/include/fleet/UpstreamInFlightLoad.h
+++ b/include/fleet/UpstreamInFlightLoad.h
@@ -2,6 +2,7 @@
 
 #include <msgpack.hpp>
 
+#include <algorithm>
 #include <cmath>
 #include <cstdint>
 #include <string>
@@ -22,10 +23,14 @@
     // Encoded without trailing zeros and with the cache as a whole number, because loads are
     // the largest part of the control traffic.
     template <typename Packer>
-    void msgpack_pack(Packer& packer) const
+    void msgpack_pack(Packer& packer) const // NOLINT(readability-identifier-naming): the library prescribes the name.
     {
-        auto cache = static_cast<std::uint64_t>(std::llround(cacheTokenLayers));
-        std::uint32_t count = refusals ? 4 : cache ? 3 : running ? 2 : 1;
+        auto cache = static_cast<std::uint64_t>(std::llround(std::max(0.0, cacheTokenLayers)));
+        std::uint32_t count = running ? 2 : 1;
+        if (cache)
+            count = 3;
+        if (refusals)
+            count = 4;
         packer.pack_array(count);
         packer.pack(upstream);
         if (count > 1)
@@ -35,7 +40,7 @@
         if (count > 3)
             packer.pack(refusals);
     }
-    void msgpack_unpack(const msgpack::object& object)
+    void msgpack_unpack(const msgpack::object& object) // NOLINT(readability-identifier-naming)
     {
         std::uint64_t cache = 0;
         msgpack::type::make_define_array(upstream, running, cache, refusals).msgpack_unpack(object);
--- a/tests/LoadSpreadTest.cpp
+++ b/tests/LoadSpreadTest.cpp
@@ -273,6 +273,7 @@
             }
         }
         std::vector<UpstreamInFlightLoad> result;
+        result.reserve(loads.size());
         for (auto& [name, load] : loads)
             result.push_back(std::move(load));
         return result;
@@ -321,7 +322,8 @@
 static std::optional<LoadUpdate> takeUpdate(LoadExchange& exchange, base::TimePoint now)
 {
     std::optional<LoadUpdate> result;
-    exchange.tick({ 2 }, [&result](std::uint32_t, const std::string& update) { result = decode<LoadUpdate>(update).value(); }, now);
+    exchange.tick(
+        { 2 }, [&result](std::uint32_t, const std::string& update) { result = decode<LoadUpdate>(update).value(); }, now);
     return result;
 }
 
