--- a/src/node/ControlNode.cpp
+++ b/src/node/ControlNode.cpp
@@ -263,7 +263,10 @@
 {
     bool hasBecomeLeader = !isLeader() && view.status.role == consensus::Role::Leader;
     bool hasNewRoutes = view.routesVersion != replicaView_.routesVersion;
+    bool hasNewLeader = view.status.leader != replicaView_.status.leader;
     replicaView_ = view;
+    if (hasNewLeader)
+        logLeader();
     if (isConnected())
         fleetPollServer_.leaderFound();
     if (hasNewRoutes)
@@ -288,6 +291,12 @@
     replicaSet_->statusChanged(hasBecomeLeader);
 }
 
+void ControlNode::logLeader() const
+{
+    const auto& status = replicaView_.status;
+    logger.info("Another leader is known.", { { "leader", status.leader ? net::ipText(static_cast<std::uint32_t>(status.leader->replica)) : "none" }, { "term", status.term }, { "is_voter", status.configuration.isVoter(status.self) }, { "voters", status.configuration.voters.size() } });
+}
+
 std::string ControlNode::encodeCommand(state::CommandBody body) const { return state::encodeCommand({ clock_.wallNow(), std::move(body) }); }
 
 std::optional<std::uint32_t> ControlNode::remoteLeaderIp() const
--- a/src/node/ControlNode.h
+++ b/src/node/ControlNode.h
@@ -102,6 +102,7 @@
     void receiveLoad(fleet::LoadUpdate, std::size_t bytes);
     std::optional<std::string> handleFrame(const transport::Frame&, const transport::FrameServer::Reply&);
     void publishReplicaView(const replica::ReplicaStatus&, const state::StateMachine&);
+    void logLeader() const;
     void applyReplicaView(const ReplicaView&);
     // Passes the committed configuration on to the entry VMs.
     void publishRoutes();
--- a/src/node/ReplicaSetKeeper.cpp
+++ b/src/node/ReplicaSetKeeper.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/post.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -49,6 +50,21 @@
     if (isLeader())
         reconcile(clock_.now());
     advanceDeparture(clock_.now());
+    logReplicaCounts();
+}
+
+void ReplicaSetKeeper::logReplicaCounts()
+{
+    if (!isLeader()) {
+        loggedCounts_ = {};
+        return;
+    }
+    const auto& [voters, learners] = status_.configuration;
+    auto isResponding = [this](const consensus::ReplicaKey& voter) { return voter == status_.self || std::find(status_.activePeers.begin(), status_.activePeers.end(), voter) != status_.activePeers.end(); };
+    auto responding = static_cast<std::size_t>(std::count_if(voters.begin(), voters.end(), isResponding));
+    std::array<std::size_t, 3> counts { voters.size(), responding, learners.size() };
+    if (std::exchange(loggedCounts_, counts) != counts)
+        logger.info("The set of replicas changed.", { { "voters", counts[0] }, { "responding_voters", counts[1] }, { "learners", counts[2] }, { "quorum", status_.configuration.majority() }, { "term", status_.term } });
 }
 
 void ReplicaSetKeeper::tick(bool isConnected, base::TimePoint now)
--- a/src/node/ReplicaSetKeeper.h
+++ b/src/node/ReplicaSetKeeper.h
@@ -10,6 +10,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <array>
 #include <functional>
 #include <optional>
 #include <vector>
@@ -53,6 +54,9 @@
     void advanceDeparture(base::TimePoint now);
     void requestRemoval(base::TimePoint now);
     void recordGoneProcesses(base::TimePoint now);
+    // Logs how many replicas the set has and how many respond, if this VM leads and one of
+    // these numbers has changed.
+    void logReplicaCounts();
     void reconcile(base::TimePoint now);
 
     boost::asio::io_context& context_;
@@ -64,6 +68,8 @@
     const KnownReplicas knownReplicas_;
     consensus::ReplicaPlanner planner_;
     bool isChanging_ = false;
+    // Voters, responding voters and learners as logged last.
+    std::array<std::size_t, 3> loggedCounts_ {};
     base::TimePoint nextJoinAt_;
     base::TimePoint leaderSeenAt_;
     // Set once this VM has been told to stop.
