--- a/tests/ReplicaFleet.h
+++ b/tests/ReplicaFleet.h
@@ -32,13 +32,15 @@
     static constexpr Milliseconds joinInterval { 500 };
     static constexpr Milliseconds stopGrace { 7000 };
 
-    ReplicaFleet(std::uint64_t seed, std::size_t spareCount)
+    // Starts `targetVoterCount` replicas, which aim at `targetVoters` once others join them.
+    ReplicaFleet(std::uint64_t seed, std::size_t spareCount, std::size_t targetVoters = targetVoterCount)
         : cluster(seed, targetVoterCount, spareCount)
+        , targetVoters_(targetVoters)
     {
         // Tests wipe disks.
         cluster.checksSyncedMajority = false;
         for (std::size_t i = 0; i < cluster.nodes.size(); ++i)
-            agents_.emplace_back();
+            agents_.emplace_back(targetVoters_);
         for (std::size_t i = 0; i < targetVoterCount; ++i)
             start(i);
         cluster.awaitLeader();
@@ -46,7 +48,7 @@
 
     void start(std::size_t i)
     {
-        agents_[i] = Agent();
+        agents_[i] = Agent(targetVoters_);
         agents_[i].hasStarted = true;
         cluster.start(i);
     }
@@ -55,7 +57,7 @@
     {
         agents_[i].end = end;
         if (end == End::Stop)
-            agents_[i].departure.emplace(targetVoterCount, now() + stopGrace);
+            agents_[i].departure.emplace(targetVoters_, now() + stopGrace);
         else
             endProcess(i);
     }
@@ -100,6 +102,14 @@
         return runUntil(attempt, limit);
     }
 
+    // Whether a leader confirms a new command to its caller within `limit`.
+    bool canConfirm(std::chrono::nanoseconds limit)
+    {
+        if (!canCommit(limit))
+            return false;
+        return runUntil([this] { return isConfirming(); }, limit);
+    }
+
     Configuration configuration() { return cluster.nodes[cluster.awaitLeader()].core->configuration(); }
 
     Cluster cluster;
@@ -107,7 +117,12 @@
 private:
     // What a control VM keeps beside its replica.
     struct Agent {
-        ReplicaPlanner planner { targetVoterCount };
+        explicit Agent(std::size_t targetVoters)
+            : planner(targetVoters)
+        {
+        }
+
+        ReplicaPlanner planner;
         bool isLeader = false;
         bool hasStarted = false;
         std::optional<RequestId> pendingChange;
@@ -120,6 +135,8 @@
 
     base::TimePoint now() const { return base::TimePoint(std::chrono::hours(1)) + cluster.now; }
 
+    bool isConfirming() const { return cluster.leader() < agents_.size(); }
+
     void endProcess(std::size_t i)
     {
         cluster.crash(i);
@@ -197,6 +214,7 @@
             agent.pendingChange = cluster.change(i, change->kind, change->replica);
     }
 
+    const std::size_t targetVoters_;
     std::vector<Agent> agents_;
 };
 
