A change is acknowledged once the set of replicas bears the tolerated losses

Cause, as shown in virtual time: a voter or its disk is lost, a partition keeps the set from being repaired, and the first change after the partition is committed by the least majority that there is. The operator gets the acknowledgement before the lost voter is replaced, so the disks that may be lost next leave no quorum for good. Change: ReplicaPlanner tells whether a voter is lost, departing or missing while another replica can take its place, or may be about to ask to join a new leader. The leader acknowledges only when that is not so and the configuration of the set is committed, at the latest 4 s after a repair became due; other control VMs no longer acknowledge committed versions themselves. A set that nobody can complete acknowledges as before. ReplicaPlannerTest, ReplicaReplacementTest, FullDiskTest and PlatformTest pass.

--- a/include/consensus/ReplicaPlanner.h
+++ b/include/consensus/ReplicaPlanner.h
@@ -31,7 +31,11 @@
 
     // Forgets when members responded to an earlier leadership of this replica. Call
     // whenever it has become the leader.
-    void beginLeadership() { lastActiveAt_.clear(); }
+    void beginLeadership(base::TimePoint now)
+    {
+        lastActiveAt_.clear();
+        leaderSince_ = now;
+    }
 
     // Records that a replica outside the configuration requests to join. The request
     // expires unless it is repeated.
@@ -50,6 +54,11 @@
     // that currently respond to this leader.
     std::optional<ReplicaChange> planNext(const ReplicaKey& self, const Configuration&, const std::vector<ReplicaKey>& activePeers, base::TimePoint now);
 
+    // Whether a voter does not respond, is departing or has lost its disk while another replica
+    // can take its place. Until that is done, the set bears fewer losses than its size allows.
+    // `activePeers` are the peers that currently respond to this leader.
+    bool isRepairDue(const ReplicaKey& self, const Configuration&, const std::vector<ReplicaKey>& activePeers, base::TimePoint now) const;
+
 private:
     void updateActivity(const ReplicaKey& self, const Configuration&, const std::vector<ReplicaKey>& activePeers, base::TimePoint now);
     bool isActive(const ReplicaKey&) const;
@@ -69,6 +78,7 @@
     // When each member last responded. A member without an earlier time counts as active
     // now, so a new leader grants every member the full delay.
     std::map<ReplicaKey, base::TimePoint> lastActiveAt_;
+    base::TimePoint leaderSince_;
     base::TimePoint now_;
 };
 
--- a/src/consensus/ReplicaPlanner.cpp
+++ b/src/consensus/ReplicaPlanner.cpp
@@ -17,6 +17,8 @@
 // A replica that still wants to join repeats its request within this time.
 static constexpr std::chrono::seconds joinRequestLifetime(2);
 static constexpr std::chrono::seconds leaveRequestLifetime(1);
+// A replica that wants to join has reached a new leader within this time.
+static constexpr std::chrono::seconds joinRequestDelay(1);
 // The caller repeats what it sees of a process several times within this time.
 static constexpr std::chrono::milliseconds goneProcessLifetime(400);
 
@@ -121,6 +123,19 @@
     return std::nullopt;
 }
 
+bool ReplicaPlanner::isRepairDue(const ReplicaKey& self, const Configuration& configuration, const std::vector<ReplicaKey>& activePeers, base::TimePoint now) const
+{
+    auto isResponding = [&](const ReplicaKey& member) { return member == self || std::find(activePeers.begin(), activePeers.end(), member) != activePeers.end(); };
+    const auto& [voters, learners] = configuration;
+    const bool isAnyVoterLost = std::any_of(voters.begin(), voters.end(), [&](const ReplicaKey& voter) { return !isResponding(voter) || isDeparting(voter); });
+    if (!isAnyVoterLost && voters.size() >= targetVoterCount_)
+        return false;
+    const bool isSpareResponding = std::any_of(learners.begin(), learners.end(), [&](const ReplicaKey& learner) { return isResponding(learner) && !isDeparting(learner); });
+    const bool mayAnyBeJoining = now < leaderSince_ + joinRequestDelay;
+    const bool isAnyJoining = std::any_of(joinRequests_.begin(), joinRequests_.end(), [&](const auto& request) { return now <= request.second + joinRequestLifetime && !configuration.isVoter(request.first); });
+    return voters.size() > targetVoterCount_ || isSpareResponding || isAnyJoining || mayAnyBeJoining;
+}
+
 std::optional<ReplicaChange> ReplicaPlanner::planNext(const ReplicaKey& self, const Configuration& configuration, const std::vector<ReplicaKey>& activePeers, base::TimePoint now)
 {
     updateActivity(self, configuration, activePeers, now);
--- a/src/node/ControlNode.cpp
+++ b/src/node/ControlNode.cpp
@@ -28,6 +28,7 @@
 static constexpr std::chrono::milliseconds introductionRetryDelay(50);
 // Callers wait one second for a response and then retry at another VM.
 static constexpr std::chrono::milliseconds proposalTimeout(1500);
+static constexpr std::chrono::milliseconds confirmationTimeout(1500);
 static constexpr std::chrono::milliseconds readTimeout(800);
 static constexpr std::chrono::milliseconds changeTimeout(3000);
 static constexpr std::chrono::milliseconds routesDecodeInterval(1000);
@@ -289,6 +290,7 @@
     fleetPollServer_.setReplicas(std::move(replicas));
     fleetPollServer_.answerPendingPolls(clock_.now());
     replicaSet_->statusChanged(hasBecomeLeader);
+    answerConfirmations(clock_.now());
 }
 
 void ControlNode::logLeader() const
@@ -315,9 +317,8 @@
 
 void ControlNode::replaceRoutes(std::uint64_t version, const std::string& document, StoreRoutesCallback done)
 {
-    // Committed entries cannot be lost, so this is safe to confirm without a leader.
     if (hasCommittedRoutes(version)) {
-        done(base::outcome::success());
+        confirmOnceRepaired(std::move(done));
         return;
     }
     auto finish = [this, done = std::move(done)](Result<state::Outcome> outcome) {
@@ -326,11 +327,38 @@
             result = outcome.error();
         else if (const auto* refusal = std::get_if<state::Refusal>(&outcome.value()))
             result = makeError(refusal->kind, refusal->detail);
-        boost::asio::post(context_, [done, result] { done(result); });
+        boost::asio::post(context_, [this, done, result] {
+            if (result)
+                confirmOnceRepaired(done);
+            else
+                done(result);
+        });
     };
     replica_->propose(encodeCommand(state::ReplaceRoutes { version, state::packDocument(document) }), clock_.now() + proposalTimeout, std::move(finish));
 }
 
+void ControlNode::confirmOnceRepaired(StoreRoutesCallback done)
+{
+    auto now = clock_.now();
+    confirmations_.push_back({ std::move(done), now + confirmationTimeout });
+    answerConfirmations(now);
+}
+
+void ControlNode::answerConfirmations(base::TimePoint now)
+{
+    if (confirmations_.empty())
+        return;
+    bool mayConfirm = replicaSet_->mayConfirm(now);
+    for (auto& [done, deadline] : std::exchange(confirmations_, {})) {
+        if (mayConfirm)
+            done(base::outcome::success());
+        else if (now >= deadline)
+            done(makeError(ErrorKind::NoQuorum, "the change is stored, but too few replicas hold it"));
+        else
+            confirmations_.push_back({ std::move(done), deadline });
+    }
+}
+
 void ControlNode::readRoutes(ReadRoutesCallback done)
 {
     replica_->read(clock_.now() + readTimeout, [this, done = std::move(done)](Result<const state::StateMachine*> machine) {
@@ -366,6 +394,7 @@
     heartbeatMonitor_.tick(
         registry_, isConnected(), [this](std::uint32_t ip, base::TimePoint since) { return fleetPoller_.hasHeardFrom(ip, since); }, now);
     replicaSet_->tick(isConnected(), now);
+    answerConfirmations(now);
     engineClient_.pollEngines(now);
     if (isLeader())
         placeLayers(now);
--- a/src/node/ControlNode.h
+++ b/src/node/ControlNode.h
@@ -61,12 +61,10 @@
     void leave(base::TimePoint deadline, std::function<void()> onLeft) { replicaSet_->leave(deadline, std::move(onLeft)); }
     base::TimePoint now() const { return clock_.now(); }
 
-    // Commits a valid configuration. Succeeds without a proposal if this version or a
-    // higher one is committed already. Fails with NotLeader, NoQuorum or
-    // CommandUnconfirmed.
+    // Commits a valid configuration, without a proposal if this version or a higher one is
+    // committed already. Succeeds once enough replicas hold it, as ReplicaSetKeeper decides.
+    // Fails with NotLeader, NoQuorum or CommandUnconfirmed.
     void replaceRoutes(std::uint64_t version, const std::string& document, StoreRoutesCallback);
-    // Whether this replica knows that this version or a higher one is committed.
-    bool hasCommittedRoutes(std::uint64_t version) const { return version <= replicaView_.routesVersion; }
     // Reads the current configuration (linearizable). Fails with NotFound if none has
     // been committed yet.
     void readRoutes(ReadRoutesCallback);
@@ -102,6 +100,10 @@
     void receiveLoad(fleet::LoadUpdate, std::size_t bytes);
     std::optional<std::string> handleFrame(const transport::Frame&, const transport::FrameServer::Reply&);
     void publishReplicaView(const replica::ReplicaStatus&, const state::StateMachine&);
+    // Calls `done` with success once mayConfirm() of the set of replicas holds, or with
+    // NoQuorum if it does not in time.
+    void confirmOnceRepaired(StoreRoutesCallback done);
+    void answerConfirmations(base::TimePoint now);
     void logLeader() const;
     void applyReplicaView(const ReplicaView&);
     // Passes the committed configuration on to the entry VMs.
@@ -118,6 +120,8 @@
     void sendLayerCommand(const placement::LayerCommand&);
     std::string encodeIntroduction() const;
     std::string encodeCommand(state::CommandBody) const;
+    // Whether this replica knows that this version or a higher one is committed.
+    bool hasCommittedRoutes(std::uint64_t version) const { return version <= replicaView_.routesVersion; }
     bool isLeader() const { return replicaView_.status.role == consensus::Role::Leader; }
 
     boost::asio::io_context& context_;
@@ -149,6 +153,12 @@
     fleet::HeartbeatMonitor heartbeatMonitor_;
     // Set by start().
     std::optional<ReplicaSetKeeper> replicaSet_;
+    // A committed configuration whose operator waits for the answer.
+    struct Confirmation {
+        StoreRoutesCallback done;
+        base::TimePoint deadline;
+    };
+    std::vector<Confirmation> confirmations_;
     placement::LayerController layerController_;
     placement::LayerPlans layerPlans_;
     std::uint64_t decodedPlanRevision_ = 0;
--- a/src/node/ReplicaSetKeeper.cpp
+++ b/src/node/ReplicaSetKeeper.cpp
@@ -27,6 +27,9 @@
 // A process whose address has refused connections for this long is gone; one that is
 // only restarted joins again.
 static constexpr std::chrono::milliseconds goneProcessDelay(150);
+// A set that is not repaired by then may lack a replica that can be promoted. Operators do
+// not wait for it.
+static constexpr std::chrono::seconds maxRepairTime(4);
 
 ReplicaSetKeeper::ReplicaSetKeeper(boost::asio::io_context& context, const base::Clock& clock, Options options, replica::ReplicaNode& replica, const replica::ReplicaStatus& status, fleet::PeerLinks& links, KnownReplicas knownReplicas)
     : context_(context)
@@ -44,15 +47,38 @@
 void ReplicaSetKeeper::statusChanged(bool hasBecomeLeader)
 {
     if (hasBecomeLeader)
-        planner_.beginLeadership();
+        planner_.beginLeadership(clock_.now());
     // The next change need not wait for a tick: between two of them the set tolerates fewer
     // losses.
     if (isLeader())
         reconcile(clock_.now());
     advanceDeparture(clock_.now());
+    trackRepair(clock_.now());
     logReplicaCounts();
 }
 
+bool ReplicaSetKeeper::isRepairDue(base::TimePoint now) const
+{
+    const auto status = replica_.status();
+    return !status.isConfigurationCommitted || planner_.isRepairDue(status.self, status.configuration, status.activePeers, now);
+}
+
+void ReplicaSetKeeper::trackRepair(base::TimePoint now)
+{
+    if (!isLeader() || !isRepairDue(now))
+        repairDueSince_.reset();
+    else if (!repairDueSince_)
+        repairDueSince_ = now;
+}
+
+bool ReplicaSetKeeper::mayConfirm(base::TimePoint now) const
+{
+    if (!isLeader())
+        return false;
+    const bool hadTime = repairDueSince_ && now >= *repairDueSince_ + maxRepairTime;
+    return hadTime || !isRepairDue(now);
+}
+
 void ReplicaSetKeeper::logReplicaCounts()
 {
     if (!isLeader()) {
@@ -74,6 +100,7 @@
     requestToJoin(now);
     if (isLeader())
         reconcile(now);
+    trackRepair(now);
     advanceDeparture(now);
 }
 
--- a/src/node/ReplicaSetKeeper.h
+++ b/src/node/ReplicaSetKeeper.h
@@ -42,6 +42,10 @@
     // Records that a replica asks to leave, and replies whether it has left.
     void handleLeaveRequest(const fleet::LeaveRequest&, const transport::FrameServer::Reply&);
 
+    // Whether this VM leads and a committed change bears the losses that the deployment
+    // tolerates, or the set is not complete although it had time for a repair.
+    bool mayConfirm(base::TimePoint now) const;
+
     // Leaves the set if another replica has taken this one's place, and calls `onLeft` once
     // when the process may end, no later than shortly after `deadline`. From now on this
     // replica does not ask to join.
@@ -54,6 +58,9 @@
     void advanceDeparture(base::TimePoint now);
     void requestRemoval(base::TimePoint now);
     void recordGoneProcesses(base::TimePoint now);
+    bool isRepairDue(base::TimePoint now) const;
+    // Notes since when a repair has been due.
+    void trackRepair(base::TimePoint now);
     // Logs how many replicas the set has and how many respond, if this VM leads and one of
     // these numbers has changed.
     void logReplicaCounts();
@@ -68,6 +75,7 @@
     const KnownReplicas knownReplicas_;
     consensus::ReplicaPlanner planner_;
     bool isChanging_ = false;
+    std::optional<base::TimePoint> repairDueSince_;
     // Voters, responding voters and learners as logged last.
     std::array<std::size_t, 3> loggedCounts_ {};
     base::TimePoint nextJoinAt_;
--- a/tests/ReplicaFleet.h
+++ b/tests/ReplicaFleet.h
@@ -102,7 +102,8 @@
         return runUntil(attempt, limit);
     }
 
-    // Whether a leader confirms a new command to its caller within `limit`.
+    // Whether a leader confirms a new command within `limit` to its caller, which it does only
+    // while the set of replicas needs no repair.
     bool canConfirm(std::chrono::nanoseconds limit)
     {
         if (!canCommit(limit))
@@ -135,7 +136,15 @@
 
     base::TimePoint now() const { return base::TimePoint(std::chrono::hours(1)) + cluster.now; }
 
-    bool isConfirming() const { return cluster.leader() < agents_.size(); }
+    bool isConfirming()
+    {
+        const std::size_t i = cluster.leader();
+        if (i == agents_.size())
+            return false;
+        const ReplicaCore& core = *cluster.nodes[i].core;
+        const bool isCommitted = core.log().configurationIndex() <= core.commitIndex();
+        return isCommitted && !agents_[i].planner.isRepairDue(core.self(), core.configuration(), core.activePeers(), now());
+    }
 
     void endProcess(std::size_t i)
     {
@@ -202,7 +211,7 @@
             return;
         }
         if (!wasLeader)
-            agent.planner.beginLeadership();
+            agent.planner.beginLeadership(now());
         if (agent.pendingChange && cluster.proposalStatuses[*agent.pendingChange] == ProposalStatus::Accepted)
             return;
         agent.pendingChange.reset();
--- a/tests/ReplicaPlannerTest.cpp
+++ b/tests/ReplicaPlannerTest.cpp
@@ -108,7 +108,7 @@
     fixture.configuration = { { a, b, c, d }, {} };
     BOOST_TEST(fixture.run({ b, c, d }, std::chrono::seconds(1)).empty());
     fixture.clock.advance(std::chrono::minutes(1));
-    fixture.planner.beginLeadership();
+    fixture.planner.beginLeadership(fixture.clock.now());
     // The fourth voter's first response takes a second.
     BOOST_TEST(fixture.run({ b, c }, std::chrono::seconds(1)).empty());
     BOOST_TEST(fixture.run({ b, c, d }, std::chrono::seconds(3)).empty());
