A learner forgets a leader that is silent

A replica that cannot be elected, a learner or one whose disk is full, skipped its elections but kept the old leader. Cut off or after the leader's loss it went on to send operators to that address, and took heartbeats and departures of upstreams as if it were in contact. Since the sixth control VM stays a learner there is always one. Now it knows no leader once its election timeout has passed.

--- a/src/consensus/ReplicaCore.cpp
+++ b/src/consensus/ReplicaCore.cpp
@@ -123,10 +123,12 @@
         return;
     // Until its removal is committed, this replica may be the only one whose log is
     // up to date enough to win an election, so it still campaigns.
-    if (isDiskWritable_ && log_.hasVoterSince(commitIndex_, settings_.self))
+    if (isDiskWritable_ && log_.hasVoterSince(commitIndex_, settings_.self)) {
         startPreVote();
-    else
-        electionDeadline_ = now_ + settings_.electionTimeoutMax;
+        return;
+    }
+    leader_.reset();
+    electionDeadline_ = now_ + settings_.electionTimeoutMax;
 }
 
 void ReplicaCore::onInput(const Receive& input)
--- a/tests/ConsensusCoreTest.cpp
+++ b/tests/ConsensusCoreTest.cpp
@@ -40,6 +40,25 @@
     return now;
 }
 
+// Guards against a learner that sends operators to a leader that is gone, and takes reports
+// of upstreams as if it were in contact.
+BOOST_AUTO_TEST_CASE(LearnerForgetsALeaderThatIsSilent)
+{
+    ReplicaSettings settings;
+    settings.self = self;
+    DurableState state;
+    state.hardState = { 1, std::nullopt };
+    state.bootstrap = { { peer, { 2, 1 } }, { self } };
+    ReplicaCore core = ReplicaCore::Make(settings, state, base::Random(1), startTime).value();
+    receive(core, 1, Heartbeat { 1, 0 }, startTime);
+    BOOST_REQUIRE(core.leader().has_value());
+    core.step(Tick {}, startTime + settings.electionTimeoutMax);
+    BOOST_TEST(!core.leader().has_value());
+    BOOST_TEST((core.role() == Role::Follower));
+    receive(core, 1, Heartbeat { 2, 0 }, startTime + 2 * settings.electionTimeoutMax);
+    BOOST_TEST(core.leader().has_value());
+}
+
 // Guards against committing an entry of an earlier term by counting its copies: a later
 // leader may still overwrite it. Also guards against counting the leader's unsynced log.
 BOOST_AUTO_TEST_CASE(CommitRequiresSyncedMajorityInCurrentTerm)
