Tell whether a VM has lost its paths to all upstreams, and log it

The log of a stranded VM could not tell the loss of its own paths from upstreams without room. UpstreamReachability takes each connect that failed, silence and lost answer without a head for a miss, and any byte of an upstream for a path; three missed upstreams without a byte in between count as cut off. One line at the beginning (how many of how many, since when), one at the end. It decides nothing yet.

--- a/include/forwarding/ReverseProxy.h
+++ b/include/forwarding/ReverseProxy.h
@@ -16,6 +16,7 @@
 #include "include/routing/ServiceBalancer.h"
 #include "include/routing/StartupQueue.h"
 #include "include/routing/UpstreamPauses.h"
+#include "include/routing/UpstreamReachability.h"
 #include "include/routing/WindowedRetryBudget.h"
 
 #include <list>
@@ -190,6 +191,10 @@
     void forgetWishes(const fleet::UpstreamRecord&);
     // Returns the record of an upstream if `process` is the one that is known, else null.
     fleet::UpstreamRecord* findProcess(const fleet::UpstreamProcess& process);
+    // Record whether an upstream could be reached, and log when this VM has lost its paths to
+    // all of them or has one again.
+    void upstreamMissed(const std::string& upstream, base::TimePoint now);
+    void upstreamReached(base::TimePoint now);
     void upstreamLeaves(const fleet::UpstreamProcess&);
     void upstreamPauses(const fleet::UpstreamProcess&, base::TimePoint until);
 
@@ -200,6 +205,7 @@
     UpstreamConnectionPool pool_;
     routing::StartupQueue startupQueue_;
     routing::CrashGuard crashGuard_;
+    routing::UpstreamReachability reachability_;
     std::shared_ptr<const routes::RouteTable> routes_;
     std::map<std::string, ServiceState> services_;
     // The last state of each upstream that is not gone, by upstream id.
--- a/src/forwarding/Exchange.h
+++ b/src/forwarding/Exchange.h
@@ -117,6 +117,8 @@
     void logLoss() const;
     // Drops the connection and releases the load that was reserved for the attempt.
     void releaseReservation(routing::CallResult);
+    // Tells the proxy if the attempt may have failed because this VM has no path to upstreams.
+    void recordMiss(AttemptOutcome) const;
     // Makes all requests of this VM avoid the upstreams at fault for a while.
     void markSuspects(AttemptOutcome);
     // Returns whether another attempt is allowed, regardless of the retry budget.
--- a/src/forwarding/ExchangeAttempts.cpp
+++ b/src/forwarding/ExchangeAttempts.cpp
@@ -138,6 +138,13 @@
         service_->balancer->callFinished(upstreamId_, result, std::chrono::steady_clock::now() - sentAt_);
 }
 
+void Exchange::recordMiss(AttemptOutcome outcome) const
+{
+    bool isSilent = outcome == AttemptOutcome::NotSent || outcome == AttemptOutcome::Stalled || (outcome == AttemptOutcome::Lost && !responseHead_);
+    if (isSilent)
+        proxy_.upstreamMissed(upstreamId_, std::chrono::steady_clock::now());
+}
+
 void Exchange::markSuspects(AttemptOutcome outcome)
 {
     if (outcome == AttemptOutcome::Withdrawn)
@@ -279,6 +286,7 @@
     static constexpr std::array<CallResult, 6> results { CallResult::Lost, CallResult::NotRun, CallResult::Lost, CallResult::Failed, CallResult::Lost, CallResult::Cancelled };
     if (outcome == AttemptOutcome::NotSent || outcome == AttemptOutcome::NotRun)
         --runCount_;
+    recordMiss(outcome);
     markSuspects(outcome);
     if (outcome == AttemptOutcome::NotRun && !path_.empty() && !responseMetadata_.isLeaving && lacksCapacity(responseHead_->status))
         service_->demand.attemptRefused(priorityClass_.value_or(0), std::chrono::steady_clock::now());
--- a/src/forwarding/ExchangeResponse.cpp
+++ b/src/forwarding/ExchangeResponse.cpp
@@ -33,6 +33,7 @@
 
 void Exchange::onObserve(const http1::ResponseHead& head)
 {
+    proxy_.upstreamReached(std::chrono::steady_clock::now());
     auto metadata = proxy_.headerCodec_.readResponse(head);
     fleet::UpstreamProcess process { upstreamId_, upstreamStartedAtMilliseconds_ };
     if (metadata.isLeaving)
@@ -71,6 +72,7 @@
 void Exchange::onBody(std::string_view bytes)
 {
     auto self = shared_from_this();
+    proxy_.upstreamReached(std::chrono::steady_clock::now());
     if (isStream_)
         relayEvents(bytes);
     else
--- a/src/forwarding/ReverseProxy.cpp
+++ b/src/forwarding/ReverseProxy.cpp
@@ -99,6 +99,7 @@
     , pool_(context, options_.maxRequests / 2)
     , startupQueue_(std::chrono::steady_clock::now())
     , crashGuard_(options_.seed)
+    , reachability_(options_.seed)
 {
 }
 
@@ -216,6 +217,21 @@
     return isKnown ? &known->second : nullptr;
 }
 
+void ReverseProxy::upstreamMissed(const std::string& upstream, base::TimePoint now)
+{
+    if (reachability_.upstreamMissed(upstream, knownUpstreams_.size(), now) != routing::UpstreamReachability::Change::CutOff)
+        return;
+    auto since = std::chrono::duration_cast<std::chrono::milliseconds>(now - *reachability_.cutOffSince());
+    logger.warning("This VM has lost its paths to all upstreams.", { { "missed", reachability_.missedCount() }, { "known_upstreams", knownUpstreams_.size() }, { "since_first_miss_ms", since.count() }, { "requests", runningCount_ } });
+}
+
+void ReverseProxy::upstreamReached(base::TimePoint now)
+{
+    auto since = reachability_.cutOffSince();
+    if (reachability_.upstreamReached(now) == routing::UpstreamReachability::Change::Reached)
+        logger.info("This VM reaches upstreams again.", { { "cut_off_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - *since).count() }, { "requests", runningCount_ } });
+}
+
 void ReverseProxy::upstreamLeaves(const fleet::UpstreamProcess& process)
 {
     auto* upstream = findProcess(process);
