Entry VMs without a path to upstreams hand requests over to others

Callers saw: at VMs that were partitioned from all upstreams 5 in 100 first tries were served, 97 elsewhere. Cause: a VM knew one way to an upstream, its own; requests were tried at upstreams that it could not reach until attempts or suspicion ended them. Evidence: the lines of UpstreamReachability (three missed upstreams without a byte between them, 0.6 s after the cut) beside other VMs that served, and no path in what was called a lack of capacity. Ruled out: readiness alone (the platform uses all VMs again where fewer than half are in rotation), upstreams that are dark for all, admission. Change: such a VM sends the request as its caller sent it, with the time that is left, to another entry VM on a port of their own, proved with the key of the deployment; that one decodes, admits, routes and retries it as its own and never hands it over again. Answers, refusals and cancellation pass through. An order is handed over only while it has certainly not run, and a lost answer stays unknown. Silence of all upstreams makes a VM connect to three of them; single missed upstreams change nothing; a connection that succeeds, tried at random moments, ends the state. A VM that is cut off reports no crashes of upstreams.

--- a/include/fleet/FleetMessages.h
+++ b/include/fleet/FleetMessages.h
@@ -60,7 +60,12 @@
     std::vector<UpstreamProcess> gone;
     // Only together with `wantsPeerLoad`: the streams at the sender.
     ServiceDemands demand;
-    MSGPACK_DEFINE(sender, dataCentre, isEntry, epoch, revision, routesVersion, wantsRoutes, routesBase, wantsPeerLoad, wantsPermits, maxWaitMilliseconds, load, incarnation, loadRevision, crashRevision, crashReports, limits, limitRevision, leaving, gone, demand)
+    // Where the sender takes requests that other entry VMs hand over: an IP address, or 0
+    // while it takes none.
+    std::uint32_t handoverIp = 0;
+    // Whether the answer should list entry VMs that take such requests.
+    bool wantsHandoverPeers = false;
+    MSGPACK_DEFINE(sender, dataCentre, isEntry, epoch, revision, routesVersion, wantsRoutes, routesBase, wantsPeerLoad, wantsPermits, maxWaitMilliseconds, load, incarnation, loadRevision, crashRevision, crashReports, limits, limitRevision, leaving, gone, demand, handoverIp, wantsHandoverPeers)
 };
 
 // The answer to a FleetPoll.
@@ -97,7 +102,9 @@
     // Only together with the peer load: the streams at all entry VMs, the poller included.
     // Rows may repeat a service, data centre and priority; they add up.
     ServiceDemands demand;
-    MSGPACK_DEFINE(dataCentre, epoch, revision, upstreams, routesVersion, packedRoutes, routesBase, replicas, silentControlVms, entryVmCount, peerLoad, crashRevision, crashReports, limits, limitRevision, demand)
+    // Only if requested: some entry VMs that take requests of others, by IP address.
+    std::vector<std::uint32_t> handoverPeers;
+    MSGPACK_DEFINE(dataCentre, epoch, revision, upstreams, routesVersion, packedRoutes, routesBase, replicas, silentControlVms, entryVmCount, peerLoad, crashRevision, crashReports, limits, limitRevision, demand, handoverPeers)
 };
 
 // Asks the leader to add the sender as a replica.
--- a/include/fleet/FleetPollServer.h
+++ b/include/fleet/FleetPollServer.h
@@ -3,6 +3,7 @@
 #include "include/fleet/CrashReportRegistry.h"
 #include "include/fleet/DemandTable.h"
 #include "include/fleet/FleetMessages.h"
+#include "include/fleet/HandoverDirectory.h"
 #include "include/fleet/LoadExchange.h"
 #include "include/fleet/PeerLoadTable.h"
 #include "include/fleet/RequestPermitAllocator.h"
@@ -105,6 +106,7 @@
     std::list<PendingPoll> pendingPolls_;
     PeerLoadTable peerLoad_;
     DemandTable demand_;
+    HandoverDirectory handoverDirectory_;
     LoadExchange loadExchange_;
     RequestPermitAllocator permitAllocator_;
     base::TimePoint nextExpiryAt_;
--- a/include/fleet/FleetPoller.h
+++ b/include/fleet/FleetPoller.h
@@ -57,6 +57,7 @@
     // The permits in the reports were granted by `grantedBy`.
     // Returns whether this VM knows any limit.
     using LimitQuery = std::function<bool()>;
+    using HandoverQuery = std::function<bool()>;
     using LimitHandler = std::function<void(const RequestLimitReports&, base::TimePoint grantedBy)>;
 
     FleetPoller(const base::Clock&, SendPoll, Options, UpstreamRegistry&, CrashReportRegistry&, Post);
@@ -75,6 +76,11 @@
     // Sets how the demand is exchanged with the load source. The handler is called for each of
     // its answers.
     void setDemandHooks(DemandProvider, DemandHandler);
+    // Sets whether this entry VM takes requests that others hand over, at `ip`, and whether it
+    // needs a fresh list of others that do.
+    void setHandoverHooks(std::uint32_t ip, HandoverQuery accepts, HandoverQuery isUrgent);
+    // Returns the IP addresses of some entry VMs that took requests of others lately.
+    const std::vector<std::uint32_t>& handoverPeers() const { return handoverPeers_; }
     // Sets where polls and answers are counted.
     void setTraffic(TrafficAccount& traffic) { traffic_ = &traffic; }
     // Sets the initial control VMs. Control VMs listed in answers are polled as well.
@@ -140,6 +146,7 @@
         bool isFetchingPeerLoad = false;
         // Whether the outstanding poll asks for permits, and whether it reports limits.
         bool isFetchingPermits = false;
+        bool isFetchingHandoverPeers = false;
         bool hasSentLimits = false;
         // How long the peer may wait before it answers the outstanding poll.
         std::chrono::milliseconds pollWait {};
@@ -178,6 +185,8 @@
     // Adds the parts of a poll that depend on the peer's role.
     void addLoad(FleetPoll&, std::uint32_t ip);
     void addLimits(FleetPoll&, std::uint32_t ip, const Peer&);
+    void addHandover(FleetPoll&, std::uint32_t ip);
+    bool wantsHandoverPeers(std::uint32_t ip) const;
     std::chrono::milliseconds pollWait(const FleetPoll&, const Peer&) const;
     bool isResponsive(const Peer&) const;
     void updateSilent(Peer&, const std::vector<std::uint32_t>& silent) const;
@@ -224,6 +233,12 @@
     std::map<std::string, UpstreamInFlightLoad> peerLoad_;
     bool hasNewPeerLoad_ = false;
     std::uint64_t loadRevision_ = 0;
+    std::uint32_t handoverIp_ = 0;
+    HandoverQuery acceptsHandovers_;
+    HandoverQuery needsHandoverPeers_;
+    std::vector<std::uint32_t> handoverPeers_;
+    // When the list was received last; it is asked for again some time later.
+    base::TimePoint handoverPeersAt_;
     ProcessReports leaveReports_;
     ProcessReports goneReports_;
     std::uint64_t reportCount_ = 0;
--- a/include/forwarding/HeaderCodec.h
+++ b/include/forwarding/HeaderCodec.h
@@ -57,6 +57,13 @@
     std::optional<std::string> lastEventId;
 };
 
+// Data that the proxy adds to the header of a request that it hands over to another entry VM.
+struct HandoverCall {
+    std::chrono::milliseconds remainingTime { 0 };
+    // Set when a stream resumes after the events that the caller already has.
+    std::optional<std::string> lastEventId;
+};
+
 // Maps header fields to metadata and back. Field names and formats differ between
 // platforms.
 class HeaderCodec {
@@ -70,12 +77,18 @@
     bool isManagedField(std::string_view name) const { return onIsManagedField(name); }
     // Appends the header fields of `call` to the serialized request head.
     void appendCallFields(std::string& head, const UpstreamCall& call) const { onAppendCallFields(head, call); }
+    // The same for a request that is handed over: all other fields stay as the caller sent
+    // them, because the other VM reads them again.
+    bool isHandoverField(std::string_view name) const { return onIsHandoverField(name); }
+    void appendHandoverFields(std::string& head, const HandoverCall& call) const { onAppendHandoverFields(head, call); }
 
 private:
     virtual RequestMetadata onReadRequest(const http1::RequestHead&) const = 0;
     virtual ResponseMetadata onReadResponse(const http1::ResponseHead&) const = 0;
     virtual bool onIsManagedField(std::string_view name) const = 0;
     virtual void onAppendCallFields(std::string& head, const UpstreamCall&) const = 0;
+    virtual bool onIsHandoverField(std::string_view name) const = 0;
+    virtual void onAppendHandoverFields(std::string& head, const HandoverCall&) const = 0;
 };
 
 } // namespace arbutus::forwarding
--- a/include/forwarding/ReverseProxy.h
+++ b/include/forwarding/ReverseProxy.h
@@ -3,6 +3,7 @@
 #include "include/base/Random.h"
 #include "include/fleet/ServiceDemand.h"
 #include "include/fleet/UpstreamRegistry.h"
+#include "include/forwarding/HandoverMark.h"
 #include "include/forwarding/HeaderCodec.h"
 #include "include/forwarding/UpstreamConnection.h"
 #include "include/http1/ServerConnection.h"
@@ -10,6 +11,7 @@
 #include "include/routing/CapacityQueue.h"
 #include "include/routing/CrashGuard.h"
 #include "include/routing/DemandMeter.h"
+#include "include/routing/HandoverPeers.h"
 #include "include/routing/LayerPathSelector.h"
 #include "include/routing/PriorityAdmission.h"
 #include "include/routing/RequestRateLimiter.h"
@@ -30,6 +32,7 @@
 namespace arbutus::forwarding {
 
 class Exchange;
+class ReachabilityProbe;
 
 // Parameters of routing::WindowedRetryBudget for one service: within any `window`, all
 // entry VMs together may send at most `ratio` retries per request plus `slack` retries.
@@ -58,6 +61,9 @@
     // Each running request takes a connection to an upstream. Half as many may be idle.
     std::size_t maxRequests = 4096;
     RoutingOptions routing = {};
+    // The key of the deployment, which proves to other entry VMs that this one hands a request
+    // over.
+    std::string sharedKey = {};
 };
 
 // Totals since the process started.
@@ -71,6 +77,9 @@
     std::uint64_t callerDisconnects = 0;
     std::uint64_t retries = 0;
     std::uint64_t resumes = 0;
+    // Requests that were handed over to other entry VMs, and taken from them.
+    std::uint64_t handovers = 0;
+    std::uint64_t takenHandovers = 0;
 };
 
 // Load balancing, retry and queueing state of one service.
@@ -149,6 +158,15 @@
     // They get no new requests; the caller tells the other VMs.
     std::vector<fleet::UpstreamProcess> takeLeavingUpstreams() { return std::exchange(leavingUpstreams_, {}); }
 
+    // Sets the entry VMs that take requests which this one cannot send to upstreams itself.
+    void setHandoverPeers(const std::vector<net::Endpoint>& peers) { handoverPeers_.setPeers(peers); }
+    // Whether requests of other entry VMs can be served here.
+    bool acceptsHandovers() const { return routes_ && !isStopping_ && !reachability_.isCutOff(); }
+    // Whether this VM may have to hand requests over.
+    bool needsHandoverPeers() const { return reachability_.isImpaired(std::chrono::steady_clock::now()); }
+    // Handles a request that another entry VM has handed over. It is not handed over again.
+    std::shared_ptr<http1::ActiveRequest> takeHandover(const std::shared_ptr<http1::ServerConnection>&, http1::Request, const HandoverMark&);
+
     // Closes each caller connection after its current request.
     // Refuses new requests, as not run, whose own deadline is after `deadline`, except
     // streams that may resume elsewhere.
@@ -182,6 +200,12 @@
     bool onIsStopping() const override { return isStopping_; }
     http1::Response onRequestErrorResponse(int status) const override;
 
+    std::shared_ptr<http1::ActiveRequest> startExchange(const std::shared_ptr<http1::ServerConnection>&, http1::Request, std::optional<HandoverMark>);
+    // Whether a request waits for an upstream and none has sent anything for a while.
+    bool isWaitingInSilence(base::TimePoint now) const;
+    // Connects to upstreams while none can be reached, or while all are silent.
+    void probeUpstreams(base::TimePoint now);
+
     // Returns the state of a service, and creates it if necessary. New state makes the next
     // setUpstreams() apply all upstreams again.
     ServiceState& service(const std::string& name);
@@ -194,6 +218,7 @@
     // Record whether an upstream could be reached, and log when this VM has lost its paths to
     // all of them or has one again.
     void upstreamMissed(const std::string& upstream, base::TimePoint now);
+    void upstreamConnected(base::TimePoint now);
     void upstreamReached(base::TimePoint now);
     void upstreamLeaves(const fleet::UpstreamProcess&);
     void upstreamPauses(const fleet::UpstreamProcess&, base::TimePoint until);
@@ -206,6 +231,9 @@
     routing::StartupQueue startupQueue_;
     routing::CrashGuard crashGuard_;
     routing::UpstreamReachability reachability_;
+    routing::HandoverPeers handoverPeers_;
+    base::TimePoint lastReachedAt_;
+    std::list<std::unique_ptr<ReachabilityProbe>> probes_;
     std::shared_ptr<const routes::RouteTable> routes_;
     std::map<std::string, ServiceState> services_;
     // The last state of each upstream that is not gone, by upstream id.
--- a/include/forwarding/UpstreamConnection.h
+++ b/include/forwarding/UpstreamConnection.h
@@ -38,6 +38,8 @@
 public:
     virtual ~ResponseListener() = default;
 
+    // A new connection has been established for the request.
+    void connected() { onConnectionEstablished(); }
     ResponseMatch matchResponse(const http1::ResponseHead& head) const { return onMatchResponse(head); }
     // Called for each head that identifies its request, also that of a late response which
     // is then skipped.
@@ -50,6 +52,7 @@
     std::size_t maxReadBytes() const { return onMaxReadBytes(); }
 
 private:
+    virtual void onConnectionEstablished() { }
     virtual ResponseMatch onMatchResponse(const http1::ResponseHead&) const = 0;
     virtual void onObserve(const http1::ResponseHead&) { }
     virtual void onHead(const http1::ResponseHead&) = 0;
--- a/src/fleet/FleetPollServer.cpp
+++ b/src/fleet/FleetPollServer.cpp
@@ -39,6 +39,8 @@
         result.peerLoad = peerLoad_.loadExcluding(poll.sender);
     if (poll.wantsPeerLoad)
         addDemand(result);
+    if (poll.wantsHandoverPeers)
+        result.handoverPeers = handoverDirectory_.peersFor(poll.sender, poll.dataCentre);
     if (poll.wantsPermits)
         result.limits = permitAllocator_.allocate(poll.limits, now);
     return result;
@@ -114,6 +116,7 @@
     if (hasNewReports || hasNewLeaves || hasNewDepartures)
         answerPendingPolls(now);
     if (poll.isEntry) {
+        handoverDirectory_.record(poll.sender, poll.dataCentre, poll.handoverIp, now);
         applyLoad(poll, now);
         applyDemand(poll, now);
         permitAllocator_.entryVmPolled(poll.sender, poll.wantsPermits, now);
@@ -149,6 +152,7 @@
     nextExpiryAt_ = now + expiryInterval;
     peerLoad_.expire(now - entryVmTimeout);
     demand_.expire(now - entryVmTimeout);
+    handoverDirectory_.expire(now - entryVmTimeout);
     loadExchange_.setOwnDemand(demand_.sums());
     crashReports_.expire(now);
     permitAllocator_.expire(now);
--- a/src/fleet/FleetPoller.cpp
+++ b/src/fleet/FleetPoller.cpp
@@ -27,6 +27,9 @@
 // The preferred control VM sends new configurations. Others are asked, one at a time,
 // only if none has arrived after this delay.
 static constexpr std::chrono::milliseconds routesFallbackDelay(250);
+// A list of entry VMs that is older than this is asked for again.
+static constexpr std::chrono::milliseconds handoverPeersLifetime(2000);
+static constexpr std::chrono::milliseconds urgentHandoverPeersLifetime(200);
 static constexpr std::size_t maxRoutesDocumentBytes = std::size_t { 16 } << 20;
 // Long enough for several polls of each control VM, also one that has just started.
 static constexpr std::chrono::seconds reportLifetime(10);
@@ -67,6 +70,13 @@
     demandHandler_ = std::move(demandHandler);
 }
 
+void FleetPoller::setHandoverHooks(std::uint32_t ip, HandoverQuery accepts, HandoverQuery isUrgent)
+{
+    handoverIp_ = ip;
+    acceptsHandovers_ = std::move(accepts);
+    needsHandoverPeers_ = std::move(isUrgent);
+}
+
 void FleetPoller::setSeeds(const std::vector<std::uint32_t>& ips)
 {
     seeds_ = { ips.begin(), ips.end() };
@@ -227,6 +237,9 @@
 {
     if (!options_.isEntry || !peer.isPolling || peer.hasSentLimits || !isResponsive(peer))
         return false;
+    bool isHandoverUrgent = !peer.isFetchingHandoverPeers && needsHandoverPeers_ && needsHandoverPeers_() && wantsHandoverPeers(ip);
+    if (isHandoverUrgent)
+        return true;
     bool isNewLoadSource = !peer.isFetchingPeerLoad && loadSource() == ip;
     if (isNewLoadSource || peer.sentReports != reportCount_)
         return true;
@@ -264,12 +277,28 @@
     poll.limitRevision = isLimited ? 0 : peer.limitRevision;
 }
 
+void FleetPoller::addHandover(FleetPoll& poll, std::uint32_t ip)
+{
+    if (!acceptsHandovers_)
+        return;
+    poll.handoverIp = acceptsHandovers_() ? handoverIp_ : 0;
+    poll.wantsHandoverPeers = wantsHandoverPeers(ip);
+}
+
+bool FleetPoller::wantsHandoverPeers(std::uint32_t ip) const
+{
+    auto lifetime = needsHandoverPeers_() ? urgentHandoverPeersLifetime : handoverPeersLifetime;
+    return isPreferred(ip) && clock_.now() >= handoverPeersAt_ + lifetime;
+}
+
 std::chrono::milliseconds FleetPoller::pollWait(const FleetPoll& poll, const Peer& peer) const
 {
     bool isLimited = poll.wantsPermits && !poll.limitRevision;
     auto wait = poll.isEntry ? entryPollWait : controlPollWait;
     if (poll.wantsPeerLoad || isLimited)
         wait = loadPollWait;
+    if (poll.wantsHandoverPeers && needsHandoverPeers_())
+        wait = std::chrono::milliseconds(0);
     return peer.newerRoutesSince ? std::min(wait, routesFallbackDelay) : wait;
 }
 
@@ -290,6 +319,8 @@
     peer.isFetchingRoutes = poll.wantsRoutes;
     addLoad(poll, ip);
     addLimits(poll, ip, peer);
+    addHandover(poll, ip);
+    peer.isFetchingHandoverPeers = poll.wantsHandoverPeers;
     peer.isFetchingPeerLoad = poll.wantsPeerLoad;
     peer.isFetchingPermits = poll.wantsPermits;
     peer.hasSentLimits = !poll.limits.empty();
@@ -378,6 +409,12 @@
     for (const auto& record : answer.upstreams)
         mergeUpstream(record);
     mergePeerLoad(ip, peer, answer);
+    if (peer.isFetchingHandoverPeers) {
+        // A control VM that has just started knows none yet.
+        if (!answer.handoverPeers.empty())
+            handoverPeers_ = std::move(answer.handoverPeers);
+        handoverPeersAt_ = clock_.now();
+    }
     if (peer.isFetchingPermits && limitHandler_)
         limitHandler_(answer.limits, peer.polledAt + peer.pollWait + maxAnswerDelay);
     if (!answer.packedRoutes.empty())
--- a/src/forwarding/Exchange.cpp
+++ b/src/forwarding/Exchange.cpp
@@ -31,13 +31,14 @@
 // overtake a large one that does not fit.
 static constexpr std::size_t queueLookahead = 3;
 
-Exchange::Exchange(ReverseProxy& proxy, std::shared_ptr<http1::ServerConnection> caller, http1::Request request)
+Exchange::Exchange(ReverseProxy& proxy, std::shared_ptr<http1::ServerConnection> caller, http1::Request request, std::optional<HandoverMark> handover)
     : proxy_(proxy)
     , caller_(std::move(caller))
     , request_(std::move(request))
     , requestMetadata_(proxy.headerCodec_.readRequest(request_.head))
     , routeTable_(proxy.routes_)
     , promptParts_(routing::identifyParts(requestMetadata_.sharedPromptParts))
+    , handover_(handover)
     , answerCharge_(proxy.options_.bytes, http1::HeldFor::Answers)
 {
 }
@@ -98,7 +99,9 @@
     service_ = &proxy_.service(name);
     if (routeTable_->differsInPriority(name))
         priorityClass_ = routeTable_->priorityClass(name, routes::effectivePriority(*route_, team_));
-    service_->retryBudget.recordRequest(request_.arrivedAt);
+    // The VM that the request came to first has counted it.
+    if (!handover_)
+        service_->retryBudget.recordRequest(request_.arrivedAt);
     service_->rateLimiter.requestArrived(base::bootNow());
     if (service_->pathSelector && !priorityClass_)
         service_->pathSelector->requestArrived(request_.arrivedAt);
@@ -127,6 +130,8 @@
         refuseHeldBack(*time);
         return;
     }
+    if (proxy_.reachability_.isCutOff() && tryHandOver())
+        return;
     if (!passAdmission())
         return;
     // Requests that already wait take precedence.
--- a/src/forwarding/Exchange.h
+++ b/src/forwarding/Exchange.h
@@ -15,7 +15,8 @@
 // the caller.
 class Exchange final : public http1::ActiveRequest, private ResponseListener, public std::enable_shared_from_this<Exchange> {
 public:
-    Exchange(ReverseProxy&, std::shared_ptr<http1::ServerConnection>, http1::Request);
+    // `handover` is set if another entry VM has handed the request over.
+    Exchange(ReverseProxy&, std::shared_ptr<http1::ServerConnection>, http1::Request, std::optional<HandoverMark> handover);
     ~Exchange() override;
 
     void start();
@@ -23,6 +24,8 @@
     // Ends the request because this VM stops: answers it, or breaks off what it has begun.
     void endForStop();
     bool isFinished() const { return isFinished_; }
+    // Whether an upstream has had the request, and has sent nothing for it, since `since`.
+    bool isWaitingForUpstreamSince(base::TimePoint since) const { return connection_ && !handoverPeer_ && progressAt_ <= since; }
 
 private:
     // Why an attempt ended without a usable response.
@@ -51,6 +54,7 @@
 
     void onCallerDisconnected() override;
     void onDrained() override;
+    void onConnectionEstablished() override;
     ResponseMatch onMatchResponse(const http1::ResponseHead&) const override;
     void onObserve(const http1::ResponseHead&) override;
     void onHead(const http1::ResponseHead&) override;
@@ -97,6 +101,13 @@
     // Sends the request if it is near the front of the queue and there is capacity, or
     // fails it when its wait has timed out.
     void pollWaitQueue(base::TimePoint now);
+    // Hands the request over to another entry VM. Returns false if none takes it.
+    bool tryHandOver();
+    bool mayHandOver() const;
+    std::string handoverHead() const;
+    // Passes on the other entry VM's answer, which is final, or tries another way if it has
+    // declined the request.
+    void finishHandover();
     bool trySendAlongPath();
     bool trySendToUpstream();
     void sendTo(const net::Endpoint&);
@@ -118,7 +129,7 @@
     // Drops the connection and releases the load that was reserved for the attempt.
     void releaseReservation(routing::CallResult);
     // Tells the proxy if the attempt may have failed because this VM has no path to upstreams.
-    void recordMiss(AttemptOutcome) const;
+    void recordMiss(AttemptOutcome);
     // Makes all requests of this VM avoid the upstreams at fault for a while.
     void markSuspects(AttemptOutcome);
     // Returns whether another attempt is allowed, regardless of the retry budget.
@@ -168,6 +179,7 @@
     void checkStall(base::TimePoint now);
     // Takes back a request that is waiting at an upstream while its prompt became suspected.
     void checkHeldBack();
+    bool isStalled(base::TimePoint now) const;
     bool isCallStalled(std::chrono::nanoseconds silence) const;
     bool isStreamStalled(std::chrono::nanoseconds silence, base::TimePoint now) const;
     void timeOut();
@@ -192,6 +204,8 @@
     // The current attempt.
     std::shared_ptr<UpstreamConnection> connection_;
     std::string upstreamId_;
+    // The entry VM that the request is handed over to in place of an upstream.
+    std::optional<net::Endpoint> handoverPeer_;
     // The process of the upstream that was known when the attempt was sent.
     std::int64_t upstreamStartedAtMilliseconds_ = 0;
     routing::LayerPath path_;
@@ -218,6 +232,12 @@
     // Set while a lost request waits for what other VMs know about its prompt.
     std::optional<base::TimePoint> refutationDeadline_;
 
+    const std::optional<HandoverMark> handover_;
+    // Counts the attempts that were made through other entry VMs, and those that did not reach
+    // an upstream.
+    int handoverCount_ = 0;
+    int missCount_ = 0;
+    std::set<net::Endpoint> avoidedPeers_;
     // Counts all attempts.
     int sendCount_ = 0;
     // Counts the attempts that may have run.
--- a/src/forwarding/ExchangeAttempts.cpp
+++ b/src/forwarding/ExchangeAttempts.cpp
@@ -27,6 +27,8 @@
 static constexpr std::chrono::milliseconds isolatedStallTimeout(1500);
 // A repeatable call is retried at another upstream after this fraction of its timeout.
 static constexpr double repeatableStallFraction = 0.4;
+// Applies while this VM reaches no upstream.
+static constexpr std::chrono::milliseconds cutOffStallTimeout(200);
 // An engine that made progress with any stream within this time counts as working.
 static constexpr std::chrono::milliseconds recentProgressWindow(150);
 // How long all requests avoid an upstream after silence, a lost response or a refusal.
@@ -35,6 +37,9 @@
 static constexpr std::chrono::milliseconds refusalSuspectDuration(300);
 // Attempts allowed beyond the route's limit if earlier ones certainly did not run.
 static constexpr int maxExtraSends = 2;
+// After so many upstreams that could not be reached, another entry VM is asked.
+static constexpr int maxMisses = 2;
+static constexpr int maxHandovers = 4;
 // Long enough for the observations of the other VMs to arrive.
 static constexpr std::chrono::milliseconds maxRefutationWait(400);
 // Largest idle time of a reused connection, as a fraction of the upstream's keep-alive
@@ -45,7 +50,29 @@
 
 bool Exchange::trySend()
 {
-    return service_->pathSelector ? trySendAlongPath() : trySendToUpstream();
+    bool isPathLost = proxy_.reachability_.isCutOff() || missCount_ >= maxMisses;
+    if (isPathLost && tryHandOver())
+        return true;
+    if (service_->pathSelector ? trySendAlongPath() : trySendToUpstream())
+        return true;
+    return proxy_.reachability_.isImpaired(std::chrono::steady_clock::now()) && tryHandOver();
+}
+
+bool Exchange::mayHandOver() const { return !handover_ && handoverCount_ < maxHandovers; }
+
+bool Exchange::tryHandOver()
+{
+    auto peer = mayHandOver() ? proxy_.handoverPeers_.choose(avoidedPeers_, std::chrono::steady_clock::now()) : std::nullopt;
+    if (!peer)
+        return false;
+    ++handoverCount_;
+    ++proxy_.counters_.handovers;
+    path_.clear();
+    upstreamId_.clear();
+    handoverPeer_ = peer;
+    proxy_.handoverPeers_.requestStarted(*peer);
+    sendTo(*peer);
+    return true;
 }
 
 std::set<std::string> Exchange::unavailableUpstreams(TimePoint now) const
@@ -62,6 +89,7 @@
     auto path = service_->pathSelector->choose(streamSize_, unavailableUpstreams(now), now);
     if (!path)
         return false;
+    handoverPeer_.reset();
     path_ = std::move(*path);
     upstreamId_ = path_.front().upstream;
     service_->pathSelector->reserve(path_, streamSize_);
@@ -75,6 +103,7 @@
     auto upstream = service_->balancer->choose(unavailableUpstreams(now), now);
     if (!upstream)
         return false;
+    handoverPeer_.reset();
     path_.clear();
     upstreamId_ = upstream->id;
     service_->balancer->callStarted(upstreamId_);
@@ -88,14 +117,16 @@
     upstreamStartedAtMilliseconds_ = startOf(upstreamId_);
     ++sendCount_;
     ++runCount_;
-    service_->rateLimiter.sent(upstreamId_, base::bootNow());
-    isTrial_ = proxy_.crashGuard_.attemptStarted(promptParts_, sentAt_);
+    if (!handoverPeer_) {
+        service_->rateLimiter.sent(upstreamId_, base::bootNow());
+        isTrial_ = proxy_.crashGuard_.attemptStarted(promptParts_, sentAt_);
+    }
     responseHead_.reset();
     isStream_ = false;
     hasEvents_ = false;
     connection_ = proxy_.pool_.acquire(endpoint, isRepeatable() ? repeatableKeepAliveFraction : unrepeatableKeepAliveFraction, sentAt_, usedConnections_);
     usedConnections_.insert(connection_->number());
-    connection_->send(requestHead(), request_.body, request_.head.method == "HEAD", *this, std::min(deadline_, sentAt_ + connectTimeout));
+    connection_->send(handoverPeer_ ? handoverHead() : requestHead(), request_.body, request_.head.method == "HEAD", *this, std::min(deadline_, sentAt_ + connectTimeout));
 }
 
 std::string Exchange::requestHead() const
@@ -104,7 +135,7 @@
     std::string text = fmt::format("{} {} HTTP/1.1\r\n", head.method, head.target);
     const auto* connection = head.fields.find("Connection");
     for (const auto& [name, value] : head.fields) {
-        if (!http1::isHopByHopField(name, connection) && !http1::equalIgnoringCase(name, "Expect") && !proxy_.headerCodec_.isManagedField(name))
+        if (!http1::isHopByHopField(name, connection) && !http1::equalIgnoringCase(name, "Expect") && !proxy_.headerCodec_.isManagedField(name) && !http1::equalIgnoringCase(name, HandoverMark::fieldName))
             http1::appendField(text, name, value);
     }
     UpstreamCall call;
@@ -123,6 +154,26 @@
     return text;
 }
 
+std::string Exchange::handoverHead() const
+{
+    const auto& head = request_.head;
+    std::string text = fmt::format("{} {} HTTP/1.1\r\n", head.method, head.target);
+    const auto* connection = head.fields.find("Connection");
+    for (const auto& [name, value] : head.fields) {
+        if (!http1::isHopByHopField(name, connection) && !http1::equalIgnoringCase(name, "Expect") && !proxy_.headerCodec_.isHandoverField(name) && !http1::equalIgnoringCase(name, HandoverMark::fieldName))
+            http1::appendField(text, name, value);
+    }
+    HandoverCall call;
+    call.remainingTime = std::max(std::chrono::milliseconds(1), std::chrono::duration_cast<std::chrono::milliseconds>(deadline_ - sentAt_));
+    call.lastEventId = eventSplitter_.lastEventId() ? eventSplitter_.lastEventId() : requestMetadata_.lastEventId;
+    proxy_.headerCodec_.appendHandoverFields(text, call);
+    // This attempt is counted already.
+    http1::appendField(text, HandoverMark::fieldName, encodeHandoverMark({ runCount_ - 1 }, proxy_.options_.sharedKey, head, requestMetadata_.requestId));
+    http1::appendField(text, "Content-Length", fmt::format("{}", request_.body.size()));
+    text.append("\r\n");
+    return text;
+}
+
 void Exchange::releaseReservation(CallResult result)
 {
     connection_.reset();
@@ -131,6 +182,10 @@
     // An upstream that rejects a request has not begun to answer it.
     if (result == CallResult::Answered && responseHead_->isSuccess())
         proxy_.crashGuard_.answerBegan(promptParts_, std::chrono::steady_clock::now());
+    if (handoverPeer_) {
+        proxy_.handoverPeers_.requestEnded(*handoverPeer_);
+        return;
+    }
     if (!path_.empty()) {
         service_->pathSelector->release(path_, streamSize_);
         service_->waitQueue.recordCompletion(std::chrono::steady_clock::now());
@@ -138,16 +193,26 @@
         service_->balancer->callFinished(upstreamId_, result, std::chrono::steady_clock::now() - sentAt_);
 }
 
-void Exchange::recordMiss(AttemptOutcome outcome) const
+void Exchange::recordMiss(AttemptOutcome outcome)
 {
-    bool isSilent = outcome == AttemptOutcome::NotSent || outcome == AttemptOutcome::Stalled || (outcome == AttemptOutcome::Lost && !responseHead_);
-    if (isSilent)
-        proxy_.upstreamMissed(upstreamId_, std::chrono::steady_clock::now());
+    // Silence alone does not show that there is no path.
+    bool isMissed = outcome == AttemptOutcome::NotSent || (outcome == AttemptOutcome::Lost && !responseHead_);
+    auto now = std::chrono::steady_clock::now();
+    if (handoverPeer_) {
+        avoidedPeers_.insert(*handoverPeer_);
+        if (isMissed)
+            proxy_.handoverPeers_.peerFailed(*handoverPeer_, now);
+        return;
+    }
+    if (!isMissed)
+        return;
+    ++missCount_;
+    proxy_.upstreamMissed(upstreamId_, now);
 }
 
 void Exchange::markSuspects(AttemptOutcome outcome)
 {
-    if (outcome == AttemptOutcome::Withdrawn)
+    if (outcome == AttemptOutcome::Withdrawn || handoverPeer_)
         return;
     auto now = std::chrono::steady_clock::now();
     if (path_.empty()) {
@@ -188,8 +253,9 @@
     if (!caller_ || (!isCertainlyNotRun && !isRepeatable()))
         return false;
     // A stream that has started cannot be refused any more, so refusals do not end it.
-    bool isSendLimited = relayMode_ == RelayMode::None;
-    if (runCount_ >= route_->maxAttempts || (isSendLimited && sendCount_ >= route_->maxAttempts + maxExtraSends))
+    // Nor do they end one that another entry VM may be able to send.
+    bool isSendLimited = relayMode_ == RelayMode::None && !(mayHandOver() && proxy_.reachability_.isImpaired(std::chrono::steady_clock::now()));
+    if (runCount_ + (handover_ ? handover_->runs : 0) >= route_->maxAttempts || (isSendLimited && sendCount_ >= route_->maxAttempts + maxExtraSends))
         return false;
     return std::chrono::steady_clock::now() < deadline_;
 }
@@ -204,7 +270,8 @@
     }
     // An attempt that reached no upstream does not count as a retry. checkStall() has
     // already charged the retry budget for a stall.
-    bool isCounted = outcome != AttemptOutcome::NotSent && outcome != AttemptOutcome::Stalled;
+    bool isDeclined = handoverPeer_ && outcome == AttemptOutcome::NotRun;
+    bool isCounted = outcome != AttemptOutcome::NotSent && outcome != AttemptOutcome::Stalled && !isDeclined;
     if (!isCounted || service_->retryBudget.tryAcquire(std::chrono::steady_clock::now()))
         return trySend() || waitForCapacity(true);
     // A started stream waits for the retry budget outside the wait queue, where it would
@@ -247,6 +314,8 @@
 
 void Exchange::reportWorkingUpstreams()
 {
+    if (handoverPeer_)
+        return;
     if (path_.empty())
         proxy_.crashGuard_.upstreamAnswered(CrashGuard::identifyCrash(upstreamId_, upstreamStartedAtMilliseconds_), sentAt_);
     for (const auto& stage : path_)
@@ -255,6 +324,9 @@
 
 void Exchange::reportCrash()
 {
+    // A VM that is cut off loses answers of upstreams that work.
+    if (handoverPeer_ || proxy_.reachability_.isImpaired(std::chrono::steady_clock::now()))
+        return;
     bool hadEvents = eventSplitter_.hasDelivered() || requestMetadata_.lastEventId || relayMode_ == RelayMode::Events;
     if (hadEvents)
         return;
@@ -299,7 +371,7 @@
     dropPartialAnswer();
     // An engine without capacity may have some soon, so it is suspected for a short time
     // but not avoided for the rest of the request.
-    if (outcome != AttemptOutcome::Withdrawn && (path_.empty() || outcome != AttemptOutcome::NotRun))
+    if (outcome != AttemptOutcome::Withdrawn && !handoverPeer_ && (path_.empty() || outcome != AttemptOutcome::NotRun))
         avoidedUpstreams_.insert(upstreamId_);
     bool wasRelaying = relayMode_ != RelayMode::None;
     if (tryRetry(outcome)) {
@@ -320,11 +392,8 @@
 
 void Exchange::checkStall(TimePoint now)
 {
-    if (!mayRetry(AttemptOutcome::Stalled))
-        return;
-    auto silence = now - progressAt_;
-    bool isStalled = path_.empty() ? isCallStalled(silence) : isStreamStalled(silence, now);
-    if (!isStalled)
+    // Another entry VM watches the upstream that it has chosen.
+    if (handoverPeer_ || !mayRetry(AttemptOutcome::Stalled) || !isStalled(now))
         return;
     if (!service_->retryBudget.tryAcquire(now))
         return;
@@ -334,6 +403,14 @@
     endAttempt(AttemptOutcome::Stalled);
 }
 
+bool Exchange::isStalled(TimePoint now) const
+{
+    auto silence = now - progressAt_;
+    if (proxy_.reachability_.isCutOff() && mayHandOver())
+        return silence >= cutOffStallTimeout;
+    return path_.empty() ? isCallStalled(silence) : isStreamStalled(silence, now);
+}
+
 bool Exchange::isCallStalled(std::chrono::nanoseconds silence) const
 {
     return relayMode_ == RelayMode::None && silence >= repeatableStallFraction * route_->timeout;
--- a/src/forwarding/ExchangeResponse.cpp
+++ b/src/forwarding/ExchangeResponse.cpp
@@ -23,16 +23,25 @@
 // How much of a response arrives at a time meanwhile.
 static constexpr std::size_t maxReadBytesCrowded = std::size_t { 8 } << 10;
 
+void Exchange::onConnectionEstablished()
+{
+    if (!handoverPeer_)
+        proxy_.upstreamConnected(std::chrono::steady_clock::now());
+}
+
 ResponseMatch Exchange::onMatchResponse(const http1::ResponseHead& head) const
 {
     auto metadata = proxy_.headerCodec_.readResponse(head);
+    // An answer of another entry VM's own does not name the request.
     if (!metadata.requestId)
-        return ResponseMatch::Unknown;
+        return handoverPeer_ ? ResponseMatch::Current : ResponseMatch::Unknown;
     return *metadata.requestId == requestMetadata_.requestId ? ResponseMatch::Current : ResponseMatch::Stale;
 }
 
 void Exchange::onObserve(const http1::ResponseHead& head)
 {
+    if (handoverPeer_)
+        return;
     proxy_.upstreamReached(std::chrono::steady_clock::now());
     auto metadata = proxy_.headerCodec_.readResponse(head);
     fleet::UpstreamProcess process { upstreamId_, upstreamStartedAtMilliseconds_ };
@@ -48,7 +57,8 @@
     responseMetadata_ = proxy_.headerCodec_.readResponse(head);
     connection_->setKeepAlive(responseMetadata_.keepAlive);
     responseHead_ = head;
-    recordNamedLimit();
+    if (!handoverPeer_)
+        recordNamedLimit();
     if (path_.empty() && responseMetadata_.isSigned)
         reportWorkingUpstreams();
     if (head.isSuccess() && (!responseMetadata_.isSigned || responseMetadata_.isEncoded)) {
@@ -72,7 +82,8 @@
 void Exchange::onBody(std::string_view bytes)
 {
     auto self = shared_from_this();
-    proxy_.upstreamReached(std::chrono::steady_clock::now());
+    if (!handoverPeer_)
+        proxy_.upstreamReached(std::chrono::steady_clock::now());
     if (isStream_)
         relayEvents(bytes);
     else
@@ -216,6 +227,10 @@
         finish();
         return;
     }
+    if (handoverPeer_) {
+        finishHandover();
+        return;
+    }
     if (responseMetadata_.isNotRun) {
         endAttempt(AttemptOutcome::NotRun);
         return;
@@ -246,6 +261,34 @@
     finish();
 }
 
+void Exchange::finishHandover()
+{
+    const auto* mark = responseHead_->fields.find(HandoverMark::fieldName);
+    bool isRefusal = !responseMetadata_.isSigned && promisesNotRun(responseHead_->status);
+    bool isDeclined = isRefusal && mark && *mark == HandoverMark::declined;
+    if (isDeclined || (isRefusal && relayMode_ == RelayMode::Events)) {
+        endAttempt(AttemptOutcome::NotRun);
+        return;
+    }
+    if (relayMode_ == RelayMode::Events) {
+        endAttempt(AttemptOutcome::Failed);
+        return;
+    }
+    releaseReservation(CallResult::Answered);
+    // The other VM speaks of its own attempts only.
+    bool mayHaveRunBefore = runCount_ > 1;
+    if (isRefusal && mayHaveRunBefore) {
+        refuse(base::makeError(base::ErrorKind::UpstreamFailed, "the response of the upstream was lost"));
+        return;
+    }
+    auto response = responseFrom(*responseHead_);
+    response.body = std::move(bufferedBody_);
+    if (caller_)
+        caller_->send(response);
+    ++proxy_.counters_.completed;
+    finish();
+}
+
 void Exchange::onConnectionFailure(ConnectionFailure reason)
 {
     auto self = shared_from_this();
--- a/src/forwarding/ReverseProxy.cpp
+++ b/src/forwarding/ReverseProxy.cpp
@@ -5,6 +5,7 @@
 #include "include/fleet/DemandTable.h"
 #include "include/fleet/FleetMessages.h"
 #include "src/forwarding/Exchange.h"
+#include "src/forwarding/ReachabilityProbe.h"
 
 #include <fmt/format.h>
 #include <fmt/ranges.h>
@@ -29,6 +30,9 @@
 static constexpr double minReportedRate = 0.001;
 // Leaves most of the usual first-event latency objective for the engines.
 static constexpr std::chrono::milliseconds maxExpectedQueueWait(280);
+// Upstreams that work seldom leave a VM without any byte for so long.
+static constexpr std::chrono::milliseconds suspiciousSilence(300);
+static constexpr std::chrono::milliseconds probeTimeout(400);
 
 bool ServiceState::isReachable(base::TimePoint now)
 {
@@ -225,11 +229,18 @@
     logger.warning("This VM has lost its paths to all upstreams.", { { "missed", reachability_.missedCount() }, { "known_upstreams", knownUpstreams_.size() }, { "since_first_miss_ms", since.count() }, { "requests", runningCount_ } });
 }
 
+void ReverseProxy::upstreamConnected(base::TimePoint now)
+{
+    reachability_.upstreamConnected();
+    upstreamReached(now);
+}
+
 void ReverseProxy::upstreamReached(base::TimePoint now)
 {
+    lastReachedAt_ = now;
     auto since = reachability_.cutOffSince();
-    if (reachability_.upstreamReached(now) == routing::UpstreamReachability::Change::Reached)
-        logger.info("This VM reaches upstreams again.", { { "cut_off_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - *since).count() }, { "requests", runningCount_ } });
+    if (reachability_.upstreamReached() == routing::UpstreamReachability::Change::Reached)
+        logger.info("This VM reaches upstreams again.", { { "cut_off_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - *since).count() }, { "requests", runningCount_ }, { "handovers_in_total", counters_.handovers } });
 }
 
 void ReverseProxy::upstreamLeaves(const fleet::UpstreamProcess& process)
@@ -387,6 +398,17 @@
 }
 
 std::shared_ptr<http1::ActiveRequest> ReverseProxy::onRequest(const std::shared_ptr<http1::ServerConnection>& connection, http1::Request request)
+{
+    return startExchange(connection, std::move(request), std::nullopt);
+}
+
+std::shared_ptr<http1::ActiveRequest> ReverseProxy::takeHandover(const std::shared_ptr<http1::ServerConnection>& connection, http1::Request request, const HandoverMark& mark)
+{
+    ++counters_.takenHandovers;
+    return startExchange(connection, std::move(request), mark);
+}
+
+std::shared_ptr<http1::ActiveRequest> ReverseProxy::startExchange(const std::shared_ptr<http1::ServerConnection>& connection, http1::Request request, std::optional<HandoverMark> handover)
 {
     if (runningCount_ >= options_.maxRequests) {
         ++counters_.refused;
@@ -394,7 +416,7 @@
         connection->send(overloadResponse());
         return nullptr;
     }
-    auto exchange = std::make_shared<Exchange>(*this, connection, std::move(request));
+    auto exchange = std::make_shared<Exchange>(*this, connection, std::move(request), handover);
     exchanges_.push_back(exchange);
     ++runningCount_;
     exchange->start();
@@ -422,6 +444,33 @@
     return response;
 }
 
+bool ReverseProxy::isWaitingInSilence(base::TimePoint now) const
+{
+    if (now < lastReachedAt_ + suspiciousSilence)
+        return false;
+    return std::any_of(exchanges_.begin(), exchanges_.end(), [now](const auto& exchange) { return exchange->isWaitingForUpstreamSince(now - suspiciousSilence); });
+}
+
+void ReverseProxy::probeUpstreams(base::TimePoint now)
+{
+    for (auto& probe : probes_)
+        probe->checkTimeout(now);
+    probes_.remove_if([](const auto& probe) { return probe->isDone(); });
+    bool isCutOff = reachability_.isCutOff();
+    if (knownUpstreams_.empty() || (!isCutOff && !isWaitingInSilence(now)) || !reachability_.takeProbe(now))
+        return;
+    // Several misses are needed to tell that this VM is cut off, one success that it is not.
+    for (std::size_t count = isCutOff ? 1 : routing::UpstreamReachability::minMissedUpstreams; count; --count) {
+        auto chosen = std::next(knownUpstreams_.begin(), static_cast<std::ptrdiff_t>(random_.below(knownUpstreams_.size())));
+        probes_.push_back(std::make_unique<ReachabilityProbe>(context_, chosen->first, chosen->second.endpoint(), now + probeTimeout, [this](const std::string& upstream, bool isReached) {
+            if (isReached)
+                upstreamConnected(std::chrono::steady_clock::now());
+            else
+                upstreamMissed(upstream, std::chrono::steady_clock::now());
+        }));
+    }
+}
+
 void ReverseProxy::endRequests()
 {
     auto exchanges = std::exchange(exchanges_, {});
@@ -436,6 +485,7 @@
         exchange->tick(now);
         it = exchange->isFinished() ? exchanges_.erase(it) : std::next(it);
     }
+    probeUpstreams(now);
     if (now >= nextPoolTickAt_) {
         nextPoolTickAt_ = now + poolTickInterval;
         pool_.tick(now);
--- a/src/forwarding/UpstreamConnection.cpp
+++ b/src/forwarding/UpstreamConnection.cpp
@@ -67,6 +67,8 @@
 {
     isConnected_ = true;
     sendRequest(std::exchange(head_, std::string()));
+    if (listener_)
+        listener_->connected();
 }
 
 void UpstreamConnection::sendRequest(std::string_view head)
--- a/src/node/EntryNode.cpp
+++ b/src/node/EntryNode.cpp
@@ -63,6 +63,9 @@
     return result;
 }
 
+// Control VMs use the internal port itself.
+static std::uint16_t handoverPort(const EntryOptions& options) { return static_cast<std::uint16_t>(options.internalPort + 1); }
+
 static boost::asio::ip::tcp::endpoint tcpEndpoint(const net::Endpoint& endpoint)
 {
     return { boost::asio::ip::address_v4(endpoint.ip), endpoint.port };
@@ -74,8 +77,9 @@
     , options_(std::move(options))
     , resources_(entryResources(options_.machine))
     , traffic_(options_.dataCentre)
-    , proxy_(context, headerCodec, { options_.dataCentre, options_.retryBudget, options_.seed, resources_.bytes, resources_.maxConnections, options_.routing })
+    , proxy_(context, headerCodec, { options_.dataCentre, options_.retryBudget, options_.seed, resources_.bytes, resources_.maxConnections, options_.routing, options_.sharedKey })
     , readinessHandler_(std::make_shared<ReadinessHandler>(*this))
+    , handoverHandler_(proxy_, headerCodec, options_.sharedKey)
     , links_({ options_.name, options_.internalPort, options_.sharedKey, options_.seed })
     , fleetPoller_(
           clock_, [this](auto&&... request) { return links_.sendPoll(std::forward<decltype(request)>(request)...); }, pollerOptions(options_), registry_, crashReports_, [this](std::function<void()> task) { boost::asio::post(context_, std::move(task)); })
@@ -89,6 +93,8 @@
     fleetPoller_.setCrashReportsHandler([this] { exchangeCrashReports(std::chrono::steady_clock::now()); });
     fleetPoller_.setLimitHooks([this] { return proxy_.takeLimitReports(); }, [this](const auto& reports, base::TimePoint grantedBy) { proxy_.applyLimitReports(reports, grantedBy); }, [this] { return proxy_.hasLimits(); });
     fleetPoller_.setDemandHooks([this] { return proxy_.ownDemand(std::chrono::steady_clock::now()); }, [this](const fleet::ServiceDemands& demand) { proxy_.setDemand(demand, std::chrono::steady_clock::now()); });
+    fleetPoller_.setHandoverHooks(
+        options_.callerEndpoint.ip, [this] { return proxy_.acceptsHandovers(); }, [this] { return proxy_.needsHandoverPeers(); });
     fleetPoller_.setTraffic(traffic_);
     fleetPoller_.setSeeds(options_.seeds);
     proxy_.setTrafficLookup([this](const net::Endpoint& endpoint) { return traffic_.counter(fleet::TrafficAccount::Kind::Upstream, registry_.dataCentreAt(endpoint)); });
@@ -96,6 +102,8 @@
     callerServer_ = std::move(callerServer);
     BOOST_OUTCOME_TRY(readinessServer, http1::Server::Make(context_, tcpEndpoint(options_.readinessEndpoint), *readinessHandler_, probeResources()));
     readinessServer_ = std::move(readinessServer);
+    BOOST_OUTCOME_TRY(handoverServer, http1::Server::Make(context_, tcpEndpoint({ options_.callerEndpoint.ip, handoverPort(options_) }), handoverHandler_, resources_));
+    handoverServer_ = std::move(handoverServer);
     timer_.start();
     logger.info("Started the entry VM.", { { "address", options_.callerEndpoint.text() }, { "max_held_bytes", resources_.bytes->capacity() }, { "max_connections", resources_.maxConnections } });
     return base::outcome::success();
@@ -168,15 +176,25 @@
     if (++ticks_ % ticksPerSlowTick)
         return;
     fleetPoller_.tick();
+    applyHandoverPeers();
     registry_.purge(clock_.now() - fleet::UpstreamRegistry::absentRetention);
     proxy_.setEntryVmCount(fleetPoller_.entryVmCount());
     reportActivity(now);
     callerServer_->tick(now);
     readinessServer_->tick(now);
+    handoverServer_->tick(now);
     if (stoppingSince_)
         tryFinishStopping(now);
 }
 
+void EntryNode::applyHandoverPeers()
+{
+    std::vector<net::Endpoint> peers;
+    for (auto ip : fleetPoller_.handoverPeers())
+        peers.push_back({ ip, handoverPort(options_) });
+    proxy_.setHandoverPeers(peers);
+}
+
 void EntryNode::reportActivity(base::TimePoint now)
 {
     if (now < nextReportAt_)
@@ -204,10 +222,11 @@
     // whose requests would be cut off at the end of the stop grace.
     proxy_.setDrainDeadline(*stoppingSince_ + options_.stopGrace - stopMargin);
     callerServer_->closeIdle(now - stopIdleTimeout);
+    handoverServer_->closeIdle(now - stopIdleTimeout);
     // A request that arrived since the last tick shows that others may be on their way.
     bool isQuiet = proxy_.counters().requests == requestsAtLastCheck_;
     requestsAtLastCheck_ = proxy_.counters().requests;
-    bool isFinished = isQuiet && !proxy_.openExchangeCount() && !callerServer_->hasUnfinishedWork();
+    bool isFinished = isQuiet && !proxy_.openExchangeCount() && !callerServer_->hasUnfinishedWork() && !handoverServer_->hasUnfinishedWork();
     if (isFinished)
         onStopped_();
 }
@@ -220,7 +239,7 @@
     if (proxy_.openExchangeCount())
         logger.warning("Ending the remaining requests because the stop grace is nearly over.", { { "requests", proxy_.openExchangeCount() } });
     proxy_.endRequests();
-    if (now >= graceEnd - deliveryMargin || !callerServer_->hasUnfinishedWork())
+    if (now >= graceEnd - deliveryMargin || (!callerServer_->hasUnfinishedWork() && !handoverServer_->hasUnfinishedWork()))
         onStopped_();
 }
 
--- a/src/node/EntryNode.h
+++ b/src/node/EntryNode.h
@@ -3,6 +3,7 @@
 #include "include/base/Clock.h"
 #include "include/fleet/FleetPoller.h"
 #include "include/fleet/PeerLinks.h"
+#include "include/forwarding/HandoverHandler.h"
 #include "include/forwarding/ReverseProxy.h"
 #include "include/net/RepeatingTimer.h"
 #include "src/node/MachineLimits.h"
@@ -51,6 +52,8 @@
     class ReadinessHandler;
 
     void tick();
+    // Tells the proxy which entry VMs take requests of others.
+    void applyHandoverPeers();
     // Logs once a second what was exchanged with other data centres, if anything.
     void reportActivity(base::TimePoint now);
     bool applyRoutes(std::uint64_t version, const std::string& document, const fleet::FleetPoller::RoutesDelivery&);
@@ -79,6 +82,8 @@
     std::shared_ptr<ReadinessHandler> readinessHandler_;
     std::unique_ptr<http1::Server> callerServer_;
     std::unique_ptr<http1::Server> readinessServer_;
+    forwarding::HandoverHandler handoverHandler_;
+    std::unique_ptr<http1::Server> handoverServer_;
     fleet::PeerLinks links_;
     fleet::FleetPoller fleetPoller_;
     net::RepeatingTimer timer_;
--- a/src/routing/UpstreamReachability.cpp
+++ b/src/routing/UpstreamReachability.cpp
@@ -4,8 +4,6 @@
 
 namespace arbutus::routing {
 
-// One or two upstreams are often down together.
-static constexpr std::size_t minMissedUpstreams = 3;
 // Misses that lie further apart have causes of their own.
 static constexpr std::chrono::seconds missWindow(3);
 // As long as an upstream that was missed is avoided.
@@ -13,35 +11,42 @@
 static constexpr std::chrono::milliseconds probeIntervalMin(250);
 static constexpr std::chrono::milliseconds probeIntervalMax(750);
 
+void UpstreamReachability::record(Misses& misses, const std::string& upstream, base::TimePoint now)
+{
+    for (auto it = misses.begin(); it != misses.end();)
+        it = it->second < now - missWindow ? misses.erase(it) : std::next(it);
+    misses[upstream] = now;
+}
+
 UpstreamReachability::Change UpstreamReachability::upstreamMissed(const std::string& upstream, std::size_t knownUpstreams, base::TimePoint now)
 {
-    impairedUntil_ = now + impairedDuration;
+    const auto threshold = std::min(minMissedUpstreams, std::max<std::size_t>(knownUpstreams, 1));
+    record(missedSinceConnect_, upstream, now);
+    if (missedSinceConnect_.size() >= threshold)
+        impairedUntil_ = now + impairedDuration;
     if (isCutOff())
         return Change::None;
-    for (auto it = missedAt_.begin(); it != missedAt_.end();)
-        it = now > it->second + missWindow ? missedAt_.erase(it) : std::next(it);
-    missedAt_.emplace(upstream, now);
-    if (missedAt_.size() < std::min(minMissedUpstreams, std::max<std::size_t>(knownUpstreams, 1)))
+    record(missedSinceReach_, upstream, now);
+    if (missedSinceReach_.size() < threshold)
         return Change::None;
-    auto first = std::min_element(missedAt_.begin(), missedAt_.end(), [](const auto& left, const auto& right) { return left.second < right.second; });
+    auto first = std::min_element(missedSinceReach_.begin(), missedSinceReach_.end(), [](const auto& left, const auto& right) { return left.second < right.second; });
     cutOffSince_ = first->second;
     scheduleProbe(now);
     return Change::CutOff;
 }
 
-UpstreamReachability::Change UpstreamReachability::upstreamReached(base::TimePoint now)
+UpstreamReachability::Change UpstreamReachability::upstreamReached()
 {
-    missedAt_.clear();
+    missedSinceReach_.clear();
     if (!isCutOff())
         return Change::None;
     cutOffSince_.reset();
-    impairedUntil_ = now + impairedDuration;
     return Change::Reached;
 }
 
 bool UpstreamReachability::takeProbe(base::TimePoint now)
 {
-    if (!isCutOff() || now < nextProbeAt_)
+    if (now < nextProbeAt_)
         return false;
     scheduleProbe(now);
     return true;
--- a/tests/ForwardingFixture.h
+++ b/tests/ForwardingFixture.h
@@ -55,6 +55,13 @@
         if (call.priority)
             http1::appendField(head, "Priority", std::to_string(*call.priority));
     }
+    bool onIsHandoverField(std::string_view name) const override { return name == "After" || name == "Left"; }
+    void onAppendHandoverFields(std::string& head, const forwarding::HandoverCall& call) const override
+    {
+        http1::appendField(head, "Left", std::to_string(call.remainingTime.count()));
+        if (call.lastEventId)
+            http1::appendField(head, "After", *call.lastEventId);
+    }
 };
 
 // A connection endpoint for tests that collects the received bytes.
