--- a/src/forwarding/Exchange.h
+++ b/src/forwarding/Exchange.h
@@ -104,7 +104,6 @@
     // Hands the request over to another entry VM. Returns false if none takes it.
     bool tryHandOver();
     bool mayHandOver() const;
-    std::string handoverHead() const;
     // Passes on the other entry VM's answer, which is final, or tries another way if it has
     // declined the request.
     void finishHandover();
@@ -112,6 +111,10 @@
     bool trySendToUpstream();
     void sendTo(const net::Endpoint&);
     std::string requestHead() const;
+    std::string handoverHead() const;
+    std::chrono::milliseconds remainingTime() const;
+    // Returns the last event that the caller has, if any.
+    std::optional<std::string> lastEventId() const;
     // Closes the upstream's connection in the middle of a response and ends the attempt.
     void rejectResponse(AttemptOutcome);
     void endAttempt(AttemptOutcome);
@@ -146,6 +149,8 @@
     // Closes the caller's connection so that the started response looks truncated.
     void abortResponse(AttemptOutcome);
     static const char* nameOf(AttemptOutcome);
+    // Whether callers take the status for a promise that the request has not run and will not.
+    static bool isNotRunPromise(int status);
 
     // Records the limit of requests that the response names. Only a success shows that a
     // limit was lifted: a rejection may come from elsewhere on the path.
--- a/src/forwarding/ExchangeAttempts.cpp
+++ b/src/forwarding/ExchangeAttempts.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <functional>
 
 namespace arbutus::forwarding {
 
@@ -39,7 +40,6 @@
 static constexpr int maxExtraSends = 2;
 // After so many upstreams that could not be reached, another entry VM is asked.
 static constexpr int maxMisses = 2;
-static constexpr int maxHandovers = 4;
 // Long enough for the observations of the other VMs to arrive.
 static constexpr std::chrono::milliseconds maxRefutationWait(400);
 // Largest idle time of a reused connection, as a fraction of the upstream's keep-alive
@@ -58,23 +58,6 @@
     return proxy_.reachability_.isImpaired(std::chrono::steady_clock::now()) && tryHandOver();
 }
 
-bool Exchange::mayHandOver() const { return !handover_ && handoverCount_ < maxHandovers; }
-
-bool Exchange::tryHandOver()
-{
-    auto peer = mayHandOver() ? proxy_.handoverPeers_.choose(avoidedPeers_, std::chrono::steady_clock::now()) : std::nullopt;
-    if (!peer)
-        return false;
-    ++handoverCount_;
-    ++proxy_.counters_.handovers;
-    path_.clear();
-    upstreamId_.clear();
-    handoverPeer_ = peer;
-    proxy_.handoverPeers_.requestStarted(*peer);
-    sendTo(*peer);
-    return true;
-}
-
 std::set<std::string> Exchange::unavailableUpstreams(TimePoint now) const
 {
     auto upstreams = avoidedUpstreams_;
@@ -129,24 +112,36 @@
     connection_->send(handoverPeer_ ? handoverHead() : requestHead(), request_.body, request_.head.method == "HEAD", *this, std::min(deadline_, sentAt_ + connectTimeout));
 }
 
-std::string Exchange::requestHead() const
+// Returns the request line and the fields that another process gets as the caller sent them.
+static std::string copiedHead(const http1::RequestHead& head, const std::function<bool(std::string_view)>& isReplaced)
 {
-    const auto& head = request_.head;
     std::string text = fmt::format("{} {} HTTP/1.1\r\n", head.method, head.target);
     const auto* connection = head.fields.find("Connection");
     for (const auto& [name, value] : head.fields) {
-        if (!http1::isHopByHopField(name, connection) && !http1::equalIgnoringCase(name, "Expect") && !proxy_.headerCodec_.isManagedField(name) && !http1::equalIgnoringCase(name, HandoverMark::fieldName))
+        bool isOwn = http1::isHopByHopField(name, connection) || http1::equalIgnoringCase(name, "Expect") || http1::equalIgnoringCase(name, HandoverMark::fieldName);
+        if (!isOwn && !isReplaced(name))
             http1::appendField(text, name, value);
     }
+    return text;
+}
+
+std::chrono::milliseconds Exchange::remainingTime() const { return std::max(std::chrono::milliseconds(1), std::chrono::duration_cast<std::chrono::milliseconds>(deadline_ - sentAt_)); }
+
+std::optional<std::string> Exchange::lastEventId() const { return eventSplitter_.lastEventId() ? eventSplitter_.lastEventId() : requestMetadata_.lastEventId; }
+
+std::string Exchange::requestHead() const
+{
+    const auto& head = request_.head;
+    auto text = copiedHead(head, [this](std::string_view name) { return proxy_.headerCodec_.isManagedField(name); });
     UpstreamCall call;
-    call.remainingTime = std::max(std::chrono::milliseconds(1), std::chrono::duration_cast<std::chrono::milliseconds>(deadline_ - sentAt_));
+    call.remainingTime = remainingTime();
     call.expectedUpstream = upstreamId_;
     if (team_)
         call.team = team_->name;
     if (priorityClass_)
         call.priority = relayMode_ != RelayMode::None || requestMetadata_.lastEventId ? 0 : *priorityClass_;
     call.path = path_;
-    call.lastEventId = eventSplitter_.lastEventId() ? eventSplitter_.lastEventId() : requestMetadata_.lastEventId;
+    call.lastEventId = lastEventId();
     proxy_.headerCodec_.appendCallFields(text, call);
     if (!request_.body.empty() || head.fields.has("Content-Length") || head.fields.has("Transfer-Encoding"))
         http1::appendField(text, "Content-Length", fmt::format("{}", request_.body.size()));
@@ -157,16 +152,8 @@
 std::string Exchange::handoverHead() const
 {
     const auto& head = request_.head;
-    std::string text = fmt::format("{} {} HTTP/1.1\r\n", head.method, head.target);
-    const auto* connection = head.fields.find("Connection");
-    for (const auto& [name, value] : head.fields) {
-        if (!http1::isHopByHopField(name, connection) && !http1::equalIgnoringCase(name, "Expect") && !proxy_.headerCodec_.isHandoverField(name) && !http1::equalIgnoringCase(name, HandoverMark::fieldName))
-            http1::appendField(text, name, value);
-    }
-    HandoverCall call;
-    call.remainingTime = std::max(std::chrono::milliseconds(1), std::chrono::duration_cast<std::chrono::milliseconds>(deadline_ - sentAt_));
-    call.lastEventId = eventSplitter_.lastEventId() ? eventSplitter_.lastEventId() : requestMetadata_.lastEventId;
-    proxy_.headerCodec_.appendHandoverFields(text, call);
+    auto text = copiedHead(head, [this](std::string_view name) { return proxy_.headerCodec_.isHandoverField(name); });
+    proxy_.headerCodec_.appendHandoverFields(text, { remainingTime(), lastEventId() });
     // This attempt is counted already.
     http1::appendField(text, HandoverMark::fieldName, encodeHandoverMark({ runCount_ - 1 }, proxy_.options_.sharedKey, head, requestMetadata_.requestId));
     http1::appendField(text, "Content-Length", fmt::format("{}", request_.body.size()));
@@ -193,23 +180,6 @@
         service_->balancer->callFinished(upstreamId_, result, std::chrono::steady_clock::now() - sentAt_);
 }
 
-void Exchange::recordMiss(AttemptOutcome outcome)
-{
-    // Silence alone does not show that there is no path.
-    bool isMissed = outcome == AttemptOutcome::NotSent || (outcome == AttemptOutcome::Lost && !responseHead_);
-    auto now = std::chrono::steady_clock::now();
-    if (handoverPeer_) {
-        avoidedPeers_.insert(*handoverPeer_);
-        if (isMissed)
-            proxy_.handoverPeers_.peerFailed(*handoverPeer_, now);
-        return;
-    }
-    if (!isMissed)
-        return;
-    ++missCount_;
-    proxy_.upstreamMissed(upstreamId_, now);
-}
-
 void Exchange::markSuspects(AttemptOutcome outcome)
 {
     if (outcome == AttemptOutcome::Withdrawn || handoverPeer_)
--- a/src/forwarding/ExchangeResponse.cpp
+++ b/src/forwarding/ExchangeResponse.cpp
@@ -211,12 +211,6 @@
     finish();
 }
 
-static bool promisesNotRun(int status)
-{
-    static constexpr std::array<int, 4> statuses { 408, 421, 429, 503 };
-    return std::find(statuses.begin(), statuses.end(), status) != statuses.end();
-}
-
 void Exchange::finishPlainResponse()
 {
     if (relayMode_ == RelayMode::Plain) {
@@ -243,7 +237,7 @@
     }
     // Callers take these statuses for a promise that the request has not run, which only the
     // upstream can make.
-    if (promisesNotRun(responseHead_->status)) {
+    if (isNotRunPromise(responseHead_->status)) {
         endAttempt(AttemptOutcome::Failed);
         return;
     }
@@ -261,34 +255,6 @@
     finish();
 }
 
-void Exchange::finishHandover()
-{
-    const auto* mark = responseHead_->fields.find(HandoverMark::fieldName);
-    bool isRefusal = !responseMetadata_.isSigned && promisesNotRun(responseHead_->status);
-    bool isDeclined = isRefusal && mark && *mark == HandoverMark::declined;
-    if (isDeclined || (isRefusal && relayMode_ == RelayMode::Events)) {
-        endAttempt(AttemptOutcome::NotRun);
-        return;
-    }
-    if (relayMode_ == RelayMode::Events) {
-        endAttempt(AttemptOutcome::Failed);
-        return;
-    }
-    releaseReservation(CallResult::Answered);
-    // The other VM speaks of its own attempts only.
-    bool mayHaveRunBefore = runCount_ > 1;
-    if (isRefusal && mayHaveRunBefore) {
-        refuse(base::makeError(base::ErrorKind::UpstreamFailed, "the response of the upstream was lost"));
-        return;
-    }
-    auto response = responseFrom(*responseHead_);
-    response.body = std::move(bufferedBody_);
-    if (caller_)
-        caller_->send(response);
-    ++proxy_.counters_.completed;
-    finish();
-}
-
 void Exchange::onConnectionFailure(ConnectionFailure reason)
 {
     auto self = shared_from_this();
--- a/src/net/StreamSocket.cpp
+++ b/src/net/StreamSocket.cpp
@@ -14,7 +14,11 @@
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 
-// Idle connections are probed, because a host that lost power sends no reset.
+// Idle connections are probed, because a host that lost power sends no reset. As
+// TCP_USER_TIMEOUT is set as well, it alone decides when unanswered probes end a connection,
+// not their number: with 2 s (upstreams, other entry VMs) at the second probe, 3 s after the
+// last byte; with the 10 s of callers after these. It also ends a connection whose peer takes
+// no byte of a pending write for so long. A peer that is only silent answers the probes.
 static constexpr int keepAliveIdleSeconds = 2;
 static constexpr int keepAliveIntervalSeconds = 1;
 static constexpr int keepAliveProbes = 2;
