--- a/tests/OverloadSpread.h
+++ b/tests/OverloadSpread.h
@@ -5,6 +5,7 @@
 #include "include/routing/DemandMeter.h"
 #include "include/routing/LayerPathSelector.h"
 #include "include/routing/WindowedRetryBudget.h"
+#include "tests/SpreadModel.h"
 
 #include <algorithm>
 #include <cmath>
@@ -21,7 +22,7 @@
 
 // Many entry VMs that place streams on the copies of a model, each by its own selector and
 // by reports of the others' load that are some time old. Virtual time; one engine a copy.
-class OverloadSpread {
+class OverloadSpread : private SpreadModel {
 public:
     struct Options {
         std::size_t entryVms = 91;
@@ -100,7 +101,7 @@
         , random_(options.seed)
     {
         for (std::size_t i = 0; i < options.copies; ++i)
-            copies_.push_back({ recordOf(i), isFast(i) ? fastPrefill : slowPrefill, isFast(i) ? fastTokenTime : slowTokenTime });
+            copies_.push_back({ recordOf(i, dataCentreOf(i)), isFast(i) ? fastPrefill : slowPrefill, isFast(i) ? fastTokenTime : slowTokenTime });
         for (std::size_t i = 0; i < options.entryVms; ++i) {
             vms_.emplace_back(Vm { std::make_unique<routing::LayerPathSelector>(model(), dataCentreOf(i), options.seed * 1000 + i), {}, routing::CapacityQueue(maxExpectedWait), retryBudget(), {}, {}, routing::PriorityAdmission(static_cast<double>(i) / static_cast<double>(options.entryVms)) });
             for (const auto& copy : copies_)
@@ -142,7 +143,7 @@
             while (now_ >= nextReport) {
                 nextReport += reportInterval;
                 report();
-                useSum += meanUse();
+                useSum += meanUse(copies_);
                 ++useCount;
             }
             for (std::size_t priority = 0; priority < nextArrivals.size(); ++priority) {
@@ -164,21 +165,6 @@
     }
 
 private:
-    using Time = base::TimePoint;
-    using Milliseconds = std::chrono::milliseconds;
-
-    static constexpr double streamsPerCopy = 30;
-    // The part of the memory that the selectors use.
-    static constexpr double usableShare = 0.95;
-    static constexpr double promptTokens = 770;
-    static constexpr double answerTokens = 200;
-    static constexpr Milliseconds fastPrefill { 16 };
-    static constexpr Milliseconds slowPrefill { 50 };
-    static constexpr Milliseconds fastTokenTime { 10 };
-    static constexpr Milliseconds slowTokenTime { 25 };
-    static constexpr Milliseconds objective { 500 };
-    static constexpr Milliseconds reportInterval { 120 };
-    static constexpr int maxSends = 4;
     static constexpr Milliseconds pollInterval { 40 };
     static constexpr Milliseconds maxExpectedWait { 280 };
     static constexpr Milliseconds maxQueueWait { 320 };
@@ -249,52 +235,14 @@
         std::list<Waiter> waiters {};
     };
 
-    static routes::LayeredModel model()
-    {
-        routes::LayeredModel result;
-        result.layers = 80;
-        result.layerMegabytes = 1000;
-        result.cacheBytesPerToken = 1'000'000;
-        result.stepMilliseconds = 1;
-        result.prefillTokensPerSecond = 128'000;
-        result.typicalPromptTokens = promptTokens;
-        result.typicalAnswerTokens = answerTokens;
-        result.acceleratorKinds = { { "fast", megabytes(), 10, 2.7 }, { "slow", megabytes(), 25, 8.3 } };
-        return result;
-    }
     static routing::WindowedRetryBudget retryBudget() { return { 0.2, 20, std::chrono::seconds(10) }; }
     static double seconds(std::chrono::nanoseconds time) { return std::chrono::duration<double>(time).count(); }
     Milliseconds elapsed() const { return std::chrono::duration_cast<Milliseconds>(now_ - startedAt_); }
     long second() const { return static_cast<long>(elapsed().count() / 1000); }
     Cohort& cohort(const Call& call) { return result_.cohorts[static_cast<std::size_t>(call.priority)][std::chrono::duration_cast<std::chrono::seconds>(call.arrivedAt - startedAt_).count()]; }
     double takenTokens() const { return heldTokens() * options_.memoryExcess; }
-    static double heldTokens() { return promptTokens + 0.65 * answerTokens; }
-    static double capacityTokens() { return streamsPerCopy * heldTokens(); }
-    // The selector uses 0.95 of the memory that the layers leave.
-    static double megabytes() { return 80'000 + capacityTokens() / usableShare; }
-    static bool isFast(std::size_t copy) { return copy % 3 == 0; }
-    double meanHoldSeconds() const { return answerTokens * (fastTokenTime + 2 * slowTokenTime).count() / 3.0 / 1000; }
     std::string dataCentreOf(std::size_t i) const { return "dc" + std::to_string(i % options_.dataCentres); }
 
-    fleet::UpstreamRecord recordOf(std::size_t i) const
-    {
-        fleet::UpstreamRecord result;
-        result.id = "copy" + std::to_string(i);
-        result.accelerator = isFast(i) ? "fast" : "slow";
-        result.layers = { 0, 80 };
-        result.dataCentre = dataCentreOf(i);
-        result.ip = static_cast<std::uint32_t>(i + 1);
-        return result;
-    }
-
-    double meanUse() const
-    {
-        double sum = 0;
-        for (const auto& copy : copies_)
-            sum += copy.usedTokens / capacityTokens();
-        return sum / static_cast<double>(copies_.size());
-    }
-
     // Each VM learns the others' load as of the previous report.
     void report()
     {
--- a/tests/PathSpread.h
+++ b/tests/PathSpread.h
@@ -2,6 +2,7 @@
 
 #include "include/base/Random.h"
 #include "include/routing/LayerPathSelector.h"
+#include "tests/SpreadModel.h"
 
 #include <algorithm>
 #include <cmath>
@@ -16,7 +17,7 @@
 
 // Many entry VMs that place streams on the copies of a model, each by its own selector and
 // by reports of the others' load that are some time old. Virtual time; one engine a copy.
-class PathSpread {
+class PathSpread : private SpreadModel {
 public:
     struct Options {
         std::size_t entryVms = 91;
@@ -76,7 +77,7 @@
         , random_(options.seed)
     {
         for (std::size_t i = 0; i < copyCount(); ++i)
-            copies_.push_back({ recordOf(i), isFast(i) ? fastPrefill : slowPrefill, isFast(i) ? fastTokenTime : slowTokenTime, {}, 0, 0 });
+            copies_.push_back({ recordOf(i, dataCentreOf(dataCentreOfCopy(i))), isFast(i) ? fastPrefill : slowPrefill, isFast(i) ? fastTokenTime : slowTokenTime, {}, 0, 0 });
         for (std::size_t i = 0; i < options.entryVms; ++i) {
             vms_.push_back({ std::make_unique<routing::LayerPathSelector>(modelWithDelays(), dataCentreOf(i), options.seed * 1000 + i), {} });
             vms_.back().selector->setLimitsRefusing(true);
@@ -106,7 +107,7 @@
             while (now_ >= nextReport) {
                 nextReport += reportInterval;
                 report();
-                useSum += meanUse();
+                useSum += meanUse(copies_);
                 ++useCount;
             }
             while (now_ >= nextArrival) {
@@ -119,20 +120,7 @@
     }
 
 private:
-    using Time = base::TimePoint;
-    using Milliseconds = std::chrono::milliseconds;
-
-    static constexpr double streamsPerCopy = 30;
-    static constexpr double promptTokens = 770;
-    static constexpr double answerTokens = 200;
-    static constexpr Milliseconds fastPrefill { 16 };
-    static constexpr Milliseconds slowPrefill { 50 };
-    static constexpr Milliseconds fastTokenTime { 10 };
-    static constexpr Milliseconds slowTokenTime { 25 };
-    static constexpr Milliseconds objective { 500 };
-    static constexpr Milliseconds reportInterval { 120 };
     static constexpr Milliseconds faultAfter { 4000 };
-    static constexpr int maxSends = 4;
 
     struct Copy {
         fleet::UpstreamRecord record;
@@ -156,19 +144,6 @@
         friend bool operator>(const Stream& left, const Stream& right) { return left.endsAt > right.endsAt; }
     };
 
-    static routes::LayeredModel model()
-    {
-        routes::LayeredModel result;
-        result.layers = 80;
-        result.layerMegabytes = 1000;
-        result.cacheBytesPerToken = 1'000'000;
-        result.stepMilliseconds = 1;
-        result.prefillTokensPerSecond = 128'000;
-        result.acceleratorKinds = { { "fast", megabytes(), 10, 2.7 }, { "slow", megabytes(), 25, 8.3 } };
-        result.typicalPromptTokens = promptTokens;
-        result.typicalAnswerTokens = answerTokens;
-        return result;
-    }
     routes::LayeredModel modelWithDelays() const
     {
         auto result = model();
@@ -178,12 +153,6 @@
         }
         return result;
     }
-    static double heldTokens() { return promptTokens + 0.65 * answerTokens; }
-    static double capacityTokens() { return streamsPerCopy * heldTokens(); }
-    // The selector uses 0.95 of the memory that the layers leave.
-    static double megabytes() { return 80'000 + capacityTokens() / 0.95; }
-    static bool isFast(std::size_t copy) { return copy % 3 == 0; }
-    double meanHoldSeconds() const { return answerTokens * (fastTokenTime + 2 * slowTokenTime).count() / 3.0 / 1000; }
     std::size_t copyCount() const { return options_.copiesOf.empty() ? options_.copies : std::accumulate(options_.copiesOf.begin(), options_.copiesOf.end(), std::size_t { 0 }); }
     std::size_t dataCentreOfCopy(std::size_t copy) const
     {
@@ -195,25 +164,6 @@
     bool isFirst(std::size_t vm) const { return vm % options_.dataCentres == 0; }
     std::string dataCentreOf(std::size_t i) const { return "dc" + std::to_string(i % options_.dataCentres); }
 
-    fleet::UpstreamRecord recordOf(std::size_t i) const
-    {
-        fleet::UpstreamRecord result;
-        result.id = "copy" + std::to_string(i);
-        result.accelerator = isFast(i) ? "fast" : "slow";
-        result.layers = { 0, 80 };
-        result.dataCentre = dataCentreOf(dataCentreOfCopy(i));
-        result.ip = static_cast<std::uint32_t>(i + 1);
-        return result;
-    }
-
-    double meanUse() const
-    {
-        double sum = 0;
-        for (const auto& copy : copies_)
-            sum += copy.usedTokens / capacityTokens();
-        return sum / static_cast<double>(copies_.size());
-    }
-
     // Whether reports of one VM reach the other.
     bool isConnected(std::size_t left, std::size_t right) const { return !isFaulty_ || options_.fault != Options::Fault::CutOff || isFirst(left) == isFirst(right); }
 
--- a/tests/ReplicaLossTest.cpp
+++ b/tests/ReplicaLossTest.cpp
@@ -148,26 +148,18 @@
         (this->*actions[random_.below(actions.size())])();
     }
 
-    void kill()
-    {
-        auto i = pick();
-        if (!i || !mayLoseVm() || isUnrepaired())
-            return;
-        note("kill " + std::to_string(*i));
-        auto downTime = randomTime(50, 4000);
-        countLoss(*i, downTime);
-        takeDown(*i, false, downTime);
-    }
+    void kill() { loseOne("kill", false, 4000); }
+    void wipe() { loseOne("wipe", true, 3000); }
 
-    void wipe()
+    void loseOne(const std::string& name, bool losesDisk, std::uint64_t maxDownMilliseconds)
     {
         auto i = pick();
         if (!i || !mayLoseVm() || isUnrepaired())
             return;
-        note("wipe " + std::to_string(*i));
-        auto downTime = randomTime(50, 3000);
+        note(name + " " + std::to_string(*i));
+        auto downTime = randomTime(50, maxDownMilliseconds);
         countLoss(*i, downTime);
-        takeDown(*i, true, downTime);
+        takeDown(*i, losesDisk, downTime);
     }
 
     void killAll()
