--- a/include/forwarding/HandoverHandler.h
+++ b/include/forwarding/HandoverHandler.h
@@ -2,7 +2,6 @@
 
 #include "include/forwarding/ReverseProxy.h"
 
-#include <functional>
 #include <string>
 
 namespace arbutus::forwarding {
@@ -23,10 +22,15 @@
     std::shared_ptr<http1::ActiveRequest> onRequest(const std::shared_ptr<http1::ServerConnection>&, http1::Request) override;
     http1::ServerLimits onLimits() const override { return proxy_.limits(); }
     bool onIsStopping() const override { return proxy_.isStopping(); }
+    // Logs, at a bounded rate, that a stranger has sent a request.
+    void reportStranger(const base::Error&);
 
     ReverseProxy& proxy_;
     const HeaderCodec& headerCodec_;
     const std::string key_;
+    // Since the last log line about them.
+    std::size_t strangers_ = 0;
+    base::TimePoint nextStrangerLogAt_;
 };
 
 } // namespace arbutus::forwarding
--- a/src/forwarding/HandoverHandler.cpp
+++ b/src/forwarding/HandoverHandler.cpp
@@ -3,15 +3,19 @@
 #include "include/base/Logger.h"
 #include "include/forwarding/HandoverMark.h"
 
+#include <utility>
+
 namespace arbutus::forwarding {
 
 static constexpr base::Logger logger("gate");
 
+static constexpr std::chrono::seconds strangerLogInterval(1);
+
 std::shared_ptr<http1::ActiveRequest> HandoverHandler::onRequest(const std::shared_ptr<http1::ServerConnection>& connection, http1::Request request)
 {
     auto mark = decodeHandoverMark(key_, request.head, headerCodec_.readRequest(request.head).requestId);
     if (!mark) {
-        logger.warning("Rejected a request that no entry VM of this deployment has handed over.", { { "reason", mark.error().detail } });
+        reportStranger(mark.error());
         connection->send(problemResponse(mark.error(), std::nullopt));
         return nullptr;
     }
@@ -24,4 +28,14 @@
     return proxy_.takeHandover(connection, std::move(request), mark.value());
 }
 
+void HandoverHandler::reportStranger(const base::Error& error)
+{
+    ++strangers_;
+    auto now = base::TimePoint(std::chrono::steady_clock::now());
+    if (now < nextStrangerLogAt_)
+        return;
+    nextStrangerLogAt_ = now + strangerLogInterval;
+    logger.warning("Rejected requests that no entry VM of this deployment has handed over.", { { "count", std::exchange(strangers_, 0) }, { "reason", error.detail } });
+}
+
 } // namespace arbutus::forwarding
--- a/tests/HandoverTest.cpp
+++ b/tests/HandoverTest.cpp
@@ -1,6 +1,7 @@
 #include "include/fleet/HandoverDirectory.h"
 #include "include/forwarding/HandoverHandler.h"
 #include "include/routing/HandoverPeers.h"
+#include "tests/FleetNetwork.h"
 #include "tests/ForwardingFixture.h"
 
 #include <boost/test/unit_test.hpp>
@@ -267,6 +268,40 @@
     BOOST_TEST(directory.peersFor("entry1", "catania").empty());
 }
 
+// Guards against entry VMs that do not know whom to ask when they lose their paths, or that ask
+// those that have lost theirs too.
+BOOST_AUTO_TEST_CASE(EntryVmsLearnFromPollsWhoTakesRequests)
+{
+    constexpr std::size_t entryCount = 61;
+    fleet::FleetNetwork network(3, 170, entryCount, 20, 3);
+    std::vector<bool> isCutOff(entryCount);
+    for (std::size_t i = 0; i < entryCount; ++i)
+        network.entry[i].poller->setHandoverHooks(
+            static_cast<std::uint32_t>(i + 1), [&isCutOff, i] { return !isCutOff[i]; }, [&isCutOff, i] { return isCutOff[i]; });
+    network.run(std::chrono::milliseconds(3500));
+    for (const auto& vm : network.entry)
+        BOOST_TEST(vm.poller->handoverPeers().size() == fleet::HandoverDirectory::localCount + fleet::HandoverDirectory::remoteCount);
+    // A whole data centre and half of another.
+    for (std::size_t i = 0; i < entryCount; ++i)
+        isCutOff[i] = i % 3 == 0 || i % 6 == 1;
+    network.run(std::chrono::milliseconds(700));
+    auto checkPeers = [&network, &isCutOff] {
+        for (std::size_t i = 0; i < entryCount; ++i) {
+            const auto& peers = network.entry[i].poller->handoverPeers();
+            BOOST_TEST(peers.size() >= fleet::HandoverDirectory::remoteCount);
+            if (!isCutOff[i])
+                continue;
+            for (auto ip : peers)
+                BOOST_TEST(!isCutOff[ip - 1]);
+        }
+    };
+    checkPeers();
+    for (std::size_t i = 0; i < network.control.size(); ++i)
+        network.restartControl(i);
+    network.run(std::chrono::milliseconds(2500));
+    checkPeers();
+}
+
 // Guards against one peer that gets the requests of all, and against a peer that has failed
 // and is chosen again at once.
 BOOST_AUTO_TEST_CASE(RequestsAreSpreadOverPeersThatWork)
