Control VMs tell what they have stored only while it is current

Cause: a control VM announced its stored configuration from its first contact with a leader on, for the rest of its life.

Change: heartbeats say what a replica must have applied to hold all that was committed, and carry back the time of the response that they follow. A control VM counts as current if it has applied that much and the leader has answered it within a second. Otherwise entry VMs without a configuration are told none, and upstreams are reported only as leaving or lost, also to other control VMs; the rest follows when it is current again. A leader orders layers only then.

PendingPollIsAnsweredOnChange told an upstream before a leader was found; it does so after now, and asks the same of the configuration as before.

Tests that fail without it: RestartedEntryVmTakesNoConfiguration..., ControlVmWithoutALeaderTellsOfNoReadyUpstream, StateIsCurrentOnlyWithAll... The new fields are optional; leaders of earlier builds send none, and their heartbeats count as before.

--- a/include/consensus/Messages.h
+++ b/include/consensus/Messages.h
@@ -137,12 +137,19 @@
     std::uint64_t round = 0;
     // Never above the index up to which the receiver's log is known to match.
     Index commitIndex = 0;
-    MSGPACK_DEFINE(round, commitIndex)
+    // What a replica must have applied to hold all that was committed: the leader's commit
+    // index, or the first entry of its term if that is later. Absent from earlier builds.
+    std::optional<Index> currentIndex;
+    // The receiver's time in its newest response that the leader had when it sent this.
+    std::optional<std::int64_t> answeredTime;
+    MSGPACK_DEFINE(round, commitIndex, currentIndex, answeredTime)
 };
 
 struct HeartbeatResponse {
     std::uint64_t round = 0;
-    MSGPACK_DEFINE(round)
+    // Nanoseconds of the sender's clock, of use to the sender only. Absent from earlier builds.
+    std::optional<std::int64_t> time;
+    MSGPACK_DEFINE(round, time)
 };
 
 struct SnapshotChunk {
--- a/include/consensus/ReplicaCore.h
+++ b/include/consensus/ReplicaCore.h
@@ -206,6 +206,12 @@
     // Returns the peers that have responded to this leader within an election timeout;
     // empty in any other role.
     std::vector<ReplicaKey> activePeers() const;
+    // Whether the applied state contains all that the leader had committed when it was last
+    // heard from. False while this replica knows no leader.
+    bool isCurrent() const;
+    // Returns a time after which the leader is known to have been there. A heartbeat alone
+    // proves nothing: it may have waited while this process stood still.
+    base::TimePoint leaderContactAt() const { return role_ == Role::Leader ? leaseStart_.value_or(base::TimePoint()) : leaderAnsweredAt_; }
     // Returns the voters whose disk this replica has found to be lost since its start.
     const std::set<ReplicaKey>& lostVoters() const { return lostVoters_; }
     // The number of messages dropped because they violate the protocol.
@@ -230,6 +236,8 @@
         // The last index of each unacknowledged append request.
         std::deque<Index> inflight;
         std::uint64_t ackedRound = 0;
+        // HeartbeatResponse::time of the newest response.
+        std::optional<std::int64_t> responseTime;
         base::TimePoint lastResponseAt;
         // The heartbeat round before the last append request or snapshot chunk.
         std::uint64_t roundBeforeSend = 0;
@@ -297,6 +305,7 @@
     // Returns whether the sender is the leader of the current term, and follows it if so.
     // A stale leader is sent the newer term.
     bool acceptLeader(const Message&);
+    void recordContact(const Heartbeat&);
 
     // Follower.
     bool areEntriesValid(const Message&, const AppendRequest&) const;
@@ -368,6 +377,10 @@
     Index commitIndex_ = 0;
     Index appliedIndex_ = 0;
     base::TimePoint lastLeaderContact_;
+    // From the last heartbeat of the current leader.
+    std::optional<Index> currentIndex_;
+    // When this replica sent the newest message that its leader is known to have answered.
+    base::TimePoint leaderAnsweredAt_;
     base::TimePoint electionDeadline_;
     std::set<ReplicaKey> votes_;
     // Voters whose disk is known to be lost for good, and those of them that were known when
--- a/include/fleet/FleetPollServer.h
+++ b/include/fleet/FleetPollServer.h
@@ -51,9 +51,10 @@
     }
 
     void setRoutes(std::uint64_t version, std::shared_ptr<const std::string> document) { routesPublisher_.setRoutes(version, std::move(document)); }
-    // Call once this VM has contact with a leader. Until then no route configuration is
-    // announced: after a restart, the stored one may have been replaced.
-    void leaderFound() { hasFoundLeader_ = true; }
+    // Sets whether this VM's state is current, at its start not. While it is not, the stored
+    // configuration may have been replaced and known upstreams may have left: entry VMs without
+    // a configuration are told none, and upstreams are reported only as leaving or lost.
+    void setCurrent(bool isCurrent);
     void setReplicas(std::vector<std::uint32_t> ips) { replicas_ = std::move(ips); }
     // Sets the data centre of this VM, which the answers state.
     void setDataCentre(std::string dataCentre) { dataCentre_ = std::move(dataCentre); }
@@ -77,8 +78,13 @@
         Reply reply;
         base::TimePoint deadline;
     };
-    // Returns the version that pollers may be told, or 0.
-    std::uint64_t announcedRoutesVersion() const { return hasFoundLeader_ ? routesPublisher_.version() : 0; }
+    // Returns the version that the poller may be told, or 0. A poller that has a version gains
+    // from a later one, also if that has been replaced.
+    std::uint64_t announcedRoutesVersion(const FleetPoll& poll) const { return isCurrent_ || poll.routesVersion ? routesPublisher_.version() : 0; }
+    // Whether the poller may be told of upstreams: while the state is not current, of changes
+    // only.
+    bool mayTellUpstreams(const FleetPoll& poll) const { return isCurrent_ || (poll.epoch == epoch_ && poll.revision); }
+    void addUpstreams(FleetAnswer&, const FleetPoll&) const;
     bool hasUpdates(const FleetPoll&, base::TimePoint now) const;
     bool shouldSendRoutes(const FleetPoll&, base::TimePoint now) const;
     void sendAnswer(const FleetPoll&, const Reply&, base::TimePoint now);
@@ -99,7 +105,9 @@
     CrashReportRegistry& crashReports_;
     const std::uint64_t epoch_;
     RoutesPublisher routesPublisher_;
-    bool hasFoundLeader_ = false;
+    bool isCurrent_ = false;
+    // The registry's revision when the state was current last.
+    std::uint64_t lastCurrentRevision_ = 0;
     std::vector<std::uint32_t> replicas_;
     std::string dataCentre_;
     TrafficAccount* traffic_ = nullptr;
--- a/src/consensus/ReplicaCore.cpp
+++ b/src/consensus/ReplicaCore.cpp
@@ -213,6 +213,8 @@
 void ReplicaCore::becomeFollower(Term term, std::optional<ReplicaKey> leader)
 {
     const bool wasLeader = role_ == Role::Leader;
+    if (wasLeader || leader != leader_ || term != term_)
+        currentIndex_.reset();
     role_ = Role::Follower;
     leader_ = leader;
     votes_.clear();
@@ -360,7 +362,7 @@
 {
     if (message.term < term_) {
         // Sends the newer term to a stale leader. Round 0 acknowledges no heartbeat.
-        send(message.from, HeartbeatResponse { 0 });
+        send(message.from, HeartbeatResponse { 0, std::nullopt });
         return false;
     }
     if (role_ == Role::Leader && message.term == term_) {
@@ -372,12 +374,34 @@
     return true;
 }
 
+void ReplicaCore::recordContact(const Heartbeat& heartbeat)
+{
+    const bool isOfEarlierBuild = !heartbeat.currentIndex;
+    currentIndex_ = std::max(currentIndex_.value_or(0), heartbeat.currentIndex.value_or(heartbeat.commitIndex));
+    base::TimePoint answeredAt;
+    if (isOfEarlierBuild)
+        answeredAt = now_;
+    else if (heartbeat.answeredTime)
+        answeredAt = base::TimePoint(std::chrono::nanoseconds(*heartbeat.answeredTime));
+    // A time in the future is one of before this machine was restarted.
+    if (answeredAt <= now_)
+        leaderAnsweredAt_ = std::max(leaderAnsweredAt_, answeredAt);
+}
+
+bool ReplicaCore::isCurrent() const
+{
+    if (role_ == Role::Leader)
+        return appliedIndex_ >= termStartIndex_ && now_ < leaseEnd();
+    return role_ == Role::Follower && leader_ && currentIndex_ && appliedIndex_ >= *currentIndex_;
+}
+
 void ReplicaCore::onMessage(const Message& message, const Heartbeat& heartbeat)
 {
     if (!acceptLeader(message))
         return;
+    recordContact(heartbeat);
     commitIndex_ = std::max(commitIndex_, std::min(heartbeat.commitIndex, log_.lastIndex()));
-    send(message.from, HeartbeatResponse { heartbeat.round });
+    send(message.from, HeartbeatResponse { heartbeat.round, now_.time_since_epoch().count() });
 }
 
 bool ReplicaCore::areEntriesValid(const Message& message, const AppendRequest& request) const
--- a/src/consensus/ReplicaCoreLeader.cpp
+++ b/src/consensus/ReplicaCoreLeader.cpp
@@ -206,7 +206,7 @@
     while (now_ - roundSendTimes_.front().second > leaseDuration())
         roundSendTimes_.pop_front();
     for (const auto& [key, peer] : peers_)
-        send(key, Heartbeat { heartbeatRound_, std::min(commitIndex_, peer.matchIndex) });
+        send(key, Heartbeat { heartbeatRound_, std::min(commitIndex_, peer.matchIndex), std::max(commitIndex_, termStartIndex_), peer.responseTime });
     updateLease();
 }
 
@@ -229,6 +229,7 @@
     Peer* peer = peerForResponse(message);
     if (!peer || response.round > heartbeatRound_)
         return;
+    peer->responseTime = response.time;
     peer->ackedRound = std::max(peer->ackedRound, response.round);
     if (!peer->passedAt && response.round > peer->roundBeforeSend)
         peer->passedAt = now_;
--- a/src/fleet/FleetPollServer.cpp
+++ b/src/fleet/FleetPollServer.cpp
@@ -1,19 +1,45 @@
 #include "include/fleet/FleetPollServer.h"
 
+#include <algorithm>
+
 namespace arbutus::fleet {
 
 static constexpr std::chrono::milliseconds expiryInterval(100);
 
 bool FleetPollServer::shouldSendRoutes(const FleetPoll& poll, base::TimePoint now) const
 {
-    return poll.wantsRoutes && poll.routesVersion < announcedRoutesVersion() && routesPublisher_.maySend(now);
+    return poll.wantsRoutes && poll.routesVersion < announcedRoutesVersion(poll) && routesPublisher_.maySend(now);
 }
 
 bool FleetPollServer::hasUpdates(const FleetPoll& poll, base::TimePoint now) const
 {
-    bool hasNewRoutes = poll.wantsRoutes ? shouldSendRoutes(poll, now) : poll.routesVersion < announcedRoutesVersion();
+    bool hasNewRoutes = poll.wantsRoutes ? shouldSendRoutes(poll, now) : poll.routesVersion < announcedRoutesVersion(poll);
+    bool hasNewUpstreams = mayTellUpstreams(poll) && poll.revision < registry_.revision();
     bool hasNewLimits = poll.limitRevision && poll.limitRevision != permitAllocator_.revision();
-    return poll.epoch != epoch_ || hasNewLimits || poll.revision < registry_.revision() || poll.crashRevision < crashReports_.revision() || hasNewRoutes;
+    return poll.epoch != epoch_ || hasNewLimits || hasNewUpstreams || poll.crashRevision < crashReports_.revision() || hasNewRoutes;
+}
+
+void FleetPollServer::setCurrent(bool isCurrent)
+{
+    if (isCurrent_ == isCurrent)
+        return;
+    isCurrent_ = isCurrent;
+    if (isCurrent)
+        registry_.republishSince(lastCurrentRevision_);
+    else
+        lastCurrentRevision_ = registry_.revision();
+}
+
+void FleetPollServer::addUpstreams(FleetAnswer& answer, const FleetPoll& poll) const
+{
+    if (!mayTellUpstreams(poll))
+        return;
+    answer.revision = registry_.revision();
+    answer.upstreams = registry_.changesSince(poll.epoch == epoch_ ? poll.revision : 0);
+    if (isCurrent_)
+        return;
+    auto isUsable = [](const UpstreamRecord& record) { return record.state == UpstreamState::Ready; };
+    answer.upstreams.erase(std::remove_if(answer.upstreams.begin(), answer.upstreams.end(), isUsable), answer.upstreams.end());
 }
 
 FleetAnswer FleetPollServer::answer(const FleetPoll& poll, base::TimePoint now)
@@ -21,11 +47,10 @@
     FleetAnswer result;
     result.dataCentre = dataCentre_;
     result.epoch = epoch_;
-    result.revision = registry_.revision();
-    result.upstreams = registry_.changesSince(poll.epoch == epoch_ ? poll.revision : 0);
+    addUpstreams(result, poll);
     result.crashRevision = crashReports_.revision();
     result.crashReports = crashReports_.changesSince(poll.epoch == epoch_ ? poll.crashRevision : 0, now);
-    result.routesVersion = announcedRoutesVersion();
+    result.routesVersion = announcedRoutesVersion(poll);
     if (shouldSendRoutes(poll, now)) {
         auto packed = routesPublisher_.pack(poll.routesBase, now);
         result.packedRoutes = *packed.bytes;
--- a/src/node/ControlNode.cpp
+++ b/src/node/ControlNode.cpp
@@ -42,6 +42,9 @@
 static constexpr std::size_t maxEntryBytes = std::size_t { 3 } << 20;
 static constexpr std::size_t maxBatchBytes = maxEntryBytes + (std::size_t { 256 } << 10);
 static constexpr std::chrono::milliseconds maxReplicaWait(100);
+// A leader answers ten times within it. Together with the time in which a leader that is cut off
+// steps down, it stays below the time within which a configuration must be in force.
+static constexpr std::chrono::milliseconds maxLeaderSilence(1000);
 
 static fleet::PeerLinks::Options linkOptions(const ControlOptions& options)
 {
@@ -75,7 +78,7 @@
     , timer_(context, tickInterval, [this] { tick(); })
     , answerTimer_(context, fleet::FleetPollServer::answerInterval, [this] { answerPolls(); })
     , heartbeatMonitor_(net::ipText(options_.ip), options_.heartbeatInterval)
-    , engineClient_(context, codec_, registry_, net::ipText(options_.ip), [this] { fleetPollServer_.answerPendingPolls(clock_.now()); })
+    , engineClient_(context, codec_, registry_, net::ipText(options_.ip), [this] { answerPendingPolls(clock_.now()); })
 {
 }
 
@@ -213,9 +216,16 @@
     }
 }
 
+void ControlNode::answerPendingPolls(base::TimePoint now)
+{
+    fleetPollServer_.setCurrent(isCurrent());
+    fleetPollServer_.answerPendingPolls(now);
+}
+
 void ControlNode::receivePoll(fleet::FleetPoll poll, std::size_t bytes, const transport::FrameServer::Reply& reply)
 {
     traffic_.add(poll, TrafficAccount::Direction::Received, poll.dataCentre, bytes);
+    fleetPollServer_.setCurrent(isCurrent());
     fleetPollServer_.poll(std::move(poll), reply, clock_.now());
 }
 
@@ -240,7 +250,7 @@
 void ControlNode::publishReplicaView(const replica::ReplicaStatus& status, const state::StateMachine& machine)
 {
     ReplicaView view { status, machine.routes().version(), machine.routes().document(), machine.layerPlan().version(), machine.layerPlan().document() };
-    auto comparedFields = [](const ReplicaView& value) { return std::make_tuple(value.status.role, value.status.term, value.status.leader, value.routesVersion, value.planRevision, value.status.isDiskFull); };
+    auto comparedFields = [](const ReplicaView& value) { return std::make_tuple(value.status.role, value.status.term, value.status.leader, value.routesVersion, value.planRevision, value.status.isDiskFull, value.status.isCurrent); };
     bool isSame = publishedView_ && comparedFields(*publishedView_) == comparedFields(view) && publishedView_->status.configuration == status.configuration && publishedView_->status.activePeers == status.activePeers;
     if (isSame)
         return;
@@ -268,8 +278,6 @@
     replicaView_ = view;
     if (hasNewLeader)
         logLeader();
-    if (isConnected())
-        fleetPollServer_.leaderFound();
     if (hasNewRoutes)
         publishRoutes();
     if (hasBecomeLeader)
@@ -288,7 +296,7 @@
             replicas.push_back(static_cast<std::uint32_t>(member.replica));
     }
     fleetPollServer_.setReplicas(std::move(replicas));
-    fleetPollServer_.answerPendingPolls(clock_.now());
+    answerPendingPolls(clock_.now());
     replicaSet_->statusChanged(hasBecomeLeader);
     answerConfirmations(clock_.now());
 }
@@ -315,6 +323,9 @@
     return isInContact && replicaView_.status.leader.has_value();
 }
 
+// A VM that stood still has the view of before when it goes on, and old messages to read.
+bool ControlNode::isCurrent() const { return isConnected() && replicaView_.status.isCurrent && clock_.now() < replica_->leaderContactAt() + maxLeaderSilence; }
+
 void ControlNode::replaceRoutes(std::uint64_t version, const std::string& document, StoreRoutesCallback done)
 {
     if (hasCommittedRoutes(version)) {
@@ -374,13 +385,13 @@
 void ControlNode::recordHeartbeat(fleet::UpstreamRecord upstream)
 {
     if (registry_.applyHeartbeat(std::move(upstream), net::ipText(options_.ip), clock_.now()))
-        fleetPollServer_.answerPendingPolls(clock_.now());
+        answerPendingPolls(clock_.now());
 }
 
 void ControlNode::deregister(const std::string& id, std::int64_t startedAtMilliseconds)
 {
     registry_.deregister(id, startedAtMilliseconds, net::ipText(options_.ip), clock_.now());
-    fleetPollServer_.answerPendingPolls(clock_.now());
+    answerPendingPolls(clock_.now());
 }
 
 void ControlNode::setSeeds(const std::vector<std::uint32_t>& ips) { fleetPoller_.setSeeds(ips); }
@@ -396,10 +407,10 @@
     replicaSet_->tick(isConnected(), now);
     answerConfirmations(now);
     engineClient_.pollEngines(now);
-    if (isLeader())
+    if (isLeader() && isCurrent())
         placeLayers(now);
     engineClient_.endOverdueCalls();
-    fleetPollServer_.answerPendingPolls(now);
+    answerPendingPolls(now);
     reportActivity(now);
     tickDueAt_ = clock_.now() + tickInterval;
 }
@@ -407,7 +418,7 @@
 void ControlNode::answerPolls()
 {
     auto now = clock_.now();
-    fleetPollServer_.answerPendingPolls(now);
+    answerPendingPolls(now);
     std::vector<std::uint32_t> peers;
     for (auto ip : fleetPoller_.knownReplicas()) {
         if (fleetPoller_.hasHeardFrom(ip, now - fleet::LoadExchange::sourceTimeout))
--- a/src/node/ControlNode.h
+++ b/src/node/ControlNode.h
@@ -73,6 +73,9 @@
     // Whether this VM is the leader or follows one. Without a leader, an accepted
     // heartbeat might not reach the entry VMs.
     bool isConnected() const;
+    // Whether this VM, besides, has applied all that was committed when that contact began, and
+    // has heard of its leader lately. Otherwise what it has stored may have been replaced.
+    bool isCurrent() const;
     // Applies a heartbeat that an upstream sent to this VM.
     void recordHeartbeat(fleet::UpstreamRecord);
     // Applies an upstream's announcement that it is shutting down.
@@ -96,6 +99,8 @@
 
     base::Result<void> startReplica();
     base::Result<consensus::Configuration> agreeOnInitialConfiguration();
+    // Answers the polls that have changes to receive.
+    void answerPendingPolls(base::TimePoint now);
     void receivePoll(fleet::FleetPoll, std::size_t bytes, const transport::FrameServer::Reply&);
     void receiveLoad(fleet::LoadUpdate, std::size_t bytes);
     std::optional<std::string> handleFrame(const transport::Frame&, const transport::FrameServer::Reply&);
--- a/src/replica/ReplicaNode.cpp
+++ b/src/replica/ReplicaNode.cpp
@@ -432,6 +432,8 @@
     status.lastIndex = core_->log().lastIndex();
     status.configuration = core_->configuration();
     status.isConfigurationCommitted = core_->log().configurationIndex() <= core_->commitIndex();
+    status.isCurrent = core_->isCurrent();
+    leaderContactAt_ = core_->leaderContactAt();
     status.leaseEnd = core_->leaseEnd();
     status.syncCount = storage_->syncCount();
     status.snapshotCount = snapshotCount_;
--- a/src/replica/ReplicaNode.h
+++ b/src/replica/ReplicaNode.h
@@ -34,6 +34,8 @@
     consensus::Configuration configuration;
     // Whether this replica knows that `configuration` is committed.
     bool isConfigurationCommitted = false;
+    // See ReplicaCore.
+    bool isCurrent = false;
     // When the leader's lease ends; a time in the past in any other role.
     base::TimePoint leaseEnd;
     std::uint64_t syncCount = 0;
@@ -102,6 +104,9 @@
 
     ReplicaStatus status() const;
 
+    // See ReplicaCore. Unlike the status, it may be read often.
+    base::TimePoint leaderContactAt() const { return leaderContactAt_; }
+
     // Returns the longest delay of a due heartbeat or election since the last call.
     std::chrono::milliseconds takeLateness() { return lateness_.take(); }
     // Returns the longest age of the newest heartbeat round that a majority has
@@ -194,6 +199,7 @@
     std::uint64_t appliedBytes_ = 0;
     consensus::Role lastRole_ = consensus::Role::Follower;
     std::set<consensus::ReplicaKey> loggedLostVoters_;
+    std::atomic<base::TimePoint> leaderContactAt_ {};
     base::LatenessMeter lateness_;
     base::LatenessMeter leaseAge_;
 
--- a/tests/ConfigurationSpreadTest.cpp
+++ b/tests/ConfigurationSpreadTest.cpp
@@ -113,3 +113,39 @@
     fleet->run(Milliseconds(4000));
     checkAllHave(*fleet, makeDocument(2, 300));
 }
+
+// Guards against a restarted entry VM that follows a control VM which missed a change and has
+// lost its leader (review/8), and against one that runs on and learns of no later version.
+BOOST_AUTO_TEST_CASE(RestartedEntryVmTakesNoConfigurationFromAControlVmWithoutALeader)
+{
+    FleetNetwork fleet(3, 170, 2, 20);
+    static constexpr std::size_t behind = 1;
+    const auto setRoutes = [&](std::size_t i, std::uint64_t version) { fleet.control[i].server->setRoutes(version, std::make_shared<const std::string>(fmt::format("version {}", version))); };
+    for (std::size_t i : { 0, 1, 2 })
+        setRoutes(i, 5);
+    fleet.run(Milliseconds(1500));
+    BOOST_TEST(fleet.entry[0].version == 5U);
+    // The second entry VM is cut off while the others learn of the change.
+    for (std::size_t i : { 0, 2 }) {
+        fleet.setReachable(1, i, false);
+        setRoutes(i, 9);
+    }
+    fleet.control[behind].server->setCurrent(false);
+    fleet.run(Milliseconds(1500));
+    BOOST_TEST(fleet.entry[0].version == 9U);
+    for (std::size_t i : { 0, 2 })
+        fleet.control[i].isReachable = false;
+    fleet.restartEntry(0);
+    fleet.run(Milliseconds(6000));
+    BOOST_TEST(fleet.entry[0].version == 0U);
+    // What it has committed meanwhile is newer than what the running one has.
+    setRoutes(behind, 7);
+    fleet.run(Milliseconds(1500));
+    BOOST_TEST(fleet.entry[0].version == 0U);
+    BOOST_TEST(fleet.entry[1].version == 7U);
+    setRoutes(behind, 9);
+    fleet.control[behind].server->setCurrent(true);
+    fleet.run(Milliseconds(1500));
+    for (const auto& vm : fleet.entry)
+        BOOST_TEST(vm.version == 9U);
+}
--- a/tests/ConsensusCoreTest.cpp
+++ b/tests/ConsensusCoreTest.cpp
@@ -50,12 +50,12 @@
     state.hardState = { 1, std::nullopt };
     state.bootstrap = { { peer, { 2, 1 } }, { self } };
     ReplicaCore core = ReplicaCore::Make(settings, state, base::Random(1), startTime).value();
-    receive(core, 1, Heartbeat { 1, 0 }, startTime);
+    receive(core, 1, Heartbeat { 1, 0, 0, std::nullopt }, startTime);
     BOOST_REQUIRE(core.leader().has_value());
     core.step(Tick {}, startTime + settings.electionTimeoutMax);
     BOOST_TEST(!core.leader().has_value());
     BOOST_TEST((core.role() == Role::Follower));
-    receive(core, 1, Heartbeat { 2, 0 }, startTime + 2 * settings.electionTimeoutMax);
+    receive(core, 1, Heartbeat { 2, 0, 0, std::nullopt }, startTime + 2 * settings.electionTimeoutMax);
     BOOST_TEST(core.leader().has_value());
 }
 
@@ -119,7 +119,7 @@
     ReplicaCore core = makeCore({}, {});
     const auto sentAt = electLeader(core);
     BOOST_TEST((core.step(Propose { { { 1, "early" } } }, sentAt).proposalResults[0].status == ProposalStatus::NoQuorum));
-    receive(core, 1, HeartbeatResponse { 1 }, sentAt + std::chrono::milliseconds(90));
+    receive(core, 1, HeartbeatResponse { 1, std::nullopt }, sentAt + std::chrono::milliseconds(90));
     BOOST_TEST((core.leaseEnd() == sentAt + std::chrono::milliseconds(540)));
     // Until the leader commits an entry of its term, a configuration change of its
     // predecessor may still be uncommitted.
@@ -134,7 +134,7 @@
     ReplicaCore core = makeCore({}, {});
     const auto sentAt = electLeader(core);
     BOOST_TEST(!core.leadershipConfirmedAt().has_value());
-    receive(core, 1, HeartbeatResponse { 1 }, sentAt + std::chrono::milliseconds(90));
+    receive(core, 1, HeartbeatResponse { 1, std::nullopt }, sentAt + std::chrono::milliseconds(90));
     core.step(Tick {}, sentAt + std::chrono::milliseconds(500));
     BOOST_TEST((core.leadershipConfirmedAt() == sentAt));
     core.step(Tick {}, core.leaseEnd());
@@ -146,7 +146,7 @@
 {
     ReplicaCore core = makeCore({}, {});
     const auto now = electLeader(core);
-    receive(core, 1, HeartbeatResponse { 1 }, now);
+    receive(core, 1, HeartbeatResponse { 1, std::nullopt }, now);
     BOOST_TEST((core.step(Propose { { { 1, std::string((512 << 10) + 1, 'x') } } }, now).proposalResults[0].status == ProposalStatus::TooLarge));
     Propose many { std::vector<Proposal>(40, { 2, std::string(512 << 10, 'x') }) };
     Output output = core.step(many, now);
@@ -194,7 +194,7 @@
 {
     const Configuration members { { self, peer }, { { 3, 7 } } };
     const std::vector<Entry> entries { { 2, 4, EntryKind::Command, "order" }, { 3, 5, EntryKind::Configuration, encode(members) } };
-    return { VoteRequest { true, 4, 2 }, VoteResponse { false, true, 3, 77 }, AppendRequest { 3, 1, 3, entries }, AppendResponse { false, 9, 4, 2 }, Heartbeat { 8, 3 }, HeartbeatResponse { 8 }, SnapshotChunk { { 6, 2, members }, 10, 0, "0123456789" }, SnapshotResponse { 6, 10 } };
+    return { VoteRequest { true, 4, 2 }, VoteResponse { false, true, 3, 77 }, AppendRequest { 3, 1, 3, entries }, AppendResponse { false, 9, 4, 2 }, Heartbeat { 8, 3, 5, 17 }, HeartbeatResponse { 8, 17 }, SnapshotChunk { { 6, 2, members }, 10, 0, "0123456789" }, SnapshotResponse { 6, 10 } };
 }
 
 // Guards against a crash on corrupt bytes, both in the decoder and in the core, which
@@ -283,3 +283,39 @@
     BOOST_TEST(!convert<VoteResponse>(EarlierVoteResponse { true, true, 4 }).lostDisk);
     BOOST_TEST(convert<EarlierVoteResponse>(VoteResponse { true, false, 4, 77 }).requestedTerm == 4U);
 }
+
+// Guards against a state that counts as current although the replica has missed entries, and
+// against heartbeats that waited while the process stood still and count as contact (review/8).
+BOOST_AUTO_TEST_CASE(StateIsCurrentOnlyWithAllThatTheLeaderHasCommitted)
+{
+    ReplicaCore core = makeCore({ 1, std::nullopt }, {});
+    auto now = startTime;
+    BOOST_TEST(!core.isCurrent());
+    receive(core, 1, Heartbeat { 1, 0, 2, std::nullopt }, now);
+    BOOST_TEST(!core.isCurrent());
+    const auto append = [&](Index index) {
+        Output output = receive(core, 1, AppendRequest { index - 1, index > 1 ? Term { 1 } : Term { 0 }, index, { { 1, index, EntryKind::Command, "x" } } }, now);
+        core.step(Persisted { output.writeNumber }, now);
+    };
+    append(1);
+    BOOST_TEST(!core.isCurrent());
+    append(2);
+    BOOST_TEST(core.isCurrent());
+    BOOST_TEST((core.leaderContactAt() == base::TimePoint()));
+    const auto answered = now.time_since_epoch().count();
+    now += 2 * ReplicaSettings().electionTimeoutMax;
+    Output output = receive(core, 1, Heartbeat { 2, 2, 2, answered }, now);
+    BOOST_TEST(std::get<HeartbeatResponse>(output.messages.back().body).time.value() == now.time_since_epoch().count());
+    BOOST_TEST((core.leaderContactAt() == startTime));
+    receive(core, 1, Heartbeat { 2, 2, 2, answered + std::int64_t { 1000 } * 1000 * 1000 * 1000 }, now);
+    BOOST_TEST((core.leaderContactAt() == startTime));
+    receive(core, 1, Heartbeat { 3, 2, 9, answered }, now);
+    BOOST_TEST(!core.isCurrent());
+    // A leader of an earlier build says neither.
+    receive(core, 2, Heartbeat { 1, 2, std::nullopt, std::nullopt }, now);
+    BOOST_TEST(core.isCurrent());
+    BOOST_TEST((core.leaderContactAt() == now));
+    now += 2 * ReplicaSettings().electionTimeoutMax;
+    core.step(Tick {}, now);
+    BOOST_TEST(!core.isCurrent());
+}
--- a/tests/LeaveSpreadTest.cpp
+++ b/tests/LeaveSpreadTest.cpp
@@ -115,3 +115,35 @@
     BOOST_TEST(countReady(*fleet) == 0U);
     BOOST_TEST((fleet->control[1].registry.find("a")->state == UpstreamState::Gone));
 }
+
+// Guards against upstreams whose leave was missed by a control VM that has lost its leader, and
+// that tells of them as ready; leaves still pass through it.
+BOOST_AUTO_TEST_CASE(ControlVmWithoutALeaderTellsOfNoReadyUpstream)
+{
+    FleetNetwork fleet(1, 170, 3, 20);
+    auto& control = fleet.control[0];
+    control.registry.applyHeartbeat(makeRecord(1), "c", fleet.clock.now());
+    fleet.run(Milliseconds(1500));
+    BOOST_TEST(countReady(fleet) == 3U);
+    control.server->setCurrent(false);
+    fleet.restartEntry(0);
+    auto late = makeRecord(1);
+    late.id = "b";
+    late.ip = 2;
+    control.registry.applyHeartbeat(late, "c", fleet.clock.now());
+    fleet.run(Milliseconds(3000));
+    BOOST_TEST(!fleet.entry[0].registry.find("a"));
+    for (const auto& vm : fleet.entry)
+        BOOST_TEST(!vm.registry.find("b"));
+    announce(fleet, 1);
+    fleet.run(spreadBound);
+    BOOST_TEST(countReady(fleet) == 0U);
+    control.server->setCurrent(true);
+    fleet.run(Milliseconds(1500));
+    for (const auto& vm : fleet.entry) {
+        BOOST_REQUIRE(vm.registry.find("a"));
+        BOOST_TEST((vm.registry.find("a")->state == UpstreamState::Draining));
+        BOOST_REQUIRE(vm.registry.find("b"));
+        BOOST_TEST((vm.registry.find("b")->state == UpstreamState::Ready));
+    }
+}
--- a/tests/UpstreamRegistryTest.cpp
+++ b/tests/UpstreamRegistryTest.cpp
@@ -264,6 +264,7 @@
     poll.wantsPeerLoad = true;
     poll.maxWaitMilliseconds = 400;
     poll.load = { { "a", 3, 100 } };
+    pollServer.setCurrent(true);
     pollServer.poll(poll, reply, clock.now());
     BOOST_REQUIRE(answers.size() == 1);
     poll.epoch = 77;
@@ -277,12 +278,13 @@
 
     poll.revision = answers[1].revision;
     poll.wantsRoutes = true;
+    pollServer.setCurrent(false);
     pollServer.poll(poll, reply, clock.now());
     pollServer.setRoutes(4, std::make_shared<const std::string>("document"));
     pollServer.answerPendingPolls(clock.now());
-    // Before a leader is found, a stored configuration may have been replaced.
+    // Without a leader, a stored configuration may have been replaced.
     BOOST_TEST(answers.size() == 2);
-    pollServer.leaderFound();
+    pollServer.setCurrent(true);
     pollServer.answerPendingPolls(clock.now());
     BOOST_REQUIRE(answers.size() == 3);
     BOOST_TEST(base::decompressDelta({}, answers[2].packedRoutes, 100).value() == "document");
