Control VMs learn from entry VMs which processes of upstreams there are

Cause: the registry of the control VMs is in memory, so they stored the departure for start 0. The entry VMs know the real start and dropped the record as that of an older process. Ruled out: a record lost on its way.

Change: a control VM whose state has just become current asks two entry VMs which processes they know (FleetAnswer::wantsProcesses, FleetPoll::processes). Until they have told, at most 3 s, a departure without a start is refused with 503 and comes again; then it means the latest start that anyone knows. It is asked anew after each loss of contact, not only after a restart.

--- a/include/fleet/FleetMessages.h
+++ b/include/fleet/FleetMessages.h
@@ -65,7 +65,9 @@
     std::uint32_t handoverIp = 0;
     // Whether the answer should list entry VMs that take such requests.
     bool wantsHandoverPeers = false;
-    MSGPACK_DEFINE(sender, dataCentre, isEntry, epoch, revision, routesVersion, wantsRoutes, routesBase, wantsPeerLoad, wantsPermits, maxWaitMilliseconds, load, incarnation, loadRevision, crashRevision, crashReports, limits, limitRevision, leaving, gone, demand, handoverIp, wantsHandoverPeers)
+    // Only if the receiver has asked for them: all processes of upstreams that the sender knows.
+    std::vector<UpstreamProcess> processes;
+    MSGPACK_DEFINE(sender, dataCentre, isEntry, epoch, revision, routesVersion, wantsRoutes, routesBase, wantsPeerLoad, wantsPermits, maxWaitMilliseconds, load, incarnation, loadRevision, crashRevision, crashReports, limits, limitRevision, leaving, gone, demand, handoverIp, wantsHandoverPeers, processes)
 };
 
 // The answer to a FleetPoll.
@@ -104,7 +106,9 @@
     ServiceDemands demand;
     // Only if requested: some entry VMs that take requests of others, by IP address.
     std::vector<std::uint32_t> handoverPeers;
-    MSGPACK_DEFINE(dataCentre, epoch, revision, upstreams, routesVersion, packedRoutes, routesBase, replicas, silentControlVms, entryVmCount, peerLoad, crashRevision, crashReports, limits, limitRevision, demand, handoverPeers)
+    // Whether the next poll should tell the processes of upstreams that the poller knows.
+    bool wantsProcesses = false;
+    MSGPACK_DEFINE(dataCentre, epoch, revision, upstreams, routesVersion, packedRoutes, routesBase, replicas, silentControlVms, entryVmCount, peerLoad, crashRevision, crashReports, limits, limitRevision, demand, handoverPeers, wantsProcesses)
 };
 
 // Asks the leader to add the sender as a replica.
--- a/include/fleet/FleetPollServer.h
+++ b/include/fleet/FleetPollServer.h
@@ -15,6 +15,7 @@
 #include <list>
 #include <memory>
 #include <optional>
+#include <set>
 #include <utility>
 
 namespace arbutus::fleet {
@@ -54,8 +55,11 @@
     // Sets whether this VM's state is current, at its start not. While it is not, the stored
     // configuration may have been replaced and known upstreams may have left: entry VMs without
     // a configuration are told none, and upstreams are reported only as leaving or lost.
-    void setCurrent(bool isCurrent);
+    void setCurrent(bool isCurrent, base::TimePoint now);
     void setReplicas(std::vector<std::uint32_t> ips) { replicas_ = std::move(ips); }
+    // Whether this VM knows the processes of upstreams that entry VMs know: some of them have
+    // told it since its state became current, or none has for a while.
+    bool hasLearnedProcesses(base::TimePoint now) const;
     // Sets the data centre of this VM, which the answers state.
     void setDataCentre(std::string dataCentre) { dataCentre_ = std::move(dataCentre); }
     // Sets where answers are counted.
@@ -100,6 +104,7 @@
     bool applyCrashReports(const FleetPoll&, base::TimePoint now);
     bool applyLeaves(const FleetPoll&, base::TimePoint now);
     bool applyDepartures(const FleetPoll&, base::TimePoint now);
+    void learnProcesses(const FleetPoll&);
 
     UpstreamRegistry& registry_;
     CrashReportRegistry& crashReports_;
@@ -108,6 +113,10 @@
     bool isCurrent_ = false;
     // The registry's revision when the state was current last.
     std::uint64_t lastCurrentRevision_ = 0;
+    // The entry VMs that have told the processes which they know, and until when to wait for
+    // them.
+    std::set<std::string> informants_;
+    base::TimePoint informedBy_;
     std::vector<std::uint32_t> replicas_;
     std::string dataCentre_;
     TrafficAccount* traffic_ = nullptr;
--- a/include/fleet/FleetPoller.h
+++ b/include/fleet/FleetPoller.h
@@ -158,6 +158,8 @@
         std::uint64_t sentReports = 0;
         // The peer's revision of limits that this VM knows.
         std::uint64_t limitRevision = 0;
+        // Whether the next poll should tell the processes of upstreams.
+        bool wantsProcesses = false;
         std::uint32_t entryVmCount = 0;
         // The peer's revision of crash reports that this VM knows.
         std::uint64_t crashRevision = 0;
--- a/include/fleet/UpstreamRegistry.h
+++ b/include/fleet/UpstreamRegistry.h
@@ -44,6 +44,14 @@
     bool markGone(const UpstreamProcess&, base::TimePoint now);
     // Whether this process of the upstream is known to be gone.
     bool isGone(const UpstreamProcess&) const;
+    // Returns all processes in the registry, present or not.
+    std::vector<UpstreamProcess> processes() const;
+    // Records that another VM knows this process. A departure that states no start means the
+    // latest process that is known.
+    void learnProcess(const UpstreamProcess&);
+    void forgetLearnedProcesses() { learnedStarts_.clear(); }
+    // Returns the latest start of the upstream that is known, in Unix milliseconds, or 0.
+    std::int64_t latestStart(const std::string& id) const;
     // Marks an upstream as gone. An unknown upstream is stored as gone, so that a late
     // heartbeat does not restore it. Does nothing if a newer incarnation is known.
     // `startedAtMilliseconds` is 0 if unknown.
@@ -86,6 +94,8 @@
     bool republish(TrackedUpstream&, const UpstreamRecord& older, base::TimePoint now);
 
     std::map<std::string, TrackedUpstream> upstreams_;
+    // The starts told by other VMs; see learnProcess().
+    std::map<std::string, std::int64_t> learnedStarts_;
     std::uint64_t revision_ = 0;
 };
 
--- a/src/fleet/FleetPollServer.cpp
+++ b/src/fleet/FleetPollServer.cpp
@@ -5,6 +5,10 @@
 namespace arbutus::fleet {
 
 static constexpr std::chrono::milliseconds expiryInterval(100);
+// One that has just been started knows little.
+static constexpr std::size_t minInformants = 2;
+// Each entry VM polls several times in it.
+static constexpr std::chrono::seconds maxInformationTime(3);
 
 bool FleetPollServer::shouldSendRoutes(const FleetPoll& poll, base::TimePoint now) const
 {
@@ -19,15 +23,30 @@
     return poll.epoch != epoch_ || hasNewLimits || hasNewUpstreams || poll.crashRevision < crashReports_.revision() || hasNewRoutes;
 }
 
-void FleetPollServer::setCurrent(bool isCurrent)
+void FleetPollServer::setCurrent(bool isCurrent, base::TimePoint now)
 {
     if (isCurrent_ == isCurrent)
         return;
     isCurrent_ = isCurrent;
-    if (isCurrent)
-        registry_.republishSince(lastCurrentRevision_);
-    else
+    if (!isCurrent) {
         lastCurrentRevision_ = registry_.revision();
+        return;
+    }
+    registry_.republishSince(lastCurrentRevision_);
+    registry_.forgetLearnedProcesses();
+    informants_.clear();
+    informedBy_ = now + maxInformationTime;
+}
+
+bool FleetPollServer::hasLearnedProcesses(base::TimePoint now) const { return isCurrent_ && (informants_.size() >= minInformants || now >= informedBy_); }
+
+void FleetPollServer::learnProcesses(const FleetPoll& poll)
+{
+    if (poll.processes.empty())
+        return;
+    for (const auto& process : poll.processes)
+        registry_.learnProcess(process);
+    informants_.insert(poll.sender);
 }
 
 void FleetPollServer::addUpstreams(FleetAnswer& answer, const FleetPoll& poll) const
@@ -66,6 +85,7 @@
         addDemand(result);
     if (poll.wantsHandoverPeers)
         result.handoverPeers = handoverDirectory_.peersFor(poll.sender, poll.dataCentre);
+    result.wantsProcesses = poll.isEntry && isCurrent_ && !hasLearnedProcesses(now) && !informants_.count(poll.sender);
     if (poll.wantsPermits)
         result.limits = permitAllocator_.allocate(poll.limits, now);
     return result;
@@ -135,6 +155,7 @@
 
 void FleetPollServer::poll(FleetPoll poll, Reply reply, base::TimePoint now)
 {
+    learnProcesses(poll);
     bool hasNewReports = applyCrashReports(poll, now);
     bool hasNewLeaves = applyLeaves(poll, now);
     bool hasNewDepartures = applyDepartures(poll, now);
--- a/src/fleet/FleetPoller.cpp
+++ b/src/fleet/FleetPoller.cpp
@@ -335,6 +335,8 @@
         poll.leaving.push_back(report.process);
     for (const auto& report : goneReports_)
         poll.gone.push_back(report.process);
+    if (peer.wantsProcesses)
+        poll.processes = registry_.processes();
     if (demandProvider_ && poll.wantsPeerLoad)
         poll.demand = demandProvider_();
     auto done = [this, ip, number = ++peer.pollNumber, isAlive = std::weak_ptr<bool>(isAlive_), post = post_](base::Result<std::string> answer) {
@@ -404,6 +406,7 @@
     peer.dataCentre = answer.dataCentre;
     updateSilent(peer, answer.silentControlVms);
     peer.limitRevision = answer.limitRevision;
+    peer.wantsProcesses = answer.wantsProcesses;
     peer.epoch = answer.epoch;
     peer.revision = answer.revision;
     peer.entryVmCount = answer.entryVmCount;
--- a/src/fleet/UpstreamRegistry.cpp
+++ b/src/fleet/UpstreamRegistry.cpp
@@ -173,6 +173,27 @@
     return record && record->startedAtMilliseconds == process.startedAtMilliseconds && record->state == UpstreamState::Gone;
 }
 
+std::vector<UpstreamProcess> UpstreamRegistry::processes() const
+{
+    std::vector<UpstreamProcess> result;
+    for (const auto& [id, tracked] : upstreams_)
+        result.push_back({ id, tracked.record.startedAtMilliseconds });
+    return result;
+}
+
+void UpstreamRegistry::learnProcess(const UpstreamProcess& process)
+{
+    auto& start = learnedStarts_[process.id];
+    start = std::max(start, process.startedAtMilliseconds);
+}
+
+std::int64_t UpstreamRegistry::latestStart(const std::string& id) const
+{
+    auto learned = learnedStarts_.find(id);
+    const auto* record = find(id);
+    return std::max(learned == learnedStarts_.end() ? 0 : learned->second, record ? record->startedAtMilliseconds : 0);
+}
+
 void UpstreamRegistry::deregister(const std::string& id, std::int64_t startedAtMilliseconds, const std::string& registrar, base::TimePoint now)
 {
     auto found = upstreams_.find(id);
--- a/src/node/ControlNode.cpp
+++ b/src/node/ControlNode.cpp
@@ -218,14 +218,14 @@
 
 void ControlNode::answerPendingPolls(base::TimePoint now)
 {
-    fleetPollServer_.setCurrent(isCurrent());
+    fleetPollServer_.setCurrent(isCurrent(), now);
     fleetPollServer_.answerPendingPolls(now);
 }
 
 void ControlNode::receivePoll(fleet::FleetPoll poll, std::size_t bytes, const transport::FrameServer::Reply& reply)
 {
     traffic_.add(poll, TrafficAccount::Direction::Received, poll.dataCentre, bytes);
-    fleetPollServer_.setCurrent(isCurrent());
+    fleetPollServer_.setCurrent(isCurrent(), clock_.now());
     fleetPollServer_.poll(std::move(poll), reply, clock_.now());
 }
 
@@ -394,6 +394,15 @@
     answerPendingPolls(clock_.now());
 }
 
+Result<std::int64_t> ControlNode::departingStart(const std::string& id, std::int64_t statedMilliseconds) const
+{
+    if (statedMilliseconds)
+        return statedMilliseconds;
+    if (!fleetPollServer_.hasLearnedProcesses(clock_.now()))
+        return makeError(ErrorKind::NoQuorum, "the entry VMs have not told yet which upstreams they know");
+    return registry_.latestStart(id);
+}
+
 void ControlNode::setSeeds(const std::vector<std::uint32_t>& ips) { fleetPoller_.setSeeds(ips); }
 
 void ControlNode::tick()
--- a/src/node/ControlNode.h
+++ b/src/node/ControlNode.h
@@ -81,6 +81,10 @@
     // Applies an upstream's announcement that it is shutting down.
     // `startedAtMilliseconds` is its start in Unix milliseconds, or 0 if unknown.
     void deregister(const std::string& id, std::int64_t startedAtMilliseconds);
+    // Returns the start of the process that a departure means, in Unix milliseconds: the one
+    // that it states, otherwise the latest that this VM or an entry VM knows, 0 if there is
+    // none. Fails with NoQuorum until the entry VMs have been heard.
+    base::Result<std::int64_t> departingStart(const std::string& id, std::int64_t statedMilliseconds) const;
 
     // Returns the leader's IP address, or nullopt if this VM is the leader or none is
     // known.
--- a/tests/ConfigurationSpreadTest.cpp
+++ b/tests/ConfigurationSpreadTest.cpp
@@ -130,7 +130,7 @@
         fleet.setReachable(1, i, false);
         setRoutes(i, 9);
     }
-    fleet.control[behind].server->setCurrent(false);
+    fleet.control[behind].server->setCurrent(false, fleet.clock.now());
     fleet.run(Milliseconds(1500));
     BOOST_TEST(fleet.entry[0].version == 9U);
     for (std::size_t i : { 0, 2 })
@@ -144,7 +144,7 @@
     BOOST_TEST(fleet.entry[0].version == 0U);
     BOOST_TEST(fleet.entry[1].version == 7U);
     setRoutes(behind, 9);
-    fleet.control[behind].server->setCurrent(true);
+    fleet.control[behind].server->setCurrent(true, fleet.clock.now());
     fleet.run(Milliseconds(1500));
     for (const auto& vm : fleet.entry)
         BOOST_TEST(vm.version == 9U);
--- a/tests/FleetNetwork.h
+++ b/tests/FleetNetwork.h
@@ -82,7 +82,7 @@
         vm.server->setDataCentre(vm.dataCentre);
         vm.server->loadExchange().setSelf(firstIp + static_cast<std::uint32_t>(i));
         vm.server->setReplicas(ips);
-        vm.server->setCurrent(true);
+        vm.server->setCurrent(true, clock.now());
     }
 
     // Restarts the control VM, which then knows nothing.
--- a/tests/LeaveSpreadTest.cpp
+++ b/tests/LeaveSpreadTest.cpp
@@ -125,7 +125,7 @@
     control.registry.applyHeartbeat(makeRecord(1), "c", fleet.clock.now());
     fleet.run(Milliseconds(1500));
     BOOST_TEST(countReady(fleet) == 3U);
-    control.server->setCurrent(false);
+    control.server->setCurrent(false, fleet.clock.now());
     fleet.restartEntry(0);
     auto late = makeRecord(1);
     late.id = "b";
@@ -138,7 +138,7 @@
     announce(fleet, 1);
     fleet.run(spreadBound);
     BOOST_TEST(countReady(fleet) == 0U);
-    control.server->setCurrent(true);
+    control.server->setCurrent(true, fleet.clock.now());
     fleet.run(Milliseconds(1500));
     for (const auto& vm : fleet.entry) {
         BOOST_REQUIRE(vm.registry.find("a"));
@@ -147,3 +147,47 @@
         BOOST_TEST((vm.registry.find("b")->state == UpstreamState::Ready));
     }
 }
+
+// Guards against a departure without a start that is acknowledged by control VMs which were all
+// restarted and know no start, while the entry VMs know one (review/7).
+BOOST_AUTO_TEST_CASE(RestartedControlVmsLearnTheProcessesThatEntryVmsKnow)
+{
+    auto fleet = makeFleet();
+    std::size_t told = 0;
+    fleet->pollObserver = [&told](std::size_t, const fleet::FleetPoll& poll) { told += !poll.processes.empty(); };
+    for (std::size_t i = 0; i < fleet->control.size(); ++i)
+        fleet->restartControl(i);
+    for (const auto& vm : fleet->control)
+        BOOST_TEST(!vm.server->hasLearnedProcesses(fleet->clock.now()));
+    fleet->run(Milliseconds(1200));
+    for (const auto& vm : fleet->control) {
+        BOOST_TEST(vm.server->hasLearnedProcesses(fleet->clock.now()));
+        BOOST_TEST(vm.registry.latestStart("a") == 100);
+        BOOST_TEST(vm.registry.latestStart("b") == 0);
+    }
+    // Not each of the 91 entry VMs need tell all that it knows.
+    BOOST_TEST(told < fleet->entry.size() * fleet->control.size() / 2);
+    auto& taker = fleet->control[2];
+    taker.registry.deregister("a", taker.registry.latestStart("a"), "c", fleet->clock.now());
+    fleet->run(spreadBound);
+    BOOST_TEST(countReady(*fleet) == 0U);
+    // The upstream may start again under its id at once.
+    auto next = makeRecord(1);
+    next.startedAtMilliseconds = 200;
+    fleet->control[0].registry.applyHeartbeat(next, "c", fleet->clock.now());
+    fleet->run(spreadBound);
+    BOOST_TEST(countReady(*fleet) == fleet->entry.size());
+}
+
+// Guards against departures that are refused for good where no entry VM can tell a start: all
+// have just been started, or belong to an earlier build.
+BOOST_AUTO_TEST_CASE(ControlVmWaitsForTheProcessesOfEntryVmsForALimitedTime)
+{
+    FleetNetwork fleet(1, 170, 3, 20);
+    fleet.run(Milliseconds(2500));
+    BOOST_TEST(!fleet.control[0].server->hasLearnedProcesses(fleet.clock.now()));
+    fleet.run(Milliseconds(1000));
+    BOOST_TEST(fleet.control[0].server->hasLearnedProcesses(fleet.clock.now()));
+    fleet.control[0].server->setCurrent(false, fleet.clock.now());
+    BOOST_TEST(!fleet.control[0].server->hasLearnedProcesses(fleet.clock.now()));
+}
--- a/tests/UpstreamRegistryTest.cpp
+++ b/tests/UpstreamRegistryTest.cpp
@@ -264,7 +264,7 @@
     poll.wantsPeerLoad = true;
     poll.maxWaitMilliseconds = 400;
     poll.load = { { "a", 3, 100 } };
-    pollServer.setCurrent(true);
+    pollServer.setCurrent(true, clock.now());
     pollServer.poll(poll, reply, clock.now());
     BOOST_REQUIRE(answers.size() == 1);
     poll.epoch = 77;
@@ -278,13 +278,13 @@
 
     poll.revision = answers[1].revision;
     poll.wantsRoutes = true;
-    pollServer.setCurrent(false);
+    pollServer.setCurrent(false, clock.now());
     pollServer.poll(poll, reply, clock.now());
     pollServer.setRoutes(4, std::make_shared<const std::string>("document"));
     pollServer.answerPendingPolls(clock.now());
     // Without a leader, a stored configuration may have been replaced.
     BOOST_TEST(answers.size() == 2);
-    pollServer.setCurrent(true);
+    pollServer.setCurrent(true, clock.now());
     pollServer.answerPendingPolls(clock.now());
     BOOST_REQUIRE(answers.size() == 3);
     BOOST_TEST(base::decompressDelta({}, answers[2].packedRoutes, 100).value() == "document");
