Departures of upstreams are committed before they are acknowledged

Cause: departures were in the memory of the processes only, so after a restart of all a heartbeat of that start was news.

A control VM takes reports only while its state is current; a record of a process that has left counts as leaving. A process that starts again under the same id has another start and is served.

--- a/include/fleet/UpstreamRegistry.h
+++ b/include/fleet/UpstreamRegistry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "include/base/Time.h"
+#include "include/fleet/DepartureTable.h"
 #include "include/fleet/UpstreamRecord.h"
 
 #include <deque>
@@ -23,9 +24,15 @@
     // late.
     static constexpr std::chrono::minutes absentRetention { 2 };
 
+    // Sets the departures that are committed. Upstreams that have left are marked as leaving,
+    // and later records of them as well.
+    void setDepartures(std::shared_ptr<const DepartureTable::Names>, base::TimePoint now);
+    DepartureTable& departures() { return departures_; }
+    const DepartureTable& departures() const { return departures_; }
+
     // Merges a record, which may be outdated or a duplicate. Returns whether a change must be
     // published.
-    bool apply(const UpstreamRecord&, base::TimePoint now);
+    bool apply(UpstreamRecord, base::TimePoint now);
 
     // Applies a heartbeat that `registrar` received from the upstream. Keeps the
     // slowdown factor that was measured for this incarnation. Returns whether a change must
@@ -96,6 +103,7 @@
     std::map<std::string, TrackedUpstream> upstreams_;
     // The starts told by other VMs; see learnProcess().
     std::map<std::string, std::int64_t> learnedStarts_;
+    DepartureTable departures_;
     std::uint64_t revision_ = 0;
 };
 
--- a/src/fleet/UpstreamRegistry.cpp
+++ b/src/fleet/UpstreamRegistry.cpp
@@ -59,8 +59,22 @@
     return true;
 }
 
-bool UpstreamRegistry::apply(const UpstreamRecord& record, base::TimePoint now)
+void UpstreamRegistry::setDepartures(std::shared_ptr<const DepartureTable::Names> names, base::TimePoint now)
 {
+    departures_.setNames(std::move(names));
+    for (const auto& process : processes()) {
+        if (departures_.contains(process))
+            markLeaving(process, now);
+    }
+}
+
+bool UpstreamRegistry::apply(UpstreamRecord record, base::TimePoint now)
+{
+    if (departures_.contains({ record.id, record.startedAtMilliseconds })) {
+        record.isLeaving = true;
+        if (record.state == UpstreamState::Ready)
+            record.state = UpstreamState::Draining;
+    }
     auto found = upstreams_.find(record.id);
     if (found == upstreams_.end()) {
         UpstreamRecord stored = record;
--- a/src/node/ControlNode.cpp
+++ b/src/node/ControlNode.cpp
@@ -30,6 +30,8 @@
 static constexpr std::chrono::milliseconds proposalTimeout(1500);
 static constexpr std::chrono::milliseconds confirmationTimeout(1500);
 static constexpr std::chrono::milliseconds readTimeout(800);
+// The name under which departures of upstreams are committed.
+static constexpr const char* departureAuthor = "control";
 static constexpr std::chrono::milliseconds changeTimeout(3000);
 static constexpr std::chrono::milliseconds routesDecodeInterval(1000);
 static constexpr std::size_t frameWorkerCount = 1;
@@ -249,8 +251,10 @@
 // Runs on the replica's thread after each iteration of its loop.
 void ControlNode::publishReplicaView(const replica::ReplicaStatus& status, const state::StateMachine& machine)
 {
-    ReplicaView view { status, machine.routes().version(), machine.routes().document(), machine.layerPlan().version(), machine.layerPlan().document() };
-    auto comparedFields = [](const ReplicaView& value) { return std::make_tuple(value.status.role, value.status.term, value.status.leader, value.routesVersion, value.planRevision, value.status.isDiskFull, value.status.isCurrent); };
+    const bool hasSameDepartures = publishedView_ && publishedView_->status.feedRevision == status.feedRevision;
+    auto departures = hasSameDepartures ? publishedView_->departures : std::make_shared<const fleet::DepartureTable::Names>(machine.configuration().drainedUpstreams);
+    ReplicaView view { status, machine.routes().version(), machine.routes().document(), machine.layerPlan().version(), machine.layerPlan().document(), std::move(departures) };
+    auto comparedFields = [](const ReplicaView& value) { return std::make_tuple(value.status.role, value.status.term, value.status.leader, value.routesVersion, value.planRevision, value.status.isDiskFull, value.status.isCurrent, value.departures); };
     bool isSame = publishedView_ && comparedFields(*publishedView_) == comparedFields(view) && publishedView_->status.configuration == status.configuration && publishedView_->status.activePeers == status.activePeers;
     if (isSame)
         return;
@@ -275,13 +279,19 @@
     bool hasBecomeLeader = !isLeader() && view.status.role == consensus::Role::Leader;
     bool hasNewRoutes = view.routesVersion != replicaView_.routesVersion;
     bool hasNewLeader = view.status.leader != replicaView_.status.leader;
+    bool hasNewDepartures = view.departures != replicaView_.departures;
     replicaView_ = view;
+    // Before the state counts as current.
+    if (hasNewDepartures)
+        registry_.setDepartures(view.departures, clock_.now());
     if (hasNewLeader)
         logLeader();
     if (hasNewRoutes)
         publishRoutes();
-    if (hasBecomeLeader)
+    if (hasBecomeLeader) {
         layerController_.reset();
+        registry_.departures().beginLeadership();
+    }
     if (replicaView_.planRevision > decodedPlanRevision_) {
         auto plans = placement::decodePlans(*replicaView_.plan);
         if (plans)
@@ -326,29 +336,34 @@
 // A VM that stood still has the view of before when it goes on, and old messages to read.
 bool ControlNode::isCurrent() const { return isConnected() && replicaView_.status.isCurrent && clock_.now() < replica_->leaderContactAt() + maxLeaderSilence; }
 
-void ControlNode::replaceRoutes(std::uint64_t version, const std::string& document, StoreRoutesCallback done)
+void ControlNode::replaceRoutes(std::uint64_t version, const std::string& document, StoreCallback done)
 {
     if (hasCommittedRoutes(version)) {
         confirmOnceRepaired(std::move(done));
         return;
     }
+    propose(state::ReplaceRoutes { version, state::packDocument(document) }, [this, done = std::move(done)](const Result<void>& result) {
+        if (result)
+            confirmOnceRepaired(done);
+        else
+            done(result);
+    });
+}
+
+void ControlNode::propose(state::CommandBody body, StoreCallback done)
+{
     auto finish = [this, done = std::move(done)](Result<state::Outcome> outcome) {
         Result<void> result = base::outcome::success();
         if (!outcome)
             result = outcome.error();
         else if (const auto* refusal = std::get_if<state::Refusal>(&outcome.value()))
             result = makeError(refusal->kind, refusal->detail);
-        boost::asio::post(context_, [this, done, result] {
-            if (result)
-                confirmOnceRepaired(done);
-            else
-                done(result);
-        });
+        boost::asio::post(context_, [done, result] { done(result); });
     };
-    replica_->propose(encodeCommand(state::ReplaceRoutes { version, state::packDocument(document) }), clock_.now() + proposalTimeout, std::move(finish));
+    replica_->propose(encodeCommand(std::move(body)), clock_.now() + proposalTimeout, std::move(finish));
 }
 
-void ControlNode::confirmOnceRepaired(StoreRoutesCallback done)
+void ControlNode::confirmOnceRepaired(StoreCallback done)
 {
     auto now = clock_.now();
     confirmations_.push_back({ std::move(done), now + confirmationTimeout });
@@ -403,6 +418,21 @@
     return registry_.latestStart(id);
 }
 
+void ControlNode::commitDeparture(const fleet::UpstreamProcess& process, StoreCallback done)
+{
+    propose(state::SetDrain { departureAuthor, fleet::departureName(process), true }, std::move(done));
+}
+
+void ControlNode::forgetOldDepartures(base::TimePoint now)
+{
+    for (const auto& name : registry_.departures().takeExpired(now)) {
+        propose(state::SetDrain { departureAuthor, name, false }, [name](const Result<void>& result) {
+            if (!result)
+                logger.info("An old departure is not forgotten yet.", { { "process", name }, { "reason", result.error().detail } });
+        });
+    }
+}
+
 void ControlNode::setSeeds(const std::vector<std::uint32_t>& ips) { fleetPoller_.setSeeds(ips); }
 
 void ControlNode::tick()
@@ -418,6 +448,8 @@
     engineClient_.pollEngines(now);
     if (isLeader() && isCurrent())
         placeLayers(now);
+    if (isLeader() && isCurrent())
+        forgetOldDepartures(now);
     engineClient_.endOverdueCalls();
     answerPendingPolls(now);
     reportActivity(now);
--- a/src/node/ControlNode.h
+++ b/src/node/ControlNode.h
@@ -46,7 +46,7 @@
 // everything else runs on the event loop.
 class ControlNode {
 public:
-    using StoreRoutesCallback = std::function<void(base::Result<void>)>;
+    using StoreCallback = std::function<void(base::Result<void>)>;
     using ReadRoutesCallback = std::function<void(base::Result<std::shared_ptr<const std::string>>)>;
 
     ControlNode(boost::asio::io_context&, const PlatformCodec&, ControlOptions);
@@ -64,7 +64,7 @@
     // Commits a valid configuration, without a proposal if this version or a higher one is
     // committed already. Succeeds once enough replicas hold it, as ReplicaSetKeeper decides.
     // Fails with NotLeader, NoQuorum or CommandUnconfirmed.
-    void replaceRoutes(std::uint64_t version, const std::string& document, StoreRoutesCallback);
+    void replaceRoutes(std::uint64_t version, const std::string& document, StoreCallback);
     // Reads the current configuration (linearizable). Fails with NotFound if none has
     // been committed yet.
     void readRoutes(ReadRoutesCallback);
@@ -85,6 +85,11 @@
     // that it states, otherwise the latest that this VM or an entry VM knows, 0 if there is
     // none. Fails with NoQuorum until the entry VMs have been heard.
     base::Result<std::int64_t> departingStart(const std::string& id, std::int64_t statedMilliseconds) const;
+    // Whether the departure of this process is committed.
+    bool isDepartureCommitted(const fleet::UpstreamProcess& process) const { return registry_.departures().contains(process); }
+    // Commits the departure of a process. Once acknowledged, it must reach every entry VM and
+    // outlast the restart of all. Fails like replaceRoutes().
+    void commitDeparture(const fleet::UpstreamProcess&, StoreCallback);
 
     // Returns the leader's IP address, or nullopt if this VM is the leader or none is
     // known.
@@ -99,6 +104,7 @@
         std::shared_ptr<const std::string> packedRoutes;
         std::uint64_t planRevision = 0;
         std::shared_ptr<const std::string> plan;
+        std::shared_ptr<const fleet::DepartureTable::Names> departures;
     };
 
     base::Result<void> startReplica();
@@ -111,7 +117,7 @@
     void publishReplicaView(const replica::ReplicaStatus&, const state::StateMachine&);
     // Calls `done` with success once mayConfirm() of the set of replicas holds, or with
     // NoQuorum if it does not in time.
-    void confirmOnceRepaired(StoreRoutesCallback done);
+    void confirmOnceRepaired(StoreCallback done);
     void answerConfirmations(base::TimePoint now);
     void logLeader() const;
     void applyReplicaView(const ReplicaView&);
@@ -126,6 +132,9 @@
     void reportActivity(base::TimePoint now);
     void placeLayers(base::TimePoint now);
     void proposePlans(const placement::LayerPlans&);
+    // Proposes a command and calls `done` on the event loop with its outcome.
+    void propose(state::CommandBody, StoreCallback done);
+    void forgetOldDepartures(base::TimePoint now);
     void sendLayerCommand(const placement::LayerCommand&);
     std::string encodeIntroduction() const;
     std::string encodeCommand(state::CommandBody) const;
@@ -164,7 +173,7 @@
     std::optional<ReplicaSetKeeper> replicaSet_;
     // A committed configuration whose operator waits for the answer.
     struct Confirmation {
-        StoreRoutesCallback done;
+        StoreCallback done;
         base::TimePoint deadline;
     };
     std::vector<Confirmation> confirmations_;
