A control VM without a leader tells running VMs of changed upstreams again

What is new to a VM that runs on came from a control VM whose state was current: such a one alone takes reports. Only VMs that know nothing yet are to be kept from the whole, possibly stale registry.

--- a/include/fleet/FleetPollServer.h
+++ b/include/fleet/FleetPollServer.h
@@ -53,8 +53,9 @@
 
     void setRoutes(std::uint64_t version, std::shared_ptr<const std::string> document) { routesPublisher_.setRoutes(version, std::move(document)); }
     // Sets whether this VM's state is current, at its start not. While it is not, the stored
-    // configuration may have been replaced and known upstreams may have left: entry VMs without
-    // a configuration are told none, and upstreams are reported only as leaving or lost.
+    // configuration may have been replaced and known upstreams may have left: VMs that know
+    // nothing yet are told no configuration, and of upstreams only those that leave or are
+    // lost. The others are told of changes.
     void setCurrent(bool isCurrent, base::TimePoint now);
     void setReplicas(std::vector<std::uint32_t> ips) { replicas_ = std::move(ips); }
     // Whether this VM knows the processes of upstreams that entry VMs know: some of them have
@@ -85,8 +86,7 @@
     // Returns the version that the poller may be told, or 0. A poller that has a version gains
     // from a later one, also if that has been replaced.
     std::uint64_t announcedRoutesVersion(const FleetPoll& poll) const { return isCurrent_ || poll.routesVersion ? routesPublisher_.version() : 0; }
-    // Whether the poller may be told of upstreams: while the state is not current, of changes
-    // only.
+    // Whether the poller may be told of every upstream.
     bool mayTellUpstreams(const FleetPoll& poll) const { return isCurrent_ || (poll.epoch == epoch_ && poll.revision); }
     void addUpstreams(FleetAnswer&, const FleetPoll&) const;
     bool hasUpdates(const FleetPoll&, base::TimePoint now) const;
@@ -111,8 +111,6 @@
     const std::uint64_t epoch_;
     RoutesPublisher routesPublisher_;
     bool isCurrent_ = false;
-    // The registry's revision when the state was current last.
-    std::uint64_t lastCurrentRevision_ = 0;
     // The entry VMs that have told the processes which they know, and until when to wait for
     // them.
     std::set<std::string> informants_;
--- a/include/fleet/UpstreamRegistry.h
+++ b/include/fleet/UpstreamRegistry.h
@@ -74,9 +74,6 @@
     void purge(base::TimePoint before);
 
     std::uint64_t revision() const { return revision_; }
-    // Gives every record that changed after `revision` a new revision, so that those who poll
-    // are told of it again.
-    void republishSince(std::uint64_t revision);
     // Returns all records whose last change has a revision above `revision`.
     std::vector<UpstreamRecord> changesSince(std::uint64_t revision) const;
     // Returns null if the upstream is unknown.
--- a/src/fleet/FleetPollServer.cpp
+++ b/src/fleet/FleetPollServer.cpp
@@ -28,11 +28,8 @@
     if (isCurrent_ == isCurrent)
         return;
     isCurrent_ = isCurrent;
-    if (!isCurrent) {
-        lastCurrentRevision_ = registry_.revision();
+    if (!isCurrent)
         return;
-    }
-    registry_.republishSince(lastCurrentRevision_);
     registry_.forgetLearnedProcesses();
     informants_.clear();
     informedBy_ = now + maxInformationTime;
@@ -51,12 +48,11 @@
 
 void FleetPollServer::addUpstreams(FleetAnswer& answer, const FleetPoll& poll) const
 {
-    if (!mayTellUpstreams(poll))
-        return;
-    answer.revision = registry_.revision();
     answer.upstreams = registry_.changesSince(poll.epoch == epoch_ ? poll.revision : 0);
-    if (isCurrent_)
+    if (mayTellUpstreams(poll)) {
+        answer.revision = registry_.revision();
         return;
+    }
     auto isUsable = [](const UpstreamRecord& record) { return record.state == UpstreamState::Ready; };
     answer.upstreams.erase(std::remove_if(answer.upstreams.begin(), answer.upstreams.end(), isUsable), answer.upstreams.end());
 }
--- a/src/fleet/UpstreamRegistry.cpp
+++ b/src/fleet/UpstreamRegistry.cpp
@@ -252,14 +252,6 @@
     }
 }
 
-void UpstreamRegistry::republishSince(std::uint64_t revision)
-{
-    for (auto& [id, tracked] : upstreams_) {
-        if (tracked.revision > revision)
-            tracked.revision = ++revision_;
-    }
-}
-
 std::vector<UpstreamRecord> UpstreamRegistry::changesSince(std::uint64_t revision) const
 {
     std::vector<UpstreamRecord> changes;
