Placement of layers taken out of ControlNode

ControlNode.cpp had 525 lines and three jobs; LayerPlacer plans, has plans committed and sends the commands of the leader. Proposals of configurations, departures and plans go through one function.

--- a/src/node/ControlNode.cpp
+++ b/src/node/ControlNode.cpp
@@ -33,7 +33,6 @@
 // The name under which departures of upstreams are committed.
 static constexpr const char* departureAuthor = "control";
 static constexpr std::chrono::milliseconds changeTimeout(3000);
-static constexpr std::chrono::milliseconds routesDecodeInterval(1000);
 static constexpr std::size_t frameWorkerCount = 1;
 static constexpr double bytesPerMegabit = 125'000;
 static constexpr std::size_t timelineCapacity = 256;
@@ -81,6 +80,7 @@
     , answerTimer_(context, fleet::FleetPollServer::answerInterval, [this] { answerPolls(); })
     , heartbeatMonitor_(net::ipText(options_.ip), options_.heartbeatInterval)
     , engineClient_(context, codec_, registry_, net::ipText(options_.ip), [this] { answerPendingPolls(clock_.now()); })
+    , layerPlacer_(clock_, codec_, registry_, engineClient_, [this](std::uint64_t revision, std::string plan, StoreCallback done) { propose(state::SetLayerPlan { revision, std::move(plan) }, changeTimeout, std::move(done)); })
 {
 }
 
@@ -289,17 +289,10 @@
     if (hasNewRoutes)
         publishRoutes();
     if (hasBecomeLeader) {
-        layerController_.reset();
+        layerPlacer_.beginLeadership();
         registry_.departures().beginLeadership();
     }
-    if (replicaView_.planRevision > decodedPlanRevision_) {
-        auto plans = placement::decodePlans(*replicaView_.plan);
-        if (plans)
-            layerPlans_ = std::move(plans).value();
-        else
-            logger.error("Failed to decode the committed layer plans.", { { "reason", plans.error().detail } });
-        decodedPlanRevision_ = replicaView_.planRevision;
-    }
+    layerPlacer_.adoptPlan(replicaView_.planRevision, *replicaView_.plan);
     std::vector<std::uint32_t> replicas;
     for (const auto* members : { &replicaView_.status.configuration.voters, &replicaView_.status.configuration.learners }) {
         for (const auto& member : *members)
@@ -342,7 +335,7 @@
         confirmOnceRepaired(std::move(done));
         return;
     }
-    propose(state::ReplaceRoutes { version, state::packDocument(document) }, [this, done = std::move(done)](const Result<void>& result) {
+    propose(state::ReplaceRoutes { version, state::packDocument(document) }, proposalTimeout, [this, done = std::move(done)](const Result<void>& result) {
         if (result)
             confirmOnceRepaired(done);
         else
@@ -350,7 +343,7 @@
     });
 }
 
-void ControlNode::propose(state::CommandBody body, StoreCallback done)
+void ControlNode::propose(state::CommandBody body, std::chrono::milliseconds timeout, StoreCallback done)
 {
     auto finish = [this, done = std::move(done)](Result<state::Outcome> outcome) {
         Result<void> result = base::outcome::success();
@@ -360,7 +353,7 @@
             result = makeError(refusal->kind, refusal->detail);
         boost::asio::post(context_, [done, result] { done(result); });
     };
-    replica_->propose(encodeCommand(std::move(body)), clock_.now() + proposalTimeout, std::move(finish));
+    replica_->propose(encodeCommand(std::move(body)), clock_.now() + timeout, std::move(finish));
 }
 
 void ControlNode::confirmOnceRepaired(StoreCallback done)
@@ -420,13 +413,13 @@
 
 void ControlNode::commitDeparture(const fleet::UpstreamProcess& process, StoreCallback done)
 {
-    propose(state::SetDrain { departureAuthor, fleet::departureName(process), true }, std::move(done));
+    propose(state::SetDrain { departureAuthor, fleet::departureName(process), true }, proposalTimeout, std::move(done));
 }
 
 void ControlNode::forgetOldDepartures(base::TimePoint now)
 {
     for (const auto& name : registry_.departures().takeExpired(now)) {
-        propose(state::SetDrain { departureAuthor, name, false }, [name](const Result<void>& result) {
+        propose(state::SetDrain { departureAuthor, name, false }, changeTimeout, [name](const Result<void>& result) {
             if (!result)
                 logger.info("An old departure is not forgotten yet.", { { "process", name }, { "reason", result.error().detail } });
         });
@@ -446,10 +439,10 @@
     replicaSet_->tick(isConnected(), now);
     answerConfirmations(now);
     engineClient_.pollEngines(now);
-    if (isLeader() && isCurrent())
-        placeLayers(now);
-    if (isLeader() && isCurrent())
+    if (isLeader() && isCurrent()) {
+        layerPlacer_.tick({ replicaView_.routesVersion, *routesDocument_, replicaView_.planRevision, replicaView_.status.term }, now);
         forgetOldDepartures(now);
+    }
     engineClient_.endOverdueCalls();
     answerPendingPolls(now);
     reportActivity(now);
@@ -485,41 +478,4 @@
     logger.info("Activity of the last second.", { { "answers", sent.answers }, { "answer_bytes", sent.answerBytes }, { "route_documents", sent.routeDocuments }, { "route_document_bytes", sent.routeDocumentBytes }, { "tick_late_ms", tickLateness_.take().count() }, { "replica_late_ms", replica_->takeLateness().count() }, { "lease_age_ms", replica_->takeLeaseAge().count() }, { "crossed", traffic_.take() } });
 }
 
-void ControlNode::placeLayers(base::TimePoint now)
-{
-    if (replicaView_.routesVersion > decodedRoutesVersion_ && now >= nextRoutesDecodeAt_) {
-        nextRoutesDecodeAt_ = now + routesDecodeInterval;
-        decodedRoutesVersion_ = replicaView_.routesVersion;
-        if (auto decoded = codec_.decodeRoutes(*routesDocument_))
-            services_ = std::move(decoded.value().services);
-    }
-    auto upstreams = registry_.all();
-    if (!isProposingPlans_) {
-        if (auto plans = layerController_.plan(services_, layerPlans_, upstreams, now))
-            proposePlans(*plans);
-    }
-    for (const auto& command : layerController_.dueCommands(services_, layerPlans_, upstreams, now))
-        sendLayerCommand(command);
-}
-
-void ControlNode::proposePlans(const placement::LayerPlans& plans)
-{
-    isProposingPlans_ = true;
-    auto revision = replicaView_.planRevision + 1;
-    logger.info("Proposing a new layer plan.", { { "revision", revision } });
-    auto done = [this](const Result<state::Outcome>& outcome) {
-        boost::asio::post(context_, [this, isStored = outcome.has_value()] {
-            isProposingPlans_ = false;
-            if (!isStored)
-                logger.warning("The proposal of a layer plan was not confirmed.");
-        });
-    };
-    replica_->propose(encodeCommand(state::SetLayerPlan { revision, placement::encodePlans(plans) }), clock_.now() + changeTimeout, done);
-}
-
-void ControlNode::sendLayerCommand(const placement::LayerCommand& command)
-{
-    engineClient_.sendCommand(command, replicaView_.status.term, [this, command](placement::LayerCommandResult result) { layerController_.recordResult(command, result, clock_.now()); });
-}
-
 } // namespace arbutus::node
--- a/src/node/ControlNode.h
+++ b/src/node/ControlNode.h
@@ -9,9 +9,9 @@
 #include "include/fleet/PeerLinks.h"
 #include "include/http1/ServerConnection.h"
 #include "include/net/RepeatingTimer.h"
-#include "include/placement/LayerController.h"
 #include "include/transport/FrameServer.h"
 #include "src/node/EngineClient.h"
+#include "src/node/LayerPlacer.h"
 #include "src/node/PlatformCodec.h"
 #include "src/node/ReplicaSetKeeper.h"
 #include "src/replica/ReplicaNode.h"
@@ -130,12 +130,9 @@
     void answerPolls();
     // Logs once a second what was sent and how late this VM acted.
     void reportActivity(base::TimePoint now);
-    void placeLayers(base::TimePoint now);
-    void proposePlans(const placement::LayerPlans&);
     // Proposes a command and calls `done` on the event loop with its outcome.
-    void propose(state::CommandBody, StoreCallback done);
+    void propose(state::CommandBody, std::chrono::milliseconds timeout, StoreCallback done);
     void forgetOldDepartures(base::TimePoint now);
-    void sendLayerCommand(const placement::LayerCommand&);
     std::string encodeIntroduction() const;
     std::string encodeCommand(state::CommandBody) const;
     // Whether this replica knows that this version or a higher one is committed.
@@ -177,14 +174,8 @@
         base::TimePoint deadline;
     };
     std::vector<Confirmation> confirmations_;
-    placement::LayerController layerController_;
-    placement::LayerPlans layerPlans_;
-    std::uint64_t decodedPlanRevision_ = 0;
-    bool isProposingPlans_ = false;
-    std::vector<routes::Service> services_;
-    std::uint64_t decodedRoutesVersion_ = 0;
-    base::TimePoint nextRoutesDecodeAt_;
     EngineClient engineClient_;
+    LayerPlacer layerPlacer_;
 };
 
 } // namespace arbutus::node
--- a/tests/DepartureTableTest.cpp
+++ b/tests/DepartureTableTest.cpp
@@ -100,6 +100,7 @@
     BOOST_TEST(table.takeExpired(clock.now()).size() == 1U);
     BOOST_TEST(table.takeExpired(clock.now()).empty(), "asked for twice at once");
     std::vector<UpstreamProcess> many;
+    many.reserve(1000);
     for (int i = 0; i < 1000; ++i)
         many.push_back({ "u" + std::to_string(i), 1 });
     table.setNames(namesOf(many));
