A control VM that takes no reports marks no upstream as unresponsive

Reports are taken only while the state is current, so a VM with a leader whose state lags would have counted the heartbeats that it refuses as missed. Old departures are looked for once a second, not ten times.

--- a/include/fleet/DepartureTable.h
+++ b/include/fleet/DepartureTable.h
@@ -30,7 +30,7 @@
     bool contains(const UpstreamProcess& process) const { return !names_->empty() && names_->count(departureName(process)); }
 
     // Returns some departures that this VM has known for longer than the retention, to be
-    // forgotten. Call several times a second on the leader only, so that a new leader grants
+    // forgotten. Call about once a second on the leader only, so that a new leader grants
     // them the full time again.
     std::vector<std::string> takeExpired(base::TimePoint now);
     // Starts their time anew.
--- a/include/fleet/HeartbeatMonitor.h
+++ b/include/fleet/HeartbeatMonitor.h
@@ -11,8 +11,7 @@
 // Marks upstreams that miss their heartbeats as unresponsive. A control VM judges the
 // upstreams that send their heartbeats to it, and those of control VMs that it has lost
 // contact with. A missing heartbeat proves nothing after this process stalled or while it
-// has no leader: it then accepts no heartbeats, and upstreams report to other control VMs
-// without its knowledge.
+// takes no reports: upstreams then report to other control VMs without its knowledge.
 class HeartbeatMonitor {
 public:
     // Returns whether the control VM at `ip` has been heard from at or after `since`.
@@ -23,7 +22,7 @@
 
     // Marks upstreams as unresponsive and purges old ones. Must be called at least every
     // half second.
-    void tick(UpstreamRegistry&, bool hasLeader, const HasHeardFrom&, base::TimePoint now);
+    void tick(UpstreamRegistry&, bool takesReports, const HasHeardFrom&, base::TimePoint now);
 
 private:
     std::string self_;
--- a/src/fleet/HeartbeatMonitor.cpp
+++ b/src/fleet/HeartbeatMonitor.cpp
@@ -17,11 +17,11 @@
 {
 }
 
-void HeartbeatMonitor::tick(UpstreamRegistry& registry, bool hasLeader, const HasHeardFrom& hasHeardFrom, base::TimePoint now)
+void HeartbeatMonitor::tick(UpstreamRegistry& registry, bool takesReports, const HasHeardFrom& hasHeardFrom, base::TimePoint now)
 {
     bool didStall = lastTickAt_ && now > *lastTickAt_ + stallThreshold;
     lastTickAt_ = now;
-    if (didStall || !hasLeader) {
+    if (didStall || !takesReports) {
         registry.restartTimeouts(now);
         return;
     }
--- a/src/node/ControlNode.cpp
+++ b/src/node/ControlNode.cpp
@@ -32,6 +32,7 @@
 static constexpr std::chrono::milliseconds readTimeout(800);
 // The name under which departures of upstreams are committed.
 static constexpr const char* departureAuthor = "control";
+static constexpr std::chrono::seconds forgettingInterval(1);
 static constexpr std::chrono::milliseconds changeTimeout(3000);
 static constexpr std::size_t frameWorkerCount = 1;
 static constexpr double bytesPerMegabit = 125'000;
@@ -418,6 +419,9 @@
 
 void ControlNode::forgetOldDepartures(base::TimePoint now)
 {
+    if (now < nextForgettingAt_)
+        return;
+    nextForgettingAt_ = now + forgettingInterval;
     for (const auto& name : registry_.departures().takeExpired(now)) {
         propose(state::SetDrain { departureAuthor, name, false }, changeTimeout, [name](const Result<void>& result) {
             if (!result)
@@ -435,7 +439,7 @@
         tickLateness_.record(now - tickDueAt_);
     fleetPoller_.tick();
     heartbeatMonitor_.tick(
-        registry_, isConnected(), [this](std::uint32_t ip, base::TimePoint since) { return fleetPoller_.hasHeardFrom(ip, since); }, now);
+        registry_, isCurrent(), [this](std::uint32_t ip, base::TimePoint since) { return fleetPoller_.hasHeardFrom(ip, since); }, now);
     replicaSet_->tick(isConnected(), now);
     answerConfirmations(now);
     engineClient_.pollEngines(now);
--- a/src/node/ControlNode.h
+++ b/src/node/ControlNode.h
@@ -157,6 +157,7 @@
     base::LatenessMeter tickLateness_;
     base::TimePoint tickDueAt_;
     base::TimePoint nextReportAt_;
+    base::TimePoint nextForgettingAt_;
 
     // The last published view and its route document; accessed on the event loop only.
     ReplicaView replicaView_;
