--- a/include/control/Frames.h
+++ b/include/control/Frames.h
@@ -28,6 +28,8 @@
     ReplicaLeave,
     // Tells another control VM of the load of the entry VMs.
     LoadUpdate,
+    // Asks the leader to commit the departure of an upstream.
+    UpstreamDeparture,
 };
 
 // Prefixes a body with the sender's hybrid logical time, so that events that the body causes
--- a/include/fleet/FleetMessages.h
+++ b/include/fleet/FleetMessages.h
@@ -132,6 +132,12 @@
     MSGPACK_DEFINE(hasLeft)
 };
 
+// The answer to an UpstreamProcess whose departure the leader is asked to commit.
+struct DepartureAnswer {
+    bool isCommitted = false;
+    MSGPACK_DEFINE(isCommitted)
+};
+
 // The load that one entry VM has placed on upstreams, or a change of it.
 struct EntryVmLoad {
     std::string entryVm;
@@ -167,7 +173,8 @@
     MSGPACK_DEFINE(sender, epoch, sequence, isWhole, loads, released, hasDemand, demand, wanted)
 };
 
-// Instantiated for FleetPoll, FleetAnswer, LoadUpdate, JoinRequest, LeaveRequest and LeaveAnswer.
+// Instantiated for FleetPoll, FleetAnswer, LoadUpdate, JoinRequest, LeaveRequest, LeaveAnswer,
+// UpstreamProcess and DepartureAnswer.
 // Decoding fails with MalformedFrame and is safe on arbitrary bytes.
 template <typename T>
 std::string encode(const T&);
--- a/src/entry/ControlPlane.cpp
+++ b/src/entry/ControlPlane.cpp
@@ -117,6 +117,7 @@
     case FrameKind::ReplicaJoin:
     case FrameKind::ReplicaLeave:
     case FrameKind::LoadUpdate:
+    case FrameKind::UpstreamDeparture:
         break;
     }
     return std::nullopt;
--- a/src/fleet/FleetMessages.cpp
+++ b/src/fleet/FleetMessages.cpp
@@ -30,11 +30,15 @@
 template std::string encode(const JoinRequest&);
 template std::string encode(const LeaveRequest&);
 template std::string encode(const LeaveAnswer&);
+template std::string encode(const UpstreamProcess&);
+template std::string encode(const DepartureAnswer&);
 template base::Result<FleetPoll> decode(std::string_view);
 template base::Result<FleetAnswer> decode(std::string_view);
 template base::Result<LoadUpdate> decode(std::string_view);
 template base::Result<JoinRequest> decode(std::string_view);
 template base::Result<LeaveRequest> decode(std::string_view);
 template base::Result<LeaveAnswer> decode(std::string_view);
+template base::Result<UpstreamProcess> decode(std::string_view);
+template base::Result<DepartureAnswer> decode(std::string_view);
 
 } // namespace arbutus::fleet
--- a/src/node/ControlNode.cpp
+++ b/src/node/ControlNode.cpp
@@ -33,6 +33,8 @@
 // The name under which departures of upstreams are committed.
 static constexpr const char* departureAuthor = "control";
 static constexpr std::chrono::seconds forgettingInterval(1);
+// An upstream waits one second for its answer.
+static constexpr std::chrono::milliseconds departureTimeout(600);
 static constexpr std::chrono::milliseconds changeTimeout(3000);
 static constexpr std::size_t frameWorkerCount = 1;
 static constexpr double bytesPerMegabit = 125'000;
@@ -209,6 +211,10 @@
         if (auto join = fleet::decode<fleet::JoinRequest>(frame.body))
             boost::asio::post(context_, [this, join = join.value()] { replicaSet_->recordJoinRequest(join); });
         return std::nullopt;
+    case FrameKind::UpstreamDeparture:
+        if (auto process = fleet::decode<fleet::UpstreamProcess>(frame.body))
+            boost::asio::post(context_, [this, process = process.value(), reply] { handleDeparture(process, reply); });
+        return std::nullopt;
     case FrameKind::ReplicaLeave:
         if (auto leave = fleet::decode<fleet::LeaveRequest>(frame.body))
             boost::asio::post(context_, [this, leave = leave.value(), reply] { replicaSet_->handleLeaveRequest(leave, reply); });
@@ -414,7 +420,35 @@
 
 void ControlNode::commitDeparture(const fleet::UpstreamProcess& process, StoreCallback done)
 {
-    propose(state::SetDrain { departureAuthor, fleet::departureName(process), true }, proposalTimeout, std::move(done));
+    if (auto leader = remoteLeaderIp())
+        forwardDeparture(*leader, process, std::move(done));
+    else
+        propose(state::SetDrain { departureAuthor, fleet::departureName(process), true }, proposalTimeout, std::move(done));
+}
+
+void ControlNode::forwardDeparture(std::uint32_t leaderIp, const fleet::UpstreamProcess& process, StoreCallback done)
+{
+    auto* link = links_.link(leaderIp);
+    if (!link) {
+        done(makeError(ErrorKind::NoQuorum, "the leader cannot be reached"));
+        return;
+    }
+    link->request(static_cast<std::uint8_t>(FrameKind::UpstreamDeparture), fleet::encode(process), std::chrono::steady_clock::now() + departureTimeout, [&context = context_, done = std::move(done)](const Result<std::string>& answer) {
+        auto decoded = answer ? fleet::decode<fleet::DepartureAnswer>(answer.value()) : Result<fleet::DepartureAnswer>(answer.error());
+        Result<void> result = base::outcome::success();
+        if (!decoded || !decoded.value().isCommitted)
+            result = makeError(ErrorKind::NoQuorum, "the leader did not commit the departure");
+        boost::asio::post(context, [done, result] { done(result); });
+    });
+}
+
+void ControlNode::handleDeparture(const fleet::UpstreamProcess& process, const transport::FrameServer::Reply& reply)
+{
+    if (!isLeader()) {
+        reply(fleet::encode(fleet::DepartureAnswer { false }));
+        return;
+    }
+    commitDeparture(process, [reply](const Result<void>& result) { reply(fleet::encode(fleet::DepartureAnswer { result.has_value() })); });
 }
 
 void ControlNode::forgetOldDepartures(base::TimePoint now)
--- a/src/node/ControlNode.h
+++ b/src/node/ControlNode.h
@@ -87,8 +87,9 @@
     base::Result<std::int64_t> departingStart(const std::string& id, std::int64_t statedMilliseconds) const;
     // Whether the departure of this process is committed.
     bool isDepartureCommitted(const fleet::UpstreamProcess& process) const { return registry_.departures().contains(process); }
-    // Commits the departure of a process. Once acknowledged, it must reach every entry VM and
-    // outlast the restart of all. Fails like replaceRoutes().
+    // Commits the departure of a process, through the leader if this VM is not. Once
+    // acknowledged, it must reach every entry VM and outlast the restart of all. Fails like
+    // replaceRoutes(), and with NoQuorum if the leader does not answer.
     void commitDeparture(const fleet::UpstreamProcess&, StoreCallback);
 
     // Returns the leader's IP address, or nullopt if this VM is the leader or none is
@@ -133,6 +134,8 @@
     // Proposes a command and calls `done` on the event loop with its outcome.
     void propose(state::CommandBody, std::chrono::milliseconds timeout, StoreCallback done);
     void forgetOldDepartures(base::TimePoint now);
+    void forwardDeparture(std::uint32_t leaderIp, const fleet::UpstreamProcess&, StoreCallback);
+    void handleDeparture(const fleet::UpstreamProcess&, const transport::FrameServer::Reply&);
     std::string encodeIntroduction() const;
     std::string encodeCommand(state::CommandBody) const;
     // Whether this replica knows that this version or a higher one is committed.
--- a/src/replica/ReplicaProcess.cpp
+++ b/src/replica/ReplicaProcess.cpp
@@ -244,6 +244,7 @@
     case FrameKind::ReplicaJoin:
     case FrameKind::ReplicaLeave:
     case FrameKind::LoadUpdate:
+    case FrameKind::UpstreamDeparture:
         break;
     }
     return std::nullopt;
