--- a/include/fleet/FleetPollServer.h
+++ b/include/fleet/FleetPollServer.h
@@ -112,9 +112,9 @@
     RoutesPublisher routesPublisher_;
     bool isCurrent_ = false;
     // The entry VMs that have told the processes which they know, and until when to wait for
-    // them.
+    // more.
     std::set<std::string> informants_;
-    base::TimePoint informedBy_;
+    base::TimePoint informationDeadline_;
     std::vector<std::uint32_t> replicas_;
     std::string dataCentre_;
     TrafficAccount* traffic_ = nullptr;
--- a/src/fleet/FleetPollServer.cpp
+++ b/src/fleet/FleetPollServer.cpp
@@ -32,10 +32,10 @@
         return;
     registry_.forgetLearnedProcesses();
     informants_.clear();
-    informedBy_ = now + maxInformationTime;
+    informationDeadline_ = now + maxInformationTime;
 }
 
-bool FleetPollServer::hasLearnedProcesses(base::TimePoint now) const { return isCurrent_ && (informants_.size() >= minInformants || now >= informedBy_); }
+bool FleetPollServer::hasLearnedProcesses(base::TimePoint now) const { return isCurrent_ && (informants_.size() >= minInformants || now >= informationDeadline_); }
 
 void FleetPollServer::learnProcesses(const FleetPoll& poll)
 {
