--- a/bench/FleetBench.cpp
+++ b/bench/FleetBench.cpp
@@ -51,7 +51,7 @@
     fmt::print("crash reports,{},bytes a report,{:.1f}\n", count, bytes);
     fmt::print("crash reports,{},us for the changes of a poll without any,{:.2f}\n", count, microsecondsEach([&](int) { registry.changesSince(registry.revision(), now); }));
     fmt::print("crash reports,{},us to merge a known report,{:.2f}\n", count, microsecondsEach([&](int i) { registry.apply(poll.crashReports[static_cast<std::size_t>(i) % count], now); }));
-    fmt::print("crash reports,{},us to look for the crashes of an upstream that answers,{:.2f}\n", count, microsecondsEach([&](int) { registry.refuteCrash(1, now, now); }));
+    fmt::print("crash reports,{},us to look for the crashes of an upstream that answers,{:.2f}\n", count, microsecondsEach([&](int) { registry.refuteCrash(1, now, std::nullopt, now); }));
 }
 
 static void benchHoldTime(std::size_t count)
--- a/include/fleet/CrashReportRegistry.h
+++ b/include/fleet/CrashReportRegistry.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace arbutus::fleet {
@@ -37,8 +38,10 @@
     // Refutes all reports of a part.
     void refute(std::uint64_t part, base::TimePoint now);
     // Refutes all reports of a crash that was seen before `answeredRequestSentAt`, because
-    // the upstream has answered a request which was sent then.
-    void refuteCrash(std::uint64_t crash, base::TimePoint answeredRequestSentAt, base::TimePoint now);
+    // the upstream has answered a request which was sent then. It may have started again under
+    // its id, so the answer counts only if it came on a connection that was established before
+    // the crash, or has shown otherwise (`connectedAt` is nullopt) that the process is the same.
+    void refuteCrash(std::uint64_t crash, base::TimePoint answeredRequestSentAt, std::optional<base::TimePoint> connectedAt, base::TimePoint now);
     // Forgets reports after their lifetime.
     void expire(base::TimePoint now);
 
--- a/include/forwarding/UpstreamConnection.h
+++ b/include/forwarding/UpstreamConnection.h
@@ -92,6 +92,8 @@
     bool isIdle() const { return isConnected_ && !listener_ && socket_->isOpen(); }
     bool isOpen() const { return socket_->isOpen() || !isStarted_; }
     base::TimePoint idleSince() const { return idleSince_; }
+    // Returns when the connection was established.
+    base::TimePoint connectedAt() const { return connectedAt_; }
     // Sets how long the upstream keeps an idle connection open; nullopt if unknown.
     void setKeepAlive(std::optional<std::chrono::seconds> keepAlive) { keepAlive_ = keepAlive; }
     // Returns whether the connection has been idle for less than `keepAliveFraction` of
@@ -135,6 +137,7 @@
     int interimResponses_ = 0;
     bool isStarted_ = false;
     bool isConnected_ = false;
+    base::TimePoint connectedAt_;
     base::TimePoint connectDeadline_;
     base::TimePoint idleSince_;
     std::optional<std::chrono::seconds> keepAlive_;
--- a/include/routing/CrashGuard.h
+++ b/include/routing/CrashGuard.h
@@ -36,11 +36,14 @@
     struct PartAnswered {
         PromptPart part = 0;
     };
-    // An upstream has answered a request, so the crash of its incarnation that was seen
-    // before the request was sent was none.
+    // An upstream has answered a request. The crash of its incarnation that was seen before the
+    // request was sent was none, if the answer came from the same process.
     struct UpstreamAnswered {
         std::uint64_t crash = 0;
         base::TimePoint sentAt;
+        // When the connection of the answer was established; nullopt if the answer shows by
+        // itself that the process is the same.
+        std::optional<base::TimePoint> connectedAt;
     };
     using Observation = std::variant<PartCrashed, PartAnswered, UpstreamAnswered>;
 
@@ -67,8 +70,8 @@
     // Call when the first part of an answer has arrived.
     void answerBegan(const PromptParts&, base::TimePoint now);
     // Call when an upstream has brought the first part of an answer to a request that was
-    // sent at `sentAt`, with what identifyCrash() returns for it.
-    void upstreamAnswered(std::uint64_t crash, base::TimePoint sentAt);
+    // sent at `sentAt`, with what identifyCrash() returns for it. See UpstreamAnswered.
+    void upstreamAnswered(std::uint64_t crash, base::TimePoint sentAt, std::optional<base::TimePoint> connectedAt);
     // Call when an upstream has ended before any of the answer to a stream request, which it
     // had begun, or the whole answer to another call arrived.
     void upstreamCrashed(const PromptParts&, std::uint64_t crash, base::TimePoint now);
--- a/src/fleet/CrashReportRegistry.cpp
+++ b/src/fleet/CrashReportRegistry.cpp
@@ -9,6 +9,10 @@
 // From the refutation, until no VM holds the report without it any more.
 static constexpr std::chrono::minutes refutedLifetime(2);
 
+// The time of a crash that another VM reports is later than the crash by as much as the report
+// was on its way.
+static constexpr std::chrono::seconds maxReportDelay(2);
+
 static std::uint32_t millisecondsSince(base::TimePoint time, base::TimePoint now)
 {
     auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - time).count();
@@ -60,10 +64,11 @@
         apply({ part, it->first.crash, it->second.request, true, millisecondsSince(it->second.crashedAt, now) }, now);
 }
 
-void CrashReportRegistry::refuteCrash(std::uint64_t crash, base::TimePoint answeredRequestSentAt, base::TimePoint now)
+void CrashReportRegistry::refuteCrash(std::uint64_t crash, base::TimePoint answeredRequestSentAt, std::optional<base::TimePoint> connectedAt, base::TimePoint now)
 {
     for (const auto& [key, stored] : reports_) {
-        if (key.crash == crash && !stored.isRefuted && stored.crashedAt < answeredRequestSentAt)
+        const bool isSameProcess = !connectedAt || *connectedAt + maxReportDelay <= stored.crashedAt;
+        if (key.crash == crash && !stored.isRefuted && isSameProcess && stored.crashedAt < answeredRequestSentAt)
             apply({ key.part, key.crash, stored.request, true, millisecondsSince(stored.crashedAt, now) }, now);
     }
 }
--- a/src/forwarding/ExchangeAttempts.cpp
+++ b/src/forwarding/ExchangeAttempts.cpp
@@ -229,10 +229,11 @@
 {
     if (handoverPeer_)
         return;
-    if (path_.empty())
-        proxy_.crashGuard_.upstreamAnswered(CrashGuard::identifyCrash(upstreamId_, upstreamStartedAtMilliseconds_), sentAt_);
+    if (path_.empty() && connection_)
+        proxy_.crashGuard_.upstreamAnswered(CrashGuard::identifyCrash(upstreamId_, upstreamStartedAtMilliseconds_), sentAt_, connection_->connectedAt());
+    // An engine that has started again holds no layers and cannot answer on a path.
     for (const auto& stage : path_)
-        proxy_.crashGuard_.upstreamAnswered(CrashGuard::identifyCrash(stage.upstream, startOf(stage.upstream)), sentAt_);
+        proxy_.crashGuard_.upstreamAnswered(CrashGuard::identifyCrash(stage.upstream, startOf(stage.upstream)), sentAt_, std::nullopt);
 }
 
 void Exchange::reportCrash()
--- a/src/forwarding/UpstreamConnection.cpp
+++ b/src/forwarding/UpstreamConnection.cpp
@@ -68,6 +68,7 @@
 void UpstreamConnection::onConnected()
 {
     isConnected_ = true;
+    connectedAt_ = std::chrono::steady_clock::now();
     sendRequest(std::exchange(head_, std::string()));
     if (listener_)
         listener_->connected();
--- a/src/node/EntryNode.cpp
+++ b/src/node/EntryNode.cpp
@@ -129,8 +129,11 @@
 void EntryNode::record(const routing::CrashGuard::UpstreamAnswered& observation)
 {
     // The proxy reads another clock.
-    auto age = base::TimePoint(std::chrono::steady_clock::now()) - observation.sentAt;
-    crashReports_.refuteCrash(observation.crash, clock_.now() - age, clock_.now());
+    auto offset = clock_.now() - base::TimePoint(std::chrono::steady_clock::now());
+    std::optional<base::TimePoint> connectedAt;
+    if (observation.connectedAt)
+        connectedAt = *observation.connectedAt + offset;
+    crashReports_.refuteCrash(observation.crash, observation.sentAt + offset, connectedAt, clock_.now());
 }
 
 void EntryNode::exchangeCrashReports(base::TimePoint now)
--- a/src/routing/CrashGuard.cpp
+++ b/src/routing/CrashGuard.cpp
@@ -157,10 +157,10 @@
     }
 }
 
-void CrashGuard::upstreamAnswered(std::uint64_t crash, base::TimePoint sentAt)
+void CrashGuard::upstreamAnswered(std::uint64_t crash, base::TimePoint sentAt, std::optional<base::TimePoint> connectedAt)
 {
     if (sentAt < refutableUntil_)
-        observations_.push_back(UpstreamAnswered { crash, sentAt });
+        observations_.push_back(UpstreamAnswered { crash, sentAt, connectedAt });
 }
 
 bool CrashGuard::wasAnsweredAround(PromptPart part, base::TimePoint crashedAt) const
--- a/tests/CrashReportSpreadTest.cpp
+++ b/tests/CrashReportSpreadTest.cpp
@@ -128,11 +128,31 @@
     report(*fleet, 5, 1);
     fleet->run(spreadBound);
     auto& other = fleet->entry[7].crashReports;
-    other.refuteCrash(1, sentBefore, fleet->clock.now());
-    other.refuteCrash(2, fleet->clock.now(), fleet->clock.now());
+    other.refuteCrash(1, sentBefore, std::nullopt, fleet->clock.now());
+    other.refuteCrash(2, fleet->clock.now(), std::nullopt, fleet->clock.now());
     fleet->run(spreadBound);
     BOOST_TEST(countSuspecting(*fleet) == fleet->entry.size());
-    other.refuteCrash(1, fleet->clock.now(), fleet->clock.now());
+    other.refuteCrash(1, fleet->clock.now(), std::nullopt, fleet->clock.now());
+    fleet->run(spreadBound);
+    BOOST_TEST(countSuspecting(*fleet) == 0U);
+}
+
+// Guards against an upstream that starts again under its id and refutes the crash of the
+// process before it by its first answers (review/9).
+BOOST_AUTO_TEST_CASE(AnswerOnANewConnectionDoesNotRefuteACrash)
+{
+    auto fleet = makeFleet();
+    fleet->run(Milliseconds(5000));
+    const auto crashedAt = fleet->clock.now();
+    report(*fleet, 5, 1);
+    fleet->run(spreadBound);
+    auto& other = fleet->entry[7].crashReports;
+    for (auto connectedAt : { fleet->clock.now(), crashedAt + Milliseconds(1), crashedAt }) {
+        other.refuteCrash(1, fleet->clock.now(), connectedAt, fleet->clock.now());
+        fleet->run(spreadBound);
+        BOOST_TEST(countSuspecting(*fleet) == fleet->entry.size());
+    }
+    other.refuteCrash(1, fleet->clock.now(), crashedAt - std::chrono::seconds(4), fleet->clock.now());
     fleet->run(spreadBound);
     BOOST_TEST(countSuspecting(*fleet) == 0U);
 }
--- a/tests/CrashReports.h
+++ b/tests/CrashReports.h
@@ -13,7 +13,7 @@
     else if (const auto* answered = std::get_if<CrashGuard::PartAnswered>(&observation))
         reports.refute(answered->part, now);
     else if (const auto* works = std::get_if<CrashGuard::UpstreamAnswered>(&observation))
-        reports.refuteCrash(works->crash, works->sentAt, now);
+        reports.refuteCrash(works->crash, works->sentAt, works->connectedAt, now);
 }
 
 } // namespace arbutus::fleet
--- a/tests/DeadlyCallSpreadTest.cpp
+++ b/tests/DeadlyCallSpreadTest.cpp
@@ -133,7 +133,7 @@
             return;
         calls.erase(call);
         ++answeredSoundCalls;
-        vms_[vm].guard.upstreamAnswered(process, sentAt);
+        vms_[vm].guard.upstreamAnswered(process, sentAt, std::nullopt);
         vms_[vm].guard.attemptEnded({ content });
         vms_[vm].guard.answerBegan({ content }, now_);
     }
--- a/tests/DeadlyCallTest.cpp
+++ b/tests/DeadlyCallTest.cpp
@@ -88,3 +88,27 @@
         }
     }
 }
+
+// Guards against upstreams that come back under their former ids, answer sound calls before
+// their new starts are known, and so clear the call that crashed them (review/9).
+BOOST_AUTO_TEST_CASE(UpstreamsBackUnderTheirIdsDoNotClearTheCallThatCrashedThem)
+{
+    constexpr int mostDeadlyRequests = 4;
+    for (auto kind : callKinds) {
+        DeadlyCallFixture fixture(kind);
+        fixture.script = [&fixture](Peer& connection, const std::string& request, int) {
+            if (!contains(request, "deadly")) {
+                connection.socket->write(successResponse(DeadlyCallFixture::valueOf(request, "Id: "), "sound"));
+                return;
+            }
+            ++fixture.deadlyRequests;
+            connection.socket->closeAfterWriting();
+        };
+        for (int i = 0; i < 6; ++i) {
+            fixture.call("/deadly?thing=1");
+            for (int sound = 0; sound < 6; ++sound)
+                BOOST_TEST(contains(fixture.call("/sound?number=" + std::to_string(6 * i + sound)), "sound"));
+        }
+        BOOST_TEST(fixture.deadlyRequests <= mostDeadlyRequests, fixture.deadlyRequests << " upstreams were crashed");
+    }
+}
