Half of an even set that is apart from the other half may go on

Cause: four voters need three, the first of the two is a voter until a new leader has removed it, and two of four can't tell the loss of the others from a split, so they never act.

Ruled out: late detection (lost at each gap from 0 ms in virtual time), a lost log, a tie-break that drops or ignores the rule of the lost disk, evidence of refused connections (docs/design/quorum-with-a-lost-disk.md).

Change: half of an even set is also a quorum if it includes the newest voter and each member has heard nothing from the other half for 8 s when it votes. It serves reads and changes the set, and takes commands once the set is odd. So that both rules hold together, a lost disk counts only with a contact that excludes that the other half had acted before; contacts are stored with the hard state while the set is even. Vote messages and the hard state gain fields that the landing before skips, and miss none.

--- a/include/base/Clock.h
+++ b/include/base/Clock.h
@@ -2,6 +2,8 @@
 
 #include "include/base/Time.h"
 
+#include <string>
+
 namespace arbutus::base {
 
 // Abstract source of monotonic and wall-clock time. Tests inject a VirtualClock.
@@ -27,6 +29,10 @@
 // Returns the time of CLOCK_BOOTTIME.
 TimePoint bootNow();
 
+// Returns the name of the machine's present run, which tells whether times of CLOCK_BOOTTIME that
+// were stored earlier can be compared with it. Empty if the system does not say.
+std::string bootName();
+
 // Reads CLOCK_BOOTTIME, which keeps advancing while the machine is suspended, so
 // a lease that expires during a suspend is detected as expired on resume.
 class BootClock final : public Clock {
--- a/include/consensus/Messages.h
+++ b/include/consensus/Messages.h
@@ -52,6 +52,9 @@
     bool isVoter(const ReplicaKey&) const;
     bool isLearner(const ReplicaKey&) const;
     std::size_t majority() const { return voters.size() / 2 + 1; }
+    // The voter with which half of an even set may be a quorum: the newest one, which is the
+    // last that is meant to leave. There must be a voter.
+    const ReplicaKey& tieBreaker() const { return voters.back(); }
 
     friend bool operator==(const Configuration& left, const Configuration& right) { return left.voters == right.voters && left.learners == right.learners; }
 };
@@ -67,6 +70,16 @@
     friend bool operator==(const Entry& left, const Entry& right) { return std::tie(left.term, left.index, left.kind, left.data) == std::tie(right.term, right.index, right.kind, right.data); }
 };
 
+// When this replica sent a message that the voter answered while this replica had stored all
+// that was committed, in nanoseconds of the clock of HardState::boot.
+struct StoredContact {
+    ReplicaKey voter;
+    std::int64_t sentAt = 0;
+    MSGPACK_DEFINE(voter, sentAt)
+
+    friend bool operator==(const StoredContact& left, const StoredContact& right) { return left.voter == right.voter && left.sentAt == right.sentAt; }
+};
+
 // The current term and the vote cast in it, persisted before any message that depends
 // on them is sent.
 struct HardState {
@@ -75,9 +88,13 @@
     // The configuration entry up to which this replica knows all of them to be committed. May
     // lag behind.
     Index committedConfiguration = 0;
-    MSGPACK_DEFINE(term, vote, committedConfiguration)
+    // The newest contacts, stored while the set of voters is even. They prove nothing once the
+    // machine has been started again.
+    std::string boot = {};
+    std::vector<StoredContact> contacts = {};
+    MSGPACK_DEFINE(term, vote, committedConfiguration, boot, contacts)
 
-    friend bool operator==(const HardState& left, const HardState& right) { return std::tie(left.term, left.vote, left.committedConfiguration) == std::tie(right.term, right.vote, right.committedConfiguration); }
+    friend bool operator==(const HardState& left, const HardState& right) { return std::tie(left.term, left.vote, left.committedConfiguration, left.boot, left.contacts) == std::tie(right.term, right.vote, right.committedConfiguration, right.boot, right.contacts); }
 };
 
 // Describes a snapshot of the state after the entry at `index` has been applied.
@@ -100,7 +117,10 @@
     bool isPreVote = false;
     Index lastIndex = 0;
     Term lastTerm = 0;
-    MSGPACK_DEFINE(isPreVote, lastIndex, lastTerm)
+    // The voters from which the candidate has been apart, if it asks for the votes of the
+    // others as half of an even set. Earlier builds neither send nor read it.
+    std::vector<ReplicaKey> apartFrom = {};
+    MSGPACK_DEFINE(isPreVote, lastIndex, lastTerm, apartFrom)
 };
 
 struct VoteResponse {
@@ -110,8 +130,10 @@
     Term requestedTerm = 0;
     // The disk that the request was addressed to, if the responder has another one now. As
     // that disk existed when the request was made, it is lost.
-    std::optional<std::uint64_t> lostDisk;
-    MSGPACK_DEFINE(isPreVote, isGranted, requestedTerm, lostDisk)
+    std::optional<std::uint64_t> lostDisk = std::nullopt;
+    // Whether the responder has been apart from all of VoteRequest::apartFrom as well.
+    bool isApart = false;
+    MSGPACK_DEFINE(isPreVote, isGranted, requestedTerm, lostDisk, isApart)
 };
 
 struct AppendRequest {
--- a/include/consensus/ReplicaCore.h
+++ b/include/consensus/ReplicaCore.h
@@ -17,6 +17,13 @@
     std::chrono::nanoseconds heartbeatInterval = std::chrono::milliseconds(100);
     std::chrono::nanoseconds electionTimeoutMin = std::chrono::milliseconds(600);
     std::chrono::nanoseconds electionTimeoutMax = std::chrono::milliseconds(1200);
+    // A replica that has received nothing from a voter for this long is apart from it. Longer
+    // than a partition that heals by itself usually lasts, and shorter than the time within
+    // which service must return after a loss.
+    std::chrono::nanoseconds separationTimeout = std::chrono::seconds(8);
+    // Names the run of the clock that `now` is read from, which outlasts a process. Empty if
+    // unknown: then a process knows nothing of the contacts of an earlier one.
+    std::string boot = {};
     // Limits the entries in one append request and the data in one snapshot chunk.
     std::size_t maxBatchBytes = std::size_t { 1 } << 20;
     std::size_t maxBatchEntries = 1024;
@@ -213,7 +220,9 @@
     // proves nothing: it may have waited while this process stood still.
     base::TimePoint leaderContactAt() const { return role_ == Role::Leader ? leaseStart_.value_or(base::TimePoint()) : leaderAnsweredAt_; }
     // Returns the voters whose disk this replica has found to be lost since its start.
-    const std::set<ReplicaKey>& lostVoters() const { return lostVoters_; }
+    const LostVoters& lostVoters() const { return lostVoters_; }
+    // Whether this replica leads with half of an even set that is apart from the other half.
+    bool leadsSeparateHalf() const { return role_ == Role::Leader && quorumOfTerm().hasSeparateHalf(); }
     // The number of messages dropped because they violate the protocol.
     std::uint64_t rejectedMessageCount() const { return rejectedMessageCount_; }
 
@@ -296,6 +305,22 @@
     // Tells the sender that the disk to which its request is addressed is lost.
     void answerForLostDisk(const Message&);
     void recordLostDisk(const ReplicaKey& responder, const VoteResponse&);
+    // Records that this replica sent a message at `sentAt` that the voter has answered, while
+    // this replica has stored all that was committed.
+    void recordContact(const ReplicaKey& voter, base::TimePoint sentAt);
+    // Returns the voters whose contact is so recent that none of them can have voted in a half
+    // that is apart from this replica.
+    std::set<ReplicaKey> recentContacts() const;
+    void storeContacts();
+    void loadContacts(const HardState&);
+    // Whether this replica has received nothing from the voter for the separation timeout.
+    bool isApartFrom(const ReplicaKey&) const;
+    bool isApartFromAll(const std::vector<ReplicaKey>&) const;
+    void recordMessageFrom(const ReplicaKey&);
+    // Returns the voters that this replica is apart from if the others may be half of an even
+    // set with its tie-breaker.
+    std::vector<ReplicaKey> otherHalf() const;
+    void beginSeparateHalf();
     // Returns the last entry that a candidate needs for the vote of this replica.
     Index lastGuardedIndex() const;
     void countVotes();
@@ -343,7 +368,9 @@
     std::uint64_t quorumValue(std::uint64_t own, std::uint64_t Peer::*value) const;
 
     std::vector<const Configuration*> configurationsInForce() const { return log_.configurationsInForce(committedConfiguration_); }
-    HardState hardState() const { return { term_, vote_, committedConfiguration_ }; }
+    // The rule for votes and acknowledgements of the current term.
+    QuorumRule quorumOfTerm() const { return { configurationsInForce(), lostVotersOfTerm_, separateHalf_ }; }
+    HardState hardState() const { return { term_, vote_, committedConfiguration_, settings_.boot, storedContacts_ }; }
     void recordCommittedConfiguration();
     void send(const ReplicaKey& to, MessageBody);
     // Defers the message until all writes of this and earlier steps are persisted.
@@ -386,8 +413,18 @@
     // Voters whose disk is known to be lost for good, and those of them that were known when
     // the current term's election began. Only the latter count with votes and
     // acknowledgements of the term, which are all later than the loss.
-    std::set<ReplicaKey> lostVoters_;
-    std::set<ReplicaKey> lostVotersOfTerm_;
+    LostVoters lostVoters_;
+    LostVoters lostVotersOfTerm_;
+    // The candidate and those that have voted for it as a half that is apart, in this election
+    // or in the one that this leader has won. Empty once another voter has been heard from.
+    SeparateHalf separateHalf_;
+    base::TimePoint startedAt_;
+    // When the newest message of each replica arrived, within the separation timeout.
+    std::map<ReplicaKey, base::TimePoint> heardAt_;
+    // When this replica sent the newest message that proves contact; see recordContact().
+    std::map<ReplicaKey, base::TimePoint> contactAt_;
+    std::vector<StoredContact> storedContacts_;
+    base::TimePoint contactsStoredAt_;
     // Follower: the log matches that of the current term's leader up to this index.
     Index matchedIndex_ = 0;
     std::optional<IncomingSnapshot> incomingSnapshot_;
--- a/src/base/Clock.cpp
+++ b/src/base/Clock.cpp
@@ -1,6 +1,7 @@
 #include "include/base/Clock.h"
 
 #include <ctime>
+#include <fstream>
 
 namespace arbutus::base {
 
@@ -18,6 +19,13 @@
     return TimePoint(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
 }
 
+std::string bootName()
+{
+    std::string name;
+    std::getline(std::ifstream("/proc/sys/kernel/random/boot_id"), name);
+    return name;
+}
+
 TimePoint BootClock::onNow() const { return bootNow(); }
 
 WallTime BootClock::onWallNow() const
--- a/src/consensus/ReplicaCore.cpp
+++ b/src/consensus/ReplicaCore.cpp
@@ -66,12 +66,14 @@
     // The promise not to vote while a leader is alive is not persisted, so a restarted
     // replica behaves as if it had just heard from a leader.
     , lastLeaderContact_(now)
+    , startedAt_(now)
 {
     for (Entry& entry : state.entries)
         log_.append(std::move(entry));
     persistedIndex_ = log_.lastIndex();
     commitIndex_ = appliedIndex_ = log_.compactedIndex();
     electionDeadline_ = now + randomBetween(settings_.electionTimeoutMin, settings_.electionTimeoutMax);
+    loadContacts(state.hardState);
 }
 
 Output ReplicaCore::step(const Input& input, base::TimePoint now)
@@ -131,6 +133,7 @@
         answerForLostDisk(message);
     if (message.to != settings_.self || message.from == settings_.self)
         return;
+    recordMessageFrom(message.from);
     std::visit([this, &message](const auto& body) { onMessage(message, body); }, message.body);
 }
 
@@ -158,8 +161,7 @@
     if (isDiskWritable_ || role_ != Role::Leader)
         return;
     // The others must elect one of them without the vote of this replica.
-    const QuorumRule rule(configurationsInForce(), lostVotersOfTerm_);
-    if (rule.isReachedBy([this](const ReplicaKey& voter) { return voter != settings_.self && isSelfOrActive(voter); }))
+    if (quorumOfTerm().isReachedBy([this](const ReplicaKey& voter) { return voter != settings_.self && isSelfOrActive(voter); }))
         becomeFollower(term_, std::nullopt);
 }
 
@@ -206,8 +208,12 @@
     else if (heartbeat.answeredTime)
         answeredAt = base::TimePoint(std::chrono::nanoseconds(*heartbeat.answeredTime));
     // A time in the future is one of before this machine was restarted.
-    if (answeredAt <= now_)
-        leaderAnsweredAt_ = std::max(leaderAnsweredAt_, answeredAt);
+    if (answeredAt > now_)
+        return;
+    leaderAnsweredAt_ = std::max(leaderAnsweredAt_, answeredAt);
+    const bool hasStoredAll = currentIndex_ && std::min(matchedIndex_, persistedIndex_) >= *currentIndex_;
+    if (!isOfEarlierBuild && hasStoredAll)
+        recordContact(*leader_, answeredAt);
 }
 
 bool ReplicaCore::isCurrent() const
--- a/src/consensus/ReplicaCoreElections.cpp
+++ b/src/consensus/ReplicaCoreElections.cpp
@@ -1,6 +1,7 @@
 #include "include/consensus/ReplicaCore.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace arbutus::consensus {
 
@@ -13,6 +14,11 @@
 constexpr std::chrono::milliseconds voteRetryMin(200);
 constexpr std::chrono::milliseconds voteRetryMax(500);
 
+// The clocks of two replicas differ by less during a separation timeout.
+constexpr int maxSeparationDriftPercent = 10;
+// Contacts are stored this often in a separation timeout, while that matters.
+constexpr int contactWritesPerSeparation = 32;
+
 std::chrono::nanoseconds ReplicaCore::randomBetween(std::chrono::nanoseconds low, std::chrono::nanoseconds high)
 {
     return low + std::chrono::nanoseconds(random_.below(static_cast<std::uint64_t>((high - low).count())));
@@ -57,6 +63,7 @@
     role_ = Role::PreCandidate;
     leader_.reset();
     votes_ = { settings_.self };
+    beginSeparateHalf();
     electionDeadline_ = now_ + randomBetween(preVoteRetryMin, preVoteRetryMax);
     requestVotes(true);
     countVotes();
@@ -66,6 +73,7 @@
 {
     role_ = Role::Candidate;
     votes_.clear();
+    beginSeparateHalf();
     lostVotersOfTerm_ = lostVoters_;
     setTerm(term_ + 1, settings_.self);
     electionDeadline_ = now_ + randomBetween(voteRetryMin, voteRetryMax);
@@ -74,7 +82,7 @@
 
 void ReplicaCore::requestVotes(bool isPreVote)
 {
-    const VoteRequest request { isPreVote, log_.lastIndex(), log_.lastTerm() };
+    const VoteRequest request { isPreVote, log_.lastIndex(), log_.lastTerm(), { separateHalf_.others.begin(), separateHalf_.others.end() } };
     std::set<ReplicaKey> voters;
     for (const Configuration* configuration : configurationsInForce())
         voters.insert(configuration->voters.begin(), configuration->voters.end());
@@ -94,7 +102,7 @@
         votes_.insert(settings_.self);
     // Counts only voters of this replica's configurations. The key includes the disk, so
     // a vote of a wiped disk does not count for the old one.
-    const QuorumRule rule(configurationsInForce(), role_ == Role::Candidate ? lostVotersOfTerm_ : lostVoters_);
+    const QuorumRule rule(configurationsInForce(), role_ == Role::Candidate ? lostVotersOfTerm_ : lostVoters_, separateHalf_);
     if (!rule.isReachedBy([this](const ReplicaKey& voter) { return votes_.count(voter) > 0; }))
         return;
     if (role_ == Role::PreCandidate)
@@ -106,7 +114,7 @@
 void ReplicaCore::answerForLostDisk(const Message& message)
 {
     if (const auto* request = std::get_if<VoteRequest>(&message.body))
-        send(message.from, VoteResponse { request->isPreVote, false, message.term, message.to.disk });
+        send(message.from, VoteResponse { request->isPreVote, false, message.term, message.to.disk, false });
 }
 
 void ReplicaCore::recordLostDisk(const ReplicaKey& responder, const VoteResponse& response)
@@ -117,11 +125,100 @@
     // A leader may have counted acts that are earlier than this loss.
     if (lost == responder || !isVoter || role_ == Role::Leader)
         return;
-    lostVoters_.insert(lost);
+    // The disk was lost by now. Contacts at an earlier answer hold as well.
+    lostVoters_[lost].merge(recentContacts());
     if (role_ == Role::PreCandidate)
         countVotes();
 }
 
+void ReplicaCore::recordMessageFrom(const ReplicaKey& sender)
+{
+    heardAt_[sender] = now_;
+    if (separateHalf_.others.count(sender))
+        separateHalf_ = {};
+}
+
+bool ReplicaCore::isApartFrom(const ReplicaKey& voter) const
+{
+    auto heard = heardAt_.find(voter);
+    return voter != settings_.self && now_ >= std::max(startedAt_, heard == heardAt_.end() ? startedAt_ : heard->second) + settings_.separationTimeout;
+}
+
+bool ReplicaCore::isApartFromAll(const std::vector<ReplicaKey>& voters) const
+{
+    return std::all_of(voters.begin(), voters.end(), [this](const ReplicaKey& voter) { return isApartFrom(voter); });
+}
+
+std::vector<ReplicaKey> ReplicaCore::otherHalf() const
+{
+    std::vector<ReplicaKey> others;
+    bool isAnyHalf = false;
+    for (const Configuration* configuration : configurationsInForce()) {
+        const auto& voters = configuration->voters;
+        std::vector<ReplicaKey> apart;
+        std::copy_if(voters.begin(), voters.end(), std::back_inserter(apart), [this](const ReplicaKey& voter) { return isApartFrom(voter); });
+        isAnyHalf = isAnyHalf || (!voters.empty() && apart.size() * 2 == voters.size() && !isApartFrom(configuration->tieBreaker()));
+        others.insert(others.end(), apart.begin(), apart.end());
+    }
+    return isAnyHalf ? others : std::vector<ReplicaKey>();
+}
+
+void ReplicaCore::beginSeparateHalf()
+{
+    for (auto it = heardAt_.begin(); it != heardAt_.end();)
+        it = now_ >= it->second + settings_.separationTimeout ? heardAt_.erase(it) : std::next(it);
+    const auto recent = recentContacts();
+    for (auto it = contactAt_.begin(); it != contactAt_.end();)
+        it = recent.count(it->first) ? std::next(it) : contactAt_.erase(it);
+    separateHalf_ = {};
+    if (const auto others = otherHalf(); !others.empty())
+        separateHalf_ = { { settings_.self }, { others.begin(), others.end() } };
+}
+
+void ReplicaCore::recordContact(const ReplicaKey& voter, base::TimePoint sentAt)
+{
+    auto [contact, isNew] = contactAt_.emplace(voter, sentAt);
+    contact->second = std::max(contact->second, sentAt);
+    const auto inForce = configurationsInForce();
+    const bool isAnyEven = std::any_of(inForce.begin(), inForce.end(), [](const Configuration* configuration) { return configuration->voters.size() % 2 == 0; });
+    if (isAnyEven && now_ >= contactsStoredAt_ + settings_.separationTimeout / contactWritesPerSeparation)
+        storeContacts();
+}
+
+// A replica that was restarted after the loss of a disk would otherwise know of no contact.
+void ReplicaCore::storeContacts()
+{
+    if (settings_.boot.empty())
+        return;
+    contactsStoredAt_ = now_;
+    storedContacts_.clear();
+    for (const ReplicaKey& voter : recentContacts())
+        storedContacts_.push_back({ voter, contactAt_.at(voter).time_since_epoch().count() });
+    output_.hardState = hardState();
+}
+
+void ReplicaCore::loadContacts(const HardState& stored)
+{
+    if (settings_.boot.empty() || stored.boot != settings_.boot)
+        return;
+    storedContacts_ = stored.contacts;
+    for (const StoredContact& contact : stored.contacts) {
+        if (const base::TimePoint sentAt(std::chrono::nanoseconds(contact.sentAt)); sentAt <= now_)
+            contactAt_[contact.voter] = sentAt;
+    }
+}
+
+std::set<ReplicaKey> ReplicaCore::recentContacts() const
+{
+    const auto lifetime = settings_.separationTimeout * (100 - maxSeparationDriftPercent) / 100;
+    std::set<ReplicaKey> result;
+    for (const auto& [voter, sentAt] : contactAt_) {
+        if (now_ < sentAt + lifetime)
+            result.insert(voter);
+    }
+    return result;
+}
+
 // A replica that knows of its removal is asked only by candidates that do not know it to be
 // committed. Later entries do not depend on its vote, and nobody else may have them.
 Index ReplicaCore::lastGuardedIndex() const
@@ -136,7 +233,8 @@
 {
     // Carries the requested term, because message.term of a response is the responder's
     // own term, which a pre-vote does not change.
-    auto makeResponse = [&](bool isGranted) { return VoteResponse { request.isPreVote, isGranted, message.term, std::nullopt }; };
+    const bool isApart = !request.apartFrom.empty() && isApartFromAll(request.apartFrom);
+    auto makeResponse = [&](bool isGranted) { return VoteResponse { request.isPreVote, isGranted, message.term, std::nullopt, isGranted && isApart }; };
     const Index guardedIndex = lastGuardedIndex();
     const bool isLogUpToDate = std::tie(request.lastTerm, request.lastIndex) >= std::make_tuple(*log_.termAt(guardedIndex), guardedIndex);
     if (hasRecentLeader() || message.term < term_) {
@@ -177,6 +275,8 @@
     if (role_ != expectedRole || response.requestedTerm != expectedTerm || !response.isGranted)
         return;
     votes_.insert(message.from);
+    if (response.isApart)
+        separateHalf_.members.insert(message.from);
     countVotes();
 }
 
--- a/src/consensus/ReplicaCoreLeader.cpp
+++ b/src/consensus/ReplicaCoreLeader.cpp
@@ -87,6 +87,9 @@
 {
     for (const Proposal& proposal : input.proposals) {
         ProposalStatus status = checkLeadership();
+        // Before it has changed the set, a separate half only holds what was committed.
+        if (status == ProposalStatus::Accepted && leadsSeparateHalf())
+            status = ProposalStatus::NoQuorum;
         if (status == ProposalStatus::Accepted && proposal.data.size() > settings_.maxEntryBytes)
             status = ProposalStatus::TooLarge;
         if (status == ProposalStatus::Accepted && uncommittedBytes_ + proposal.data.size() > settings_.maxUncommittedBytes)
@@ -155,7 +158,7 @@
             members->erase(std::remove(members->begin(), members->end(), change.replica), members->end());
         break;
     }
-    const QuorumRule rule({ &configuration(), &changed }, lostVotersOfTerm_);
+    const QuorumRule rule({ &configuration(), &changed }, lostVotersOfTerm_, separateHalf_);
     return rule.isReachedBy([this](const ReplicaKey& voter) { return isSelfOrActive(voter); }) ? ProposalStatus::Accepted : ProposalStatus::NoQuorum;
 }
 
@@ -231,6 +234,10 @@
         return;
     peer->responseTime = response.time;
     peer->ackedRound = std::max(peer->ackedRound, response.round);
+    for (const auto& [sentRound, sentAt] : roundSendTimes_) {
+        if (sentRound == response.round)
+            recordContact(message.from, sentAt);
+    }
     if (!peer->passedAt && response.round > peer->roundBeforeSend)
         peer->passedAt = now_;
     updateLease();
@@ -238,8 +245,7 @@
 
 std::uint64_t ReplicaCore::quorumValue(std::uint64_t own, std::uint64_t Peer::*value) const
 {
-    const QuorumRule rule(configurationsInForce(), lostVotersOfTerm_);
-    return rule.highestReached([&](const ReplicaKey& voter) { return voter == settings_.self ? own : peers_.at(voter).*value; });
+    return quorumOfTerm().highestReached([&](const ReplicaKey& voter) { return voter == settings_.self ? own : peers_.at(voter).*value; });
 }
 
 void ReplicaCore::updateLease()
--- a/src/replica/ReplicaNode.cpp
+++ b/src/replica/ReplicaNode.cpp
@@ -62,6 +62,7 @@
         applySnapshot(*durable.snapshot);
     consensus::ReplicaSettings settings = options_.core;
     settings.self = { options_.replica, storage_->diskNumber() };
+    settings.boot = base::bootName();
     BOOST_OUTCOME_TRY(core, consensus::ReplicaCore::Make(settings, std::move(durable), base::Random(options_.randomSeed + 1), clock_.now()));
     core_.emplace(std::move(core));
     thread_ = std::thread([this] { run(); });
@@ -415,10 +416,10 @@
         lastRole_ = core_->role();
         static constexpr std::array<const char*, 4> names { "follower", "pre-candidate", "candidate", "leader" };
         const char* role = names[static_cast<std::size_t>(lastRole_)];
-        logger.info("The role changed.", { { "role", role }, { "term", core_->term() } });
+        logger.info("The role changed.", { { "role", role }, { "term", core_->term() }, { "leads_separate_half", core_->leadsSeparateHalf() } });
         timeline_.record("role-changed", { { "role", role }, { "term", std::to_string(core_->term()) } });
     }
-    for (const auto& voter : core_->lostVoters()) {
+    for (const auto& [voter, contacts] : core_->lostVoters()) {
         if (loggedLostVoters_.insert(voter).second)
             logger.warning("The disk of a voter is lost; beside it, half of an even number of voters is a quorum.", { { "replica", voter.replica }, { "disk", fmt::format("{:x}", voter.disk) }, { "term", core_->term() } });
     }
--- a/tests/ConsensusHarness.h
+++ b/tests/ConsensusHarness.h
@@ -25,6 +25,8 @@
         DurableState disk;
         std::deque<Output> unsynced;
         std::uint64_t crashCount = 0;
+        // The number of times that the machine has been without power.
+        std::uint64_t bootCount = 0;
         // The rate of the node's clock relative to virtual time.
         double clockRate = 1;
         Index appliedIndex = 0;
@@ -62,6 +64,7 @@
         if (node.core)
             return;
         settings.self = node.key;
+        settings.boot = fmt::format("boot {}", node.bootCount);
         auto core = ReplicaCore::Make(settings, node.disk, base::Random(random.next()), localTime(node));
         if (core.has_error())
             fail(core.error().detail);
@@ -80,6 +83,12 @@
         node.core.reset();
         ++node.crashCount;
     }
+    // Crashes the node and its machine.
+    void losePower(std::size_t i)
+    {
+        crash(i);
+        ++nodes[i].bootCount;
+    }
     // Crashes the node and replaces its disk by an empty one with a new disk number.
     void wipe(std::size_t i)
     {
--- a/tests/ReplicaFleet.h
+++ b/tests/ReplicaFleet.h
@@ -62,6 +62,13 @@
             endProcess(i);
     }
 
+    // Ends the process with its machine, which comes back; start() brings it back.
+    void losePower(std::size_t i)
+    {
+        end(i, End::Silence);
+        ++cluster.nodes[i].bootCount;
+    }
+
     // Ends the process and empties its disk; start() brings it back.
     void loseDisk(std::size_t i)
     {
--- a/tests/ReplicaReplacementTest.cpp
+++ b/tests/ReplicaReplacementTest.cpp
@@ -104,6 +104,57 @@
         checkAll(end, { Milliseconds(0), Milliseconds(1), Milliseconds(20), Milliseconds(100), Milliseconds(300), Milliseconds(500), Milliseconds(800), Milliseconds(1500) });
 }
 
+// Plays a planned replacement after which two of the first three replicas are gone for good, and
+// the successor of the second comes a second later. Returns whether the set recovers in time.
+static bool survivesTwoRemovals(End end, bool endsLeader, bool endsLeaderNext, Milliseconds gap, std::uint64_t seed)
+{
+    ReplicaFleet fleet(seed, 2);
+    fleet.cluster.proposeMany(fleet.cluster.awaitLeader(), 20);
+    fleet.start(successor);
+    fleet.run(successorTime);
+    const std::size_t first = pick(fleet, endsLeader);
+    fleet.end(first, end);
+    fleet.run(gap);
+    std::size_t second = fleet.cluster.leader();
+    if (!endsLeaderNext || second >= ReplicaFleet::targetVoterCount) {
+        const std::size_t leader = second;
+        for (second = 0; second == first || second == leader;)
+            ++second;
+    }
+    fleet.end(second, end);
+    fleet.run(std::chrono::seconds(1));
+    fleet.start(successor + 1);
+    if (!fleet.canConfirm(recoveryTime))
+        return false;
+    fleet.run(std::chrono::seconds(5));
+    return fleet.configuration().voters.size() == ReplicaFleet::targetVoterCount && fleet.canCommit(Milliseconds(500));
+}
+
+// Guards against four voters of which two are gone for good before the first of them is removed,
+// and that have no quorum ever after (review/11, CONFIG).
+BOOST_AUTO_TEST_CASE(TwoRemovalsAtAnyMomentLeaveQuorum)
+{
+    std::uint64_t seed = 0;
+    for (End end : { End::Kill, End::Silence }) {
+        for (int gap : { 0, 1, 20, 100, 300, 500, 800, 1500, 2500 }) {
+            for (bool endsLeader : { false, true }) {
+                for (bool endsLeaderNext : { false, true })
+                    BOOST_TEST(survivesTwoRemovals(end, endsLeader, endsLeaderNext, Milliseconds(gap), ++seed), "gap " << gap << " ms, ends leader " << endsLeader << ", then the leader " << endsLeaderNext << ", silent " << (end == End::Silence));
+            }
+        }
+    }
+}
+
+// Guards against the same where the first is told to stop: it leaves the set first.
+BOOST_AUTO_TEST_CASE(RemovalAfterAStopLeavesQuorum)
+{
+    std::uint64_t seed = 100;
+    for (int gap : { 100, 500, 1500 }) {
+        for (bool endsLeader : { false, true })
+            BOOST_TEST(survivesTwoRemovals(End::Stop, endsLeader, false, Milliseconds(gap), ++seed), "gap " << gap << " ms, ends leader " << endsLeader);
+    }
+}
+
 // Guards against the same where the loss of the disk comes first, within the same second.
 BOOST_AUTO_TEST_CASE(VoterKilledAfterALostDiskLeavesQuorum)
 {
