An entry VM refuses when nothing proves that its configuration is in force

Cause: no bound on the age of the last proof that its version is the newest.

Ruled out: a stale control VM that tells the older version, and a standstill as the condition: control VMs that end within some 0.3 s of the acknowledgement leave a running entry VM behind in the same way.

Change: answers to entry VMs report the newest version, with the age of the contact with the leader, or without a leader with what the VM has stored and the voters that it knows. A current control VM, or a majority of the voters with their disks, proves a version as of when the poll was sent. An entry VM that hears a majority of the control VMs and has no proof of the last config_apply_ms refuses as not run; one that hears fewer goes on as before. Control VMs of the landing before report nothing and are not counted as heard.

--- a/include/consensus/ReplicaCore.h
+++ b/include/consensus/ReplicaCore.h
@@ -203,6 +203,8 @@
     Index appliedIndex() const { return appliedIndex_; }
     const ReplicaLog& log() const { return log_; }
     const Configuration& configuration() const { return log_.configuration(); }
+    // Returns the configurations whose quorums are needed.
+    std::vector<const Configuration*> configurationsInForce() const { return log_.configurationsInForce(committedConfiguration_); }
     // Returns when the newest heartbeat was sent that a majority has confirmed; nullopt
     // without one, or in any role but that of the leader.
     std::optional<base::TimePoint> leadershipConfirmedAt() const { return role_ == Role::Leader ? leaseStart_ : std::nullopt; }
@@ -367,7 +369,6 @@
     // replica.
     std::uint64_t quorumValue(std::uint64_t own, std::uint64_t Peer::*value) const;
 
-    std::vector<const Configuration*> configurationsInForce() const { return log_.configurationsInForce(committedConfiguration_); }
     // The rule for votes and acknowledgements of the current term.
     QuorumRule quorumOfTerm() const { return { configurationsInForce(), lostVotersOfTerm_, separateHalf_ }; }
     HardState hardState() const { return { term_, vote_, committedConfiguration_, settings_.boot, storedContacts_ }; }
--- a/include/fleet/FleetMessages.h
+++ b/include/fleet/FleetMessages.h
@@ -7,6 +7,7 @@
 #include "include/fleet/UpstreamRecord.h"
 
 #include <chrono>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -70,6 +71,32 @@
     MSGPACK_DEFINE(sender, dataCentre, isEntry, epoch, revision, routesVersion, wantsRoutes, routesBase, wantsPeerLoad, wantsPermits, maxWaitMilliseconds, load, incarnation, loadRevision, crashRevision, crashReports, limits, limitRevision, leaving, gone, demand, handoverIp, wantsHandoverPeers, processes)
 };
 
+// A control VM with its disk, as a voter.
+struct ReportedVoter {
+    std::uint64_t replica = 0;
+    std::uint64_t disk = 0;
+    MSGPACK_DEFINE(replica, disk)
+
+    friend bool operator==(const ReportedVoter& left, const ReportedVoter& right) { return left.replica == right.replica && left.disk == right.disk; }
+};
+
+// What a control VM knows of the newest route configuration.
+struct VersionReport {
+    // Whether the VM's state is current: `version` was the newest one that was committed, as of
+    // `ageMilliseconds` before the answer. Otherwise it is the newest one that the VM has stored,
+    // committed or not, and the fields behind the age are set.
+    bool isCurrent = false;
+    std::uint64_t version = 0;
+    std::uint32_t ageMilliseconds = 0;
+    ReportedVoter self;
+    // The term and the index of the newest set of voters that the VM has stored.
+    std::uint64_t votersTerm = 0;
+    std::uint64_t votersIndex = 0;
+    // That set and, unless it is known to be committed, the one before.
+    std::vector<std::vector<ReportedVoter>> voterSets;
+    MSGPACK_DEFINE(isCurrent, version, ageMilliseconds, self, votersTerm, votersIndex, voterSets)
+};
+
 // The answer to a FleetPoll.
 struct FleetAnswer {
     // The data centre of the answering VM.
@@ -108,7 +135,9 @@
     std::vector<std::uint32_t> handoverPeers;
     // Whether the next poll should tell the processes of upstreams that the poller knows.
     bool wantsProcesses = false;
-    MSGPACK_DEFINE(dataCentre, epoch, revision, upstreams, routesVersion, packedRoutes, routesBase, replicas, silentControlVms, entryVmCount, peerLoad, crashRevision, crashReports, limits, limitRevision, demand, handoverPeers, wantsProcesses)
+    // For entry VMs. Absent from earlier builds.
+    std::optional<VersionReport> versionReport;
+    MSGPACK_DEFINE(dataCentre, epoch, revision, upstreams, routesVersion, packedRoutes, routesBase, replicas, silentControlVms, entryVmCount, peerLoad, crashRevision, crashReports, limits, limitRevision, demand, handoverPeers, wantsProcesses, versionReport)
 };
 
 // Asks the leader to add the sender as a replica.
--- a/include/fleet/FleetPollServer.h
+++ b/include/fleet/FleetPollServer.h
@@ -57,6 +57,8 @@
     // nothing yet are told no configuration, and of upstreams only those that leave or are
     // lost. The others are told of changes.
     void setCurrent(bool isCurrent, base::TimePoint now);
+    // Sets what tells entry VMs of the newest configuration, with each answer.
+    void setVersionReporter(std::function<VersionReport()> reporter) { versionReporter_ = std::move(reporter); }
     void setReplicas(std::vector<std::uint32_t> ips) { replicas_ = std::move(ips); }
     // Whether this VM knows the processes of upstreams that entry VMs know: some of them have
     // told it since its state became current, or none has for a while.
@@ -111,6 +113,7 @@
     const std::uint64_t epoch_;
     RoutesPublisher routesPublisher_;
     bool isCurrent_ = false;
+    std::function<VersionReport()> versionReporter_;
     // The entry VMs that have told the processes which they know, and until when to wait for
     // more.
     std::set<std::string> informants_;
--- a/include/fleet/FleetPoller.h
+++ b/include/fleet/FleetPoller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "include/base/Clock.h"
+#include "include/fleet/ConfigurationProof.h"
 #include "include/fleet/CrashReportRegistry.h"
 #include "include/fleet/FleetMessages.h"
 #include "include/fleet/TrafficAccount.h"
@@ -30,6 +31,8 @@
         std::string dataCentre;
         // Differs at each start of the process.
         std::uint32_t incarnation = 0;
+        // How long after its confirmation a configuration may come into force here.
+        std::chrono::milliseconds routesApplyTime { 2000 };
     };
     using Post = std::function<void(std::function<void()>)>;
     // Sends an encoded poll to the control VM at `ip`. The callback runs once, on any
@@ -103,6 +106,10 @@
 
     // Returns whether the control VM at `ip` has answered at or after `since`.
     bool hasHeardFrom(std::uint32_t ip, base::TimePoint since) const;
+    // Whether the configuration in force here may have been replaced for too long: a majority of
+    // the control VMs answers, and no answer proves that it was the newest one within the apply
+    // time. While fewer answer, this VM is out of touch and uses what it has.
+    bool mayRoutesBeOutdated() const;
     // Returns the largest number of entry VMs that any control VM reports, at least 1.
     std::uint32_t entryVmCount() const;
     // Counts the answers of control VMs.
@@ -169,6 +176,8 @@
         std::uint64_t confirmedCrashRevision = 0;
         // When an answer or the seeds last listed this peer.
         base::TimePoint lastListedAt;
+        // Whether its last answer reported on the newest configuration; earlier builds don't.
+        bool hasReportedVersion = false;
     };
 
     // What is reported of a process until the report expires, oldest first.
@@ -234,6 +243,7 @@
     // The configuration in force on this VM. Newer versions are fetched relative to it.
     std::uint64_t routesVersion_ = 0;
     std::string routesDocument_;
+    ConfigurationProof routesProof_;
     // A relative configuration could not be decoded.
     bool needsWholeRoutes_ = false;
     RoutesDelivery delivery_;
--- a/include/forwarding/ReverseProxy.h
+++ b/include/forwarding/ReverseProxy.h
@@ -139,6 +139,10 @@
     // Activates a route table. Requests that were already admitted keep the previous one.
     void setRoutes(std::shared_ptr<const routes::RouteTable>);
     const routes::RouteTable* routes() const { return routes_.get(); }
+    // Sets whether the routes may have been replaced for too long. While they may, requests are
+    // refused as not run.
+    void setRoutesOutdated(bool mayBeOutdated) { mayRoutesBeOutdated_ = mayBeOutdated; }
+    bool mayRoutesBeOutdated() const { return mayRoutesBeOutdated_; }
     // Applies the registry's changes since the last call.
     void setUpstreams(const fleet::UpstreamRegistry&);
     // Sets the load that the other entry VMs report for each upstream.
@@ -177,7 +181,7 @@
     // Sets the entry VMs that take requests which this one cannot send to upstreams itself.
     void setHandoverPeers(const std::vector<net::Endpoint>& peers) { handoverPeers_.setPeers(peers); }
     // Whether requests of other entry VMs can be served here.
-    bool acceptsHandovers() const { return routes_ && !isStopping_ && !reachability_.isCutOff(); }
+    bool acceptsHandovers() const { return routes_ && !mayRoutesBeOutdated_ && !isStopping_ && !reachability_.isCutOff(); }
     // Whether this VM may have to hand requests over.
     bool needsHandoverPeers() const { return reachability_.isImpaired(std::chrono::steady_clock::now()); }
     // Handles a request that another entry VM has handed over. It is not handed over again.
@@ -253,6 +257,7 @@
     base::TimePoint lastReachedAt_;
     std::list<std::unique_ptr<ReachabilityProbe>> probes_;
     std::shared_ptr<const routes::RouteTable> routes_;
+    bool mayRoutesBeOutdated_ = false;
     std::map<std::string, ServiceState> services_;
     // The last state of each upstream that is not gone, by upstream id.
     std::map<std::string, fleet::UpstreamRecord> knownUpstreams_;
--- a/include/state/Commands.h
+++ b/include/state/Commands.h
@@ -4,6 +4,7 @@
 #include "include/state/WallTimeMsgpack.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -234,4 +235,8 @@
 // out of range. Safe on untrusted input.
 base::Result<Command> decodeCommand(std::string_view bytes);
 
+// Returns the version that an encoded ReplaceRoutes command brings, without reading its
+// document; nullopt for other commands and for bytes that are none.
+std::optional<std::uint64_t> routesVersionIn(std::string_view bytes);
+
 } // namespace arbutus::state
--- a/src/fleet/FleetPollServer.cpp
+++ b/src/fleet/FleetPollServer.cpp
@@ -82,6 +82,8 @@
     if (poll.wantsHandoverPeers)
         result.handoverPeers = handoverDirectory_.peersFor(poll.sender, poll.dataCentre);
     result.wantsProcesses = poll.isEntry && isCurrent_ && !hasLearnedProcesses(now) && !informants_.count(poll.sender);
+    if (poll.isEntry && versionReporter_)
+        result.versionReport = versionReporter_();
     if (poll.wantsPermits)
         result.limits = permitAllocator_.allocate(poll.limits, now);
     return result;
--- a/src/fleet/FleetPoller.cpp
+++ b/src/fleet/FleetPoller.cpp
@@ -44,6 +44,7 @@
     , registry_(registry)
     , crashReports_(crashReports)
     , post_(std::move(post))
+    , routesProof_(options_.routesApplyTime)
 {
 }
 
@@ -403,6 +404,9 @@
 void FleetPoller::merge(std::uint32_t ip, Peer& peer, FleetAnswer answer)
 {
     mergeCrashReports(peer, answer);
+    peer.hasReportedVersion = answer.versionReport.has_value();
+    if (answer.versionReport)
+        routesProof_.record(ip, std::move(*answer.versionReport), peer.polledAt);
     peer.dataCentre = answer.dataCentre;
     updateSilent(peer, answer.silentControlVms);
     peer.limitRevision = answer.limitRevision;
@@ -470,6 +474,18 @@
     routesDocument_ = std::move(document).value();
 }
 
+bool FleetPoller::mayRoutesBeOutdated() const
+{
+    if (!routesVersion_)
+        return false;
+    auto listedCount = std::count_if(peers_.begin(), peers_.end(), [this](const auto& entry) { return isListed(entry.second); });
+    auto reportingCount = std::count_if(peers_.begin(), peers_.end(), [this](const auto& entry) { return isListed(entry.second) && isResponsive(entry.second) && entry.second.hasReportedVersion; });
+    if (reportingCount * 2 <= listedCount)
+        return false;
+    auto provenAt = routesProof_.provenAt(routesVersion_);
+    return !provenAt || clock_.now() >= *provenAt + options_.routesApplyTime;
+}
+
 bool FleetPoller::hasHeardFrom(std::uint32_t ip, base::TimePoint since) const
 {
     auto found = peers_.find(ip);
--- a/src/forwarding/Exchange.cpp
+++ b/src/forwarding/Exchange.cpp
@@ -164,6 +164,8 @@
 {
     if (!routeTable_)
         return makeError(ErrorKind::StaleConfiguration, "this VM has no configuration yet");
+    if (proxy_.mayRoutesBeOutdated_)
+        return makeError(ErrorKind::StaleConfiguration, "the configuration of this VM may have been replaced");
     route_ = routeTable_->match(requestMetadata_.host, request_.head.target);
     if (!route_)
         return makeError(ErrorKind::NotFound, "no route matches this host and path");
--- a/src/node/ControlNode.cpp
+++ b/src/node/ControlNode.cpp
@@ -99,6 +99,7 @@
     fleetPoller_.setTraffic(traffic_);
     fleetPollServer_.setTraffic(traffic_);
     fleetPollServer_.setDataCentre(options_.dataCentre);
+    fleetPollServer_.setVersionReporter([this] { return versionReport(); });
     engineClient_.setTrafficLookup([this](const net::Endpoint& endpoint) { return traffic_.counter(TrafficAccount::Kind::Upstream, registry_.dataCentreAt(endpoint)); });
     fleetPollServer_.loadExchange().setSelf(options_.ip);
     BOOST_OUTCOME_TRYV(startReplica());
@@ -336,6 +337,31 @@
 // A VM that stood still has the view of before when it goes on, and old messages to read.
 bool ControlNode::isCurrent() const { return isConnected() && replicaView_.status.isCurrent && clock_.now() < replica_->leaderContactAt() + maxLeaderSilence; }
 
+static fleet::ReportedVoter reportedVoter(const consensus::ReplicaKey& key) { return { key.replica, key.disk }; }
+
+fleet::VersionReport ControlNode::versionReport() const
+{
+    // The view may be older than the contact with the leader.
+    const auto status = replica_->status();
+    const auto now = clock_.now();
+    fleet::VersionReport report;
+    report.isCurrent = status.isCurrent && now < status.leaderContactAt + maxLeaderSilence;
+    if (report.isCurrent) {
+        report.version = status.routesVersion;
+        report.ageMilliseconds = static_cast<std::uint32_t>(std::chrono::ceil<std::chrono::milliseconds>(now - status.leaderContactAt).count());
+        return report;
+    }
+    report.version = status.storedRoutesVersion;
+    report.self = reportedVoter(status.self);
+    report.votersTerm = status.votersTerm;
+    report.votersIndex = status.votersIndex;
+    for (const auto& voters : status.voterSets) {
+        auto& reported = report.voterSets.emplace_back();
+        std::transform(voters.begin(), voters.end(), std::back_inserter(reported), reportedVoter);
+    }
+    return report;
+}
+
 void ControlNode::replaceRoutes(std::uint64_t version, const std::string& document, StoreCallback done)
 {
     if (hasCommittedRoutes(version)) {
--- a/src/node/ControlNode.h
+++ b/src/node/ControlNode.h
@@ -76,6 +76,8 @@
     // Whether this VM, besides, has applied all that was committed when that contact began, and
     // has heard of its leader lately. Otherwise what it has stored may have been replaced.
     bool isCurrent() const;
+    // What entry VMs are told of the newest configuration.
+    fleet::VersionReport versionReport() const;
     // Applies a heartbeat that an upstream sent to this VM.
     void recordHeartbeat(fleet::UpstreamRecord);
     // Applies an upstream's announcement that it is shutting down.
--- a/src/node/EntryNode.cpp
+++ b/src/node/EntryNode.cpp
@@ -60,6 +60,7 @@
     result.isEntry = true;
     result.dataCentre = options.dataCentre;
     result.incarnation = static_cast<std::uint32_t>(options.seed);
+    result.routesApplyTime = options.routesApplyTime;
     return result;
 }
 
@@ -157,7 +158,19 @@
     crashRevision_ = crashReports_.revision();
 }
 
-bool EntryNode::isReady() const { return !stoppingSince_ && proxy_.routes(); }
+bool EntryNode::isReady() const { return !stoppingSince_ && proxy_.routes() && !proxy_.mayRoutesBeOutdated(); }
+
+void EntryNode::applyRoutesProof()
+{
+    const bool mayBeOutdated = fleetPoller_.mayRoutesBeOutdated();
+    if (mayBeOutdated == proxy_.mayRoutesBeOutdated())
+        return;
+    proxy_.setRoutesOutdated(mayBeOutdated);
+    if (mayBeOutdated)
+        logger.warning("No control VM proves that the configuration is still in force; requests are refused.", {});
+    else
+        logger.info("The configuration is proved to be in force; requests are served.", {});
+}
 
 void EntryNode::tick()
 {
@@ -172,6 +185,7 @@
     }
     if (fleetPoller_.takePeerLoadChange())
         proxy_.setPeerLoad(fleetPoller_.peerLoad());
+    applyRoutesProof();
     proxy_.tick(now);
     exchangeCrashReports(now);
     fleetPoller_.sendUrgentPolls();
--- a/src/node/EntryNode.h
+++ b/src/node/EntryNode.h
@@ -25,6 +25,8 @@
     std::string dataCentre;
     forwarding::WindowedRetryBudgetOptions retryBudget;
     forwarding::RoutingOptions routing;
+    // How long after its confirmation a configuration may come into force.
+    std::chrono::milliseconds routesApplyTime { 2000 };
     // Time between the stop request and the forced termination of the process.
     std::chrono::milliseconds stopGrace { 8000 };
     MachineLimits machine;
@@ -52,6 +54,8 @@
     class ReadinessHandler;
 
     void tick();
+    // Tells the proxy whether the configuration may have been replaced for too long.
+    void applyRoutesProof();
     // Tells the proxy which entry VMs take requests of others.
     void applyHandoverPeers();
     // Tells the proxy how many entry VMs there are, and its part in limits of all of them.
--- a/src/replica/ReplicaNode.cpp
+++ b/src/replica/ReplicaNode.cpp
@@ -410,6 +410,22 @@
         leaseAge_.record(now - *confirmedAt);
 }
 
+std::uint64_t ReplicaNode::storedRoutesVersion()
+{
+    const auto& log = core_->log();
+    const TailPosition position { core_->appliedIndex(), log.lastIndex(), log.lastTerm() };
+    const std::uint64_t applied = machine_->routes().version();
+    if (position == scannedTail_)
+        return std::max(applied, unappliedRoutesVersion_);
+    scannedTail_ = position;
+    unappliedRoutesVersion_ = 0;
+    for (auto index = position.appliedIndex + 1; index <= position.lastIndex; ++index) {
+        if (const auto& entry = log.at(index); entry.kind == consensus::EntryKind::Command)
+            unappliedRoutesVersion_ = std::max(unappliedRoutesVersion_, state::routesVersionIn(entry.data).value_or(0));
+    }
+    return std::max(applied, unappliedRoutesVersion_);
+}
+
 void ReplicaNode::publishStatus()
 {
     if (lastRole_ != core_->role()) {
@@ -435,6 +451,13 @@
     status.isConfigurationCommitted = core_->log().configurationIndex() <= core_->commitIndex();
     status.isCurrent = core_->isCurrent();
     leaderContactAt_ = core_->leaderContactAt();
+    status.leaderContactAt = leaderContactAt_;
+    status.routesVersion = machine_->routes().version();
+    status.storedRoutesVersion = storedRoutesVersion();
+    status.votersIndex = core_->log().configurationIndex();
+    status.votersTerm = core_->log().termAt(status.votersIndex).value_or(0);
+    for (const auto* configuration : core_->configurationsInForce())
+        status.voterSets.push_back(configuration->voters);
     status.leaseEnd = core_->leaseEnd();
     status.syncCount = storage_->syncCount();
     status.snapshotCount = snapshotCount_;
--- a/src/replica/ReplicaNode.h
+++ b/src/replica/ReplicaNode.h
@@ -18,6 +18,7 @@
 #include <set>
 #include <string>
 #include <thread>
+#include <tuple>
 #include <vector>
 
 namespace arbutus::replica {
@@ -36,6 +37,15 @@
     bool isConfigurationCommitted = false;
     // See ReplicaCore.
     bool isCurrent = false;
+    // See ReplicaCore.
+    base::TimePoint leaderContactAt;
+    std::uint64_t routesVersion = 0;
+    // The newest version of the routes in the log, committed or not.
+    std::uint64_t storedRoutesVersion = 0;
+    // The position of the newest set of voters in the log, and the sets in force.
+    consensus::Term votersTerm = 0;
+    consensus::Index votersIndex = 0;
+    std::vector<std::vector<consensus::ReplicaKey>> voterSets;
     // When the leader's lease ends; a time in the past in any other role.
     base::TimePoint leaseEnd;
     std::uint64_t syncCount = 0;
@@ -140,6 +150,15 @@
         bool isAppended = false;
     };
 
+    // The part of the log that is not applied yet.
+    struct TailPosition {
+        consensus::Index appliedIndex = 0;
+        consensus::Index lastIndex = 0;
+        consensus::Term lastTerm = 0;
+
+        friend bool operator==(const TailPosition& left, const TailPosition& right) { return std::tie(left.appliedIndex, left.lastIndex, left.lastTerm) == std::tie(right.appliedIndex, right.lastIndex, right.lastTerm); }
+    };
+
     ReplicaNode(const base::Clock&, base::Timeline&, const Options&, SendMessage, IterationCallback);
 
     void enqueue(LoopEvent);
@@ -168,6 +187,8 @@
     void recordTiming();
     // Keeps the proof of leadership recent, which the configuration feed requires.
     void confirmLeadership();
+    // Returns the newest version of the routes in the log, committed or not.
+    std::uint64_t storedRoutesVersion();
     void publishStatus();
     [[noreturn]] static void exitOnStorageFailure(const base::Error&);
 
@@ -200,6 +221,9 @@
     consensus::Role lastRole_ = consensus::Role::Follower;
     std::set<consensus::ReplicaKey> loggedLostVoters_;
     std::atomic<base::TimePoint> leaderContactAt_ {};
+    // The tail that was searched last, and the newest version of the routes in it.
+    TailPosition scannedTail_;
+    std::uint64_t unappliedRoutesVersion_ = 0;
     base::LatenessMeter lateness_;
     base::LatenessMeter leaseAge_;
 
--- a/src/state/Commands.cpp
+++ b/src/state/Commands.cpp
@@ -235,4 +235,23 @@
     return command;
 }
 
+std::optional<std::uint64_t> routesVersionIn(std::string_view bytes)
+{
+    static const std::uint64_t replaceRoutesIndex = CommandBody(ReplaceRoutes()).index();
+    try {
+        // The document stays where it is.
+        auto keepInPlace = [](msgpack::type::object_type, std::size_t, void*) { return true; };
+        auto handle = msgpack::unpack(bytes.data(), bytes.size(), keepInPlace);
+        const auto& command = handle.get();
+        if (command.type != msgpack::type::ARRAY || command.via.array.size != 3 || command.via.array.ptr[0].as<std::uint64_t>() != replaceRoutesIndex)
+            return std::nullopt;
+        const auto& body = command.via.array.ptr[2];
+        if (body.type != msgpack::type::ARRAY || !body.via.array.size)
+            return std::nullopt;
+        return body.via.array.ptr[0].as<std::uint64_t>();
+    } catch (const std::exception&) {
+        return std::nullopt;
+    }
+}
+
 } // namespace arbutus::state
--- a/tests/ConfigurationSpreadTest.cpp
+++ b/tests/ConfigurationSpreadTest.cpp
@@ -149,3 +149,138 @@
     for (const auto& vm : fleet.entry)
         BOOST_TEST(vm.version == 9U);
 }
+
+// A core of three control VMs with their disks, whose reports a test sets.
+class ReportingCore {
+public:
+    explicit ReportingCore(FleetNetwork& fleet)
+        : fleet_(fleet)
+    {
+        for (std::size_t i = 0; i < fleet.control.size(); ++i) {
+            reports_.push_back({ true, 0, 100, {}, 0, 0, {} });
+            voters_.push_back({ i, 1 });
+        }
+        for (std::size_t i = 0; i < fleet.control.size(); ++i) {
+            start(i);
+            setVersion(i, 5);
+        }
+    }
+
+    void start(std::size_t i)
+    {
+        fleet_.control[i].server->setVersionReporter([this, i] { return reports_[i]; });
+    }
+
+    void setVersion(std::size_t i, std::uint64_t version)
+    {
+        reports_[i].version = version;
+        fleet_.control[i].server->setRoutes(version, std::make_shared<const std::string>(fmt::format("version {}", version)));
+    }
+
+    void loseLeader(std::size_t i)
+    {
+        reports_[i] = { false, reports_[i].version, 0, voters_[i], 1, 1, { voters_ } };
+        fleet_.control[i].server->setCurrent(false, fleet_.clock.now());
+    }
+
+    void findLeader(std::size_t i)
+    {
+        reports_[i] = { true, reports_[i].version, 100, {}, 0, 0, {} };
+        fleet_.control[i].server->setCurrent(true, fleet_.clock.now());
+    }
+
+    void loseDisk(std::size_t i)
+    {
+        fleet_.restartControl(i);
+        start(i);
+        reports_[i] = { false, 0, 0, { i, 2 }, 0, 0, {} };
+        fleet_.control[i].server->setCurrent(false, fleet_.clock.now());
+    }
+
+private:
+    FleetNetwork& fleet_;
+    std::vector<fleet::VersionReport> reports_;
+    std::vector<fleet::ReportedVoter> voters_;
+};
+
+// Whether the first entry VM serves at each moment of this time.
+static bool servesFor(FleetNetwork& fleet, Milliseconds duration)
+{
+    bool isServing = true;
+    for (const auto end = fleet.clock.now() + duration; fleet.clock.now() < end; fleet.run(Milliseconds(10)))
+        isServing = isServing && !fleet.entry[0].poller->mayRoutesBeOutdated();
+    return isServing;
+}
+
+// Guards against an entry VM that missed a change, by a standstill or by the end of the control
+// VMs that had committed it, and goes on with the older version while it meets only a control
+// VM that missed it too and one that has lost its disk (review/15).
+BOOST_AUTO_TEST_CASE(EntryVmWithoutProofOfItsConfigurationServesNothing)
+{
+    FleetNetwork fleet(3, 170, 1, 20);
+    ReportingCore core(fleet);
+    BOOST_TEST(servesFor(fleet, Milliseconds(3000)));
+    // The others commit a change, and end before the entry VM learns of it.
+    const auto changedAt = fleet.clock.now();
+    core.loseLeader(0);
+    for (std::size_t i : { 1, 2 })
+        fleet.control[i].isReachable = false;
+    fleet.run(Milliseconds(1200));
+    core.loseDisk(1);
+    fleet.control[1].isReachable = true;
+    fleet.run(std::chrono::duration_cast<Milliseconds>(changedAt + applyBound - fleet.clock.now()));
+    for (int i = 0; i < 300; ++i) {
+        BOOST_REQUIRE(fleet.entry[0].poller->mayRoutesBeOutdated());
+        fleet.run(Milliseconds(10));
+    }
+    core.setVersion(2, 9);
+    fleet.control[2].isReachable = true;
+    fleet.run(Milliseconds(1500));
+    BOOST_TEST(fleet.entry[0].version == 9U);
+    core.setVersion(0, 9);
+    for (std::size_t i : { 0, 2 })
+        core.findLeader(i);
+    fleet.run(Milliseconds(500));
+    BOOST_TEST(servesFor(fleet, Milliseconds(3000)));
+}
+
+// Guards against entry VMs that refuse what they could serve while the core is dark, has no
+// leader, restarts with its disks or is split.
+BOOST_AUTO_TEST_CASE(EntryVmServesOnWhileTheCoreIsDarkOrHasNoLeader)
+{
+    FleetNetwork fleet(3, 170, 1, 20);
+    ReportingCore core(fleet);
+    BOOST_TEST(servesFor(fleet, Milliseconds(3000)));
+    for (auto& vm : fleet.control)
+        vm.isReachable = false;
+    BOOST_TEST(servesFor(fleet, Milliseconds(10000)));
+    // All are back at the same moment, restarted, and none leads.
+    for (std::size_t i : { 0, 1, 2 }) {
+        core.loseLeader(i);
+        fleet.control[i].isReachable = true;
+    }
+    BOOST_TEST(servesFor(fleet, Milliseconds(5000)));
+    for (std::size_t i : { 0, 1, 2 })
+        core.findLeader(i);
+    BOOST_TEST(servesFor(fleet, Milliseconds(3000)));
+    // The leader ends; the two others are voters with their disks.
+    fleet.control[0].isReachable = false;
+    fleet.run(Milliseconds(600));
+    for (std::size_t i : { 1, 2 })
+        core.loseLeader(i);
+    BOOST_TEST(servesFor(fleet, Milliseconds(5000)));
+    // Only one is left: this VM is out of touch.
+    fleet.control[1].isReachable = false;
+    BOOST_TEST(servesFor(fleet, Milliseconds(5000)));
+}
+
+// Guards against entry VMs that refuse everything while the control VMs are of the landing
+// before and report nothing.
+BOOST_AUTO_TEST_CASE(EntryVmServesBesideControlVmsThatReportNoVersions)
+{
+    FleetNetwork fleet(3, 170, 1, 20);
+    for (auto& vm : fleet.control)
+        vm.server->setRoutes(5, std::make_shared<const std::string>("version 5"));
+    BOOST_TEST(servesFor(fleet, Milliseconds(5000)));
+    BOOST_TEST(fleet.entry[0].version == 5U);
+}
--- a/tests/StateMachineTest.cpp
+++ b/tests/StateMachineTest.cpp
@@ -293,3 +293,15 @@
     auto damaged = std::make_shared<const std::string>(packed->substr(0, packed->size() - 1));
     BOOST_TEST(!unpackDocument(damaged));
 }
+
+// Guards against a stored configuration that is overlooked, or read in full for its version.
+BOOST_AUTO_TEST_CASE(VersionOfRoutesIsReadFromTheCommand)
+{
+    const base::WallTime time { std::chrono::seconds(1'700'000'000) };
+    const auto bytes = encodeCommand({ time, ReplaceRoutes { 77, std::string(100'000, 'x') } });
+    BOOST_TEST(routesVersionIn(bytes).value() == 77U);
+    BOOST_TEST(!routesVersionIn(encodeCommand({ time, SetLayerPlan { 77, "plan" } })));
+    for (std::size_t length : { std::size_t { 0 }, std::size_t { 1 }, std::size_t { 2 }, std::size_t { 20 }, bytes.size() - 1 })
+        BOOST_TEST(!routesVersionIn(std::string_view(bytes).substr(0, length)));
+    BOOST_TEST(!routesVersionIn("no command"));
+}
