Records of services that no configuration names own no address

Cause: an address belonged to the newest record at it, whoever wrote it, and what it displaced could never return.

Ruled out: upstreams lost for another reason; they work, and their heartbeats are acknowledged.

Change: control and entry VMs keep records of services that the configuration in force does not name apart, bounded, and decide again with each configuration. What another record displaces returns if it goes on sending heartbeats and the other one does not; what a process says of itself stays final.

Tests: six in UpstreamRegistryTest, PlatformTest/ServiceNamesAreReadWithoutTheRest.

--- a/include/fleet/UpstreamRecord.h
+++ b/include/fleet/UpstreamRecord.h
@@ -20,9 +20,19 @@
     Unresponsive,
 };
 
+// What another upstream at its address means for one.
+enum class Displacement : std::uint8_t {
+    None,
+    // It counts as gone, because one that started later is at its address.
+    Displaced,
+    // It has gone on sending heartbeats, and the later one has not.
+    Returned,
+};
+
 } // namespace arbutus::fleet
 
 MSGPACK_ADD_ENUM(arbutus::fleet::UpstreamState)
+MSGPACK_ADD_ENUM(arbutus::fleet::Displacement)
 
 namespace arbutus::fleet {
 
@@ -71,8 +81,10 @@
     // Whether this process has announced, to anyone, that it leaves. It never becomes ready
     // again.
     bool isLeaving = false;
+    // Absent from earlier builds, for which a displaced upstream is gone for good.
+    Displacement displacement = Displacement::None;
 
-    MSGPACK_DEFINE(id, startedAtMilliseconds, sequence, registrar, service, ip, port, dataCentre, state, slots, accelerator, layers, slowdownFactor, statusSequence, isLeaving)
+    MSGPACK_DEFINE(id, startedAtMilliseconds, sequence, registrar, service, ip, port, dataCentre, state, slots, accelerator, layers, slowdownFactor, statusSequence, isLeaving, displacement)
 
     net::Endpoint endpoint() const { return { ip, port }; }
     // Orders the records of one upstream from old to new.
--- a/include/fleet/UpstreamRegistry.h
+++ b/include/fleet/UpstreamRegistry.h
@@ -2,11 +2,14 @@
 
 #include "include/base/Time.h"
 #include "include/fleet/DepartureTable.h"
+#include "include/fleet/UnnamedUpstreams.h"
 #include "include/fleet/UpstreamRecord.h"
 
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -16,6 +19,9 @@
 // start time and sequence numbers, so merging is idempotent and late heartbeats are
 // harmless. A leave or a departure is final for its process, whatever sequence number came
 // with it: heartbeats without changes are not passed on, so VMs hold different numbers.
+// An address belongs to the upstream at it that started last, among those of services that the
+// configuration names. What it displaces returns if it goes on sending heartbeats and the other
+// one does not.
 // Every accepted change gets a new revision, so that pollers can request only later
 // changes.
 class UpstreamRegistry {
@@ -24,6 +30,9 @@
     // late.
     static constexpr std::chrono::minutes absentRetention { 2 };
 
+    // Sets the services that the configuration in force names. Records of others are kept apart
+    // until a configuration names them. Before the first call, all count as named.
+    void setServices(std::set<std::string>, base::TimePoint now);
     // Sets the departures that are committed. Upstreams that have left are marked as leaving,
     // and later records of them as well.
     void setDepartures(std::shared_ptr<const DepartureTable::Names>, base::TimePoint now);
@@ -90,14 +99,28 @@
         std::uint64_t revision = 0;
         base::TimePoint lastHeardAt;
         base::TimePoint changedAt;
+        // The later heartbeats that have arrived since another upstream displaced this one.
+        int laterHeartbeats = 0;
     };
 
+    bool isNamed(const UpstreamRecord& record) const { return !services_ || services_->count(record.service); }
+    // Handles a record that names no service in force. Returns whether a change must be published.
+    bool applyUnnamed(UpstreamRecord, base::TimePoint now);
     bool isSuperseded(const UpstreamRecord&) const;
+    // Merges a record of a service in force.
+    bool applyNamed(UpstreamRecord, base::TimePoint now);
+    // Lets those return of which another VM has told that they live on, and whose address is free
+    // here by now.
+    void restoreReturning(base::TimePoint now);
     void supersedeOthers(const UpstreamRecord&, base::TimePoint now);
     void store(const UpstreamRecord&, base::TimePoint now);
     bool republish(TrackedUpstream&, const UpstreamRecord& older, base::TimePoint now);
 
     std::map<std::string, TrackedUpstream> upstreams_;
+    UnnamedUpstreams unnamed_;
+    std::optional<std::set<std::string>> services_;
+    // Records of returned upstreams whose address another one still has here, by id.
+    std::map<std::string, UpstreamRecord> returning_;
     // The starts told by other VMs; see learnProcess().
     std::map<std::string, std::int64_t> learnedStarts_;
     DepartureTable departures_;
--- a/src/fleet/UpstreamRegistry.cpp
+++ b/src/fleet/UpstreamRegistry.cpp
@@ -10,24 +10,27 @@
 // A status answer may describe the engine's state of up to this long ago, while a
 // heartbeat is current.
 static constexpr std::chrono::milliseconds maxStatusAge(500);
+// A displaced upstream lives on if that many later heartbeats of it arrive: more than a partition
+// may have held up.
+static constexpr int minHeartbeatsOfLiving = 3;
 
 bool UpstreamRecord::differsFrom(const UpstreamRecord& older) const
 {
     auto content = [](const UpstreamRecord& record) {
-        return std::tie(record.startedAtMilliseconds, record.registrar, record.service, record.ip, record.port, record.dataCentre, record.state, record.slots, record.accelerator, record.slowdownFactor, record.isLeaving);
+        return std::tie(record.startedAtMilliseconds, record.registrar, record.service, record.ip, record.port, record.dataCentre, record.state, record.slots, record.accelerator, record.slowdownFactor, record.isLeaving, record.displacement);
     };
     return content(*this) != content(older) || layers != older.layers;
 }
 
 static bool isPresent(UpstreamState state) { return state == UpstreamState::Ready || state == UpstreamState::Draining; }
 
-// An address belongs to the upstream that started last. Older upstreams at the same address
-// are gone.
+// One that is not present any more still keeps late heartbeats of an earlier one away.
 bool UpstreamRegistry::isSuperseded(const UpstreamRecord& record) const
 {
-    return std::any_of(upstreams_.begin(), upstreams_.end(), [&record](const auto& entry) {
+    return std::any_of(upstreams_.begin(), upstreams_.end(), [&](const auto& entry) {
         const auto& other = entry.second.record;
-        return other.id != record.id && other.endpoint() == record.endpoint() && other.startedAtMilliseconds > record.startedAtMilliseconds;
+        const bool isLaterThere = other.id != record.id && other.endpoint() == record.endpoint() && other.startedAtMilliseconds > record.startedAtMilliseconds;
+        return isLaterThere && isNamed(other) && (isPresent(other.state) || record.displacement != Displacement::Returned);
     });
 }
 
@@ -37,11 +40,40 @@
         if (id == record.id || tracked.record.endpoint() != record.endpoint() || !isPresent(tracked.record.state))
             continue;
         tracked.record.state = UpstreamState::Gone;
+        tracked.record.displacement = Displacement::Displaced;
+        tracked.laterHeartbeats = 0;
         tracked.revision = ++revision_;
         tracked.changedAt = now;
     }
 }
 
+static void displace(UpstreamRecord& record)
+{
+    record.state = UpstreamState::Gone;
+    record.displacement = Displacement::Displaced;
+}
+
+// Whether a process said itself that it is gone, or a VM knows it.
+static bool isGoneForGood(const UpstreamRecord& record) { return record.state == UpstreamState::Gone && record.displacement != Displacement::Displaced; }
+
+void UpstreamRegistry::setServices(std::set<std::string> services, base::TimePoint now)
+{
+    services_ = std::move(services);
+    for (auto it = upstreams_.begin(); it != upstreams_.end();) {
+        auto& record = it->second.record;
+        // What says that a process is gone or leaves holds whatever its service.
+        const bool isMoved = !isNamed(record) && record.state == UpstreamState::Ready;
+        if (!isMoved) {
+            ++it;
+            continue;
+        }
+        unnamed_.store(std::move(record));
+        it = upstreams_.erase(it);
+    }
+    for (auto& record : unnamed_.take(*services_))
+        apply(std::move(record), now);
+}
+
 void UpstreamRegistry::store(const UpstreamRecord& record, base::TimePoint now)
 {
     upstreams_[record.id] = TrackedUpstream { record, ++revision_, now, now };
@@ -69,6 +101,31 @@
 }
 
 bool UpstreamRegistry::apply(UpstreamRecord record, base::TimePoint now)
+{
+    bool isChanged = isNamed(record) ? applyNamed(std::move(record), now) : applyUnnamed(std::move(record), now);
+    restoreReturning(now);
+    return isChanged;
+}
+
+void UpstreamRegistry::restoreReturning(base::TimePoint now)
+{
+    for (auto it = returning_.begin(); it != returning_.end();) {
+        const auto& record = it->second;
+        const auto* known = find(record.id);
+        const bool isAwaited = known && known->displacement == Displacement::Displaced && known->startedAtMilliseconds == record.startedAtMilliseconds;
+        if (isAwaited && isSuperseded(record)) {
+            ++it;
+            continue;
+        }
+        if (isAwaited) {
+            supersedeOthers(record, now);
+            store(record, now);
+        }
+        it = returning_.erase(it);
+    }
+}
+
+bool UpstreamRegistry::applyNamed(UpstreamRecord record, base::TimePoint now)
 {
     if (departures_.contains({ record.id, record.startedAtMilliseconds })) {
         record.isLeaving = true;
@@ -80,7 +137,7 @@
         UpstreamRecord stored = record;
         stored.isLeaving = record.isLeaving || record.state == UpstreamState::Draining;
         if (isPresent(record.state) && isSuperseded(record))
-            stored.state = UpstreamState::Gone;
+            displace(stored);
         if (isPresent(stored.state))
             supersedeOthers(record, now);
         store(stored, now);
@@ -88,8 +145,13 @@
     }
     auto& tracked = found->second;
     bool isSameIncarnation = record.startedAtMilliseconds == tracked.record.startedAtMilliseconds;
-    if (isSameIncarnation && record.state == UpstreamState::Gone)
+    if (isSameIncarnation && isGoneForGood(record))
         return markGone({ record.id, record.startedAtMilliseconds }, now);
+    // This VM finds that out by itself.
+    if (isSameIncarnation && record.state == UpstreamState::Gone) {
+        returning_.erase(record.id);
+        return false;
+    }
     // Processes learn of a leave independently, so an older record may bring it.
     bool isNewsOfLeave = (record.isLeaving || record.state == UpstreamState::Draining) && markLeaving({ record.id, record.startedAtMilliseconds }, now);
     if (record.recordVersion() <= tracked.record.recordVersion()) {
@@ -98,15 +160,18 @@
         if (!isLaterState)
             return republish(tracked, record, now) || isNewsOfLeave;
     }
-    // An incarnation never leaves the gone state and never returns from draining to ready.
-    if (isSameIncarnation && tracked.record.state == UpstreamState::Gone)
+    // An incarnation that is gone for good never returns, and none returns from draining to ready.
+    if (isSameIncarnation && isGoneForGood(tracked.record))
         return isNewsOfLeave;
     UpstreamRecord next = record;
     next.isLeaving = record.isLeaving || record.state == UpstreamState::Draining || (isSameIncarnation && tracked.record.isLeaving);
     if (next.isLeaving && next.state == UpstreamState::Ready)
         next.state = UpstreamState::Draining;
-    if (isPresent(next.state) && isSuperseded(next))
-        next.state = UpstreamState::Gone;
+    if (isPresent(next.state) && isSuperseded(next)) {
+        if (next.displacement == Displacement::Returned)
+            returning_[next.id] = next;
+        displace(next);
+    }
     if (isPresent(next.state))
         supersedeOthers(next, now);
     tracked.lastHeardAt = now;
@@ -118,13 +183,36 @@
     return true;
 }
 
+bool UpstreamRegistry::applyUnnamed(UpstreamRecord record, base::TimePoint now)
+{
+    const UpstreamProcess process { record.id, record.startedAtMilliseconds };
+    auto found = upstreams_.find(record.id);
+    const bool isKnown = found != upstreams_.end() && found->second.record.service == record.service;
+    if (isGoneForGood(record)) {
+        unnamed_.remove(record.id);
+        return isKnown && markGone(process, now);
+    }
+    const bool isLeaving = record.isLeaving || record.state == UpstreamState::Draining;
+    const bool isNews = isLeaving && isKnown && markLeaving(process, now);
+    if (record.state == UpstreamState::Ready || record.state == UpstreamState::Draining)
+        unnamed_.store(std::move(record));
+    return isNews;
+}
+
 bool UpstreamRegistry::applyHeartbeat(UpstreamRecord record, const std::string& registrar, base::TimePoint now)
 {
     record.registrar = registrar;
     auto found = upstreams_.find(record.id);
     if (found != upstreams_.end() && found->second.record.startedAtMilliseconds == record.startedAtMilliseconds) {
-        record.slowdownFactor = found->second.record.slowdownFactor;
-        record.statusSequence = found->second.record.statusSequence;
+        auto& tracked = found->second;
+        record.slowdownFactor = tracked.record.slowdownFactor;
+        record.statusSequence = tracked.record.statusSequence;
+        const bool isLater = record.sequence > tracked.record.sequence;
+        const bool livesOn = tracked.record.displacement == Displacement::Displaced && isLater && ++tracked.laterHeartbeats >= minHeartbeatsOfLiving;
+        if (livesOn || tracked.record.displacement == Displacement::Returned)
+            record.displacement = Displacement::Returned;
+        if (livesOn && isSuperseded(record))
+            record.displacement = Displacement::None;
     }
     return apply(record, now);
 }
@@ -152,6 +240,7 @@
 
 bool UpstreamRegistry::markLeaving(const UpstreamProcess& process, base::TimePoint now)
 {
+    unnamed_.markLeaving(process);
     auto found = upstreams_.find(process.id);
     if (found == upstreams_.end())
         return false;
@@ -173,9 +262,10 @@
     if (found == upstreams_.end())
         return false;
     auto& tracked = found->second;
-    if (tracked.record.startedAtMilliseconds != process.startedAtMilliseconds || tracked.record.state == UpstreamState::Gone)
+    if (tracked.record.startedAtMilliseconds != process.startedAtMilliseconds || isGoneForGood(tracked.record))
         return false;
     tracked.record.state = UpstreamState::Gone;
+    tracked.record.displacement = Displacement::None;
     tracked.revision = ++revision_;
     tracked.changedAt = now;
     return true;
@@ -184,7 +274,7 @@
 bool UpstreamRegistry::isGone(const UpstreamProcess& process) const
 {
     const auto* record = find(process.id);
-    return record && record->startedAtMilliseconds == process.startedAtMilliseconds && record->state == UpstreamState::Gone;
+    return record && record->startedAtMilliseconds == process.startedAtMilliseconds && isGoneForGood(*record);
 }
 
 std::vector<UpstreamProcess> UpstreamRegistry::processes() const
@@ -221,7 +311,9 @@
     record.startedAtMilliseconds = std::max(record.startedAtMilliseconds, startedAtMilliseconds);
     record.registrar = registrar;
     record.state = UpstreamState::Gone;
-    if (found == upstreams_.end() || found->second.record.state != UpstreamState::Gone)
+    record.displacement = Displacement::None;
+    unnamed_.remove(id);
+    if (found == upstreams_.end() || !isGoneForGood(found->second.record))
         store(record, now);
 }
 
--- a/src/node/ControlNode.cpp
+++ b/src/node/ControlNode.cpp
@@ -280,6 +280,10 @@
     }
     routesDocument_ = std::move(document).value();
     fleetPollServer_.setRoutes(replicaView_.routesVersion, routesDocument_);
+    if (auto services = codec_.serviceNames(*routesDocument_))
+        registry_.setServices(std::move(services).value(), clock_.now());
+    else
+        logger.error("Failed to read the services of the committed configuration.", { { "version", replicaView_.routesVersion }, { "reason", services.error().detail } });
 }
 
 void ControlNode::applyReplicaView(const ReplicaView& view)
--- a/src/node/EntryNode.cpp
+++ b/src/node/EntryNode.cpp
@@ -118,6 +118,10 @@
         logger.error("Failed to decode a committed configuration.", { { "version", version }, { "reason", decoded.error().detail } });
         return false;
     }
+    std::set<std::string> services;
+    for (const auto& service : decoded.value().services)
+        services.insert(service.name);
+    registry_.setServices(std::move(services), clock_.now());
     proxy_.setRoutes(routes::RouteTable::Make(std::move(decoded).value()));
     logger.info("Applied a configuration.", { { "version", version }, { "bytes", document.size() }, { "delay_ms", delivery.delay.count() }, { "documents", delivery.documents }, { "document_bytes", delivery.documentBytes }, { "failed_polls", delivery.failedPolls } });
     return true;
--- a/src/node/PlatformCodec.h
+++ b/src/node/PlatformCodec.h
@@ -5,6 +5,7 @@
 #include "include/placement/LayerController.h"
 #include "include/routes/RouteConfiguration.h"
 
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -25,6 +26,8 @@
     virtual ~PlatformCodec() = default;
 
     base::Result<routes::RouteConfiguration> decodeRoutes(std::string_view document) const { return onDecodeRoutes(document); }
+    // Returns the names of the services of a route configuration. Takes less than decoding it.
+    base::Result<std::set<std::string>> serviceNames(std::string_view document) const { return onServiceNames(document); }
     // Returns the complete HTTP request that commands an engine to hold exactly the given
     // layers. The fencing number is the leader's term.
     std::string layerCommandRequest(const placement::LayerCommand& command, std::uint64_t fencingNumber) const { return onLayerCommandRequest(command, fencingNumber); }
@@ -36,6 +39,7 @@
 
 private:
     virtual base::Result<routes::RouteConfiguration> onDecodeRoutes(std::string_view) const = 0;
+    virtual base::Result<std::set<std::string>> onServiceNames(std::string_view) const = 0;
     virtual std::string onLayerCommandRequest(const placement::LayerCommand&, std::uint64_t fencingNumber) const = 0;
     virtual placement::LayerCommandResult onDecodeLayerCommandStatus(int status) const = 0;
     virtual std::string onEngineStatusRequest(const fleet::UpstreamRecord&) const = 0;
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -197,3 +197,14 @@
     std::remove(path.c_str());
     BOOST_TEST(readNodeSettings(path).has_error());
 }
+
+// Guards against names of other parts of a configuration that count as services.
+BOOST_AUTO_TEST_CASE(ServiceNamesAreReadWithoutTheRest)
+{
+    const node::PlatformCodec& codec = JsonPlatformCodec();
+    const std::string document = R"({"version":7,"routes":[{"name":"r","services":[{"name":"no"}],"service":"a"}],"services":[{"engine":{"models":[{"name":"m"}],"name":"e"},"name":"a"},{"name":"b"}],"tenants":[{"name":"t"}]})";
+    BOOST_TEST((codec.serviceNames(document).value() == std::set<std::string> { "a", "b" }));
+    BOOST_TEST(codec.serviceNames(R"({"services":[]})").value().empty());
+    BOOST_TEST(codec.serviceNames(document.substr(0, 60)).has_error());
+    BOOST_TEST(codec.serviceNames(std::string(100'000, '[')).has_error());
+}
--- a/tests/UpstreamRegistryTest.cpp
+++ b/tests/UpstreamRegistryTest.cpp
@@ -388,3 +388,146 @@
     BOOST_TEST(!later.apply(*told.find("a"), clock.now()));
     BOOST_TEST((stateOf(later, "a") == UpstreamState::Ready));
 }
+
+static UpstreamRecord makeForeignRecord(const std::string& id, std::int64_t startedAt, const std::string& service = "trial77")
+{
+    auto record = makeRecord(id, startedAt, 4);
+    record.service = service;
+    return record;
+}
+
+// Guards against heartbeats of another writer, for a service that no configuration names, that
+// take an upstream out of use by its address (review/12), before it registers or after.
+BOOST_AUTO_TEST_CASE(RecordOfAnUnnamedServiceOwnsNoAddress)
+{
+    base::VirtualClock clock;
+    for (bool isForeignFirst : { false, true }) {
+        UpstreamRegistry registry;
+        registry.setServices({ "scriba" }, clock.now());
+        if (!isForeignFirst)
+            registry.applyHeartbeat(makeRecord("a", 100, 5), "c1", clock.now());
+        BOOST_TEST(!registry.applyHeartbeat(makeForeignRecord("x", 300), "c1", clock.now()));
+        registry.applyHeartbeat(makeRecord("a", 100, 6), "c1", clock.now());
+        BOOST_TEST((stateOf(registry, "a") == UpstreamState::Ready));
+        BOOST_TEST(!registry.find("x"));
+        BOOST_TEST(registry.changesSince(0).size() == 1U);
+        // The same as told by a control VM of the landing before.
+        UpstreamRegistry entry;
+        entry.setServices({ "scriba" }, clock.now());
+        entry.apply(makeForeignRecord("x", 300), clock.now());
+        entry.apply(*registry.find("a"), clock.now());
+        BOOST_TEST((stateOf(entry, "a") == UpstreamState::Ready));
+    }
+}
+
+// Guards against a record that takes over the id of a working upstream.
+BOOST_AUTO_TEST_CASE(RecordOfAnUnnamedServiceTakesNoId)
+{
+    base::VirtualClock clock;
+    UpstreamRegistry registry;
+    registry.setServices({ "scriba" }, clock.now());
+    registry.applyHeartbeat(makeRecord("a", 100, 5), "c1", clock.now());
+    auto foreign = makeForeignRecord("a", 900);
+    foreign.state = UpstreamState::Draining;
+    registry.applyHeartbeat(foreign, "c1", clock.now());
+    foreign.state = UpstreamState::Gone;
+    registry.apply(foreign, clock.now());
+    registry.applyHeartbeat(makeRecord("a", 100, 6), "c1", clock.now());
+    BOOST_TEST((stateOf(registry, "a") == UpstreamState::Ready));
+    BOOST_TEST(registry.find("a")->service == "scriba");
+}
+
+// Guards against upstreams that have to report again before a later version of the
+// configuration can use them, and against ones that it brings back although they have left.
+BOOST_AUTO_TEST_CASE(LaterConfigurationDecidesAgain)
+{
+    base::VirtualClock clock;
+    UpstreamRegistry registry;
+    registry.applyHeartbeat(makeForeignRecord("x", 300), "c1", clock.now());
+    BOOST_TEST((stateOf(registry, "x") == UpstreamState::Ready));
+    registry.setServices({ "scriba" }, clock.now());
+    BOOST_TEST(!registry.find("x"));
+    registry.applyHeartbeat(makeRecord("a", 100, 5), "c1", clock.now());
+    const auto revision = registry.revision();
+    registry.setServices({ "scriba", "trial77" }, clock.now());
+    BOOST_TEST((stateOf(registry, "x") == UpstreamState::Ready));
+    BOOST_TEST((stateOf(registry, "a") == UpstreamState::Gone));
+    BOOST_TEST(registry.changesSince(revision).size() == 2U);
+    // A version that drops the service gives the address back with the next heartbeat.
+    registry.setServices({ "scriba" }, clock.now());
+    registry.applyHeartbeat(makeRecord("a", 100, 6), "c1", clock.now());
+    BOOST_TEST((stateOf(registry, "a") == UpstreamState::Ready));
+    registry.markLeaving({ "x", 300 }, clock.now());
+    registry.setServices({ "trial77" }, clock.now());
+    BOOST_TEST((stateOf(registry, "x") == UpstreamState::Draining));
+    registry.setServices({ "scriba" }, clock.now());
+    registry.deregister("x", 300, "c1", clock.now());
+    registry.setServices({ "trial77" }, clock.now());
+    BOOST_TEST((stateOf(registry, "x") == UpstreamState::Gone));
+}
+
+// Guards against memory without bound for what no configuration names.
+BOOST_AUTO_TEST_CASE(RecordsOfUnnamedServicesAreBounded)
+{
+    base::VirtualClock clock;
+    UpstreamRegistry registry;
+    registry.setServices({ "scriba" }, clock.now());
+    for (int i = 0; i < 5000; ++i)
+        registry.applyHeartbeat(makeForeignRecord(std::to_string(i), 300), "c1", clock.now());
+    registry.setServices({ "trial77" }, clock.now());
+    BOOST_TEST(registry.all().size() <= UnnamedUpstreams::capacity);
+}
+
+// Guards against an upstream that lives on but is out of use for good, because another writer
+// has named its address for a service that is in force.
+BOOST_AUTO_TEST_CASE(DisplacedUpstreamThatLivesOnReturns)
+{
+    base::VirtualClock clock;
+    UpstreamRegistry registry;
+    UpstreamRegistry entry;
+    const auto spread = [&] {
+        for (const auto& record : registry.changesSince(0))
+            entry.apply(record, clock.now());
+    };
+    registry.applyHeartbeat(makeRecord("a", 100, 5), "c1", clock.now());
+    registry.applyHeartbeat(makeRecord("b", 300, 1), "c1", clock.now());
+    spread();
+    std::uint64_t sequence = 5;
+    for (; sequence < 20; ++sequence)
+        registry.applyHeartbeat(makeRecord("a", 100, sequence), "c1", clock.now());
+    spread();
+    for (const auto* vm : { &registry, &entry }) {
+        BOOST_TEST((stateOf(*vm, "a") == UpstreamState::Gone));
+        BOOST_TEST((stateOf(*vm, "b") == UpstreamState::Ready));
+    }
+    clock.advance(std::chrono::seconds(4));
+    registry.markUnresponsive(
+        clock.now(), [](const auto& record) { return record.id == "b"; }, clock.now());
+    registry.applyHeartbeat(makeRecord("a", 100, sequence), "c1", clock.now());
+    spread();
+    for (const auto* vm : { &registry, &entry })
+        BOOST_TEST((stateOf(*vm, "a") == UpstreamState::Ready));
+    // The later one owns the address whenever it reports.
+    registry.applyHeartbeat(makeRecord("b", 300, 2), "c1", clock.now());
+    spread();
+    for (const auto* vm : { &registry, &entry })
+        BOOST_TEST((stateOf(*vm, "a") == UpstreamState::Gone));
+}
+
+// Guards against late heartbeats of a crashed upstream that bring it back once the next one at
+// its address has ended as well, and against one that says itself that it is gone.
+BOOST_AUTO_TEST_CASE(DisplacedUpstreamDoesNotReturnByALateHeartbeat)
+{
+    base::VirtualClock clock;
+    UpstreamRegistry registry;
+    registry.applyHeartbeat(makeRecord("a", 100, 5), "c1", clock.now());
+    registry.applyHeartbeat(makeRecord("b", 300, 1), "c1", clock.now());
+    registry.deregister("b", 300, "c1", clock.now());
+    for (std::uint64_t sequence : { 6, 6, 6, 7 })
+        registry.applyHeartbeat(makeRecord("a", 100, sequence), "c1", clock.now());
+    BOOST_TEST((stateOf(registry, "a") == UpstreamState::Gone));
+    registry.deregister("a", 100, "c1", clock.now());
+    for (std::uint64_t sequence = 8; sequence < 20; ++sequence)
+        registry.applyHeartbeat(makeRecord("a", 100, sequence), "c1", clock.now());
+    BOOST_TEST((stateOf(registry, "a") == UpstreamState::Gone));
+}
