Contacts of voters taken out of ReplicaCore

VoterContacts: when others were last heard from, which contacts prove that a voter was in touch, and their stored form. No change of behaviour; LostDiskSearchTest, ReplicaLossTest, ReplicaReplacementTest and ConsensusCoreTest pass.

--- a/include/consensus/ReplicaCore.h
+++ b/include/consensus/ReplicaCore.h
@@ -4,6 +4,7 @@
 #include "include/base/Time.h"
 #include "include/consensus/Quorum.h"
 #include "include/consensus/ReplicaLog.h"
+#include "include/consensus/VoterContacts.h"
 
 #include <deque>
 #include <map>
@@ -307,21 +308,16 @@
     // Tells the sender that the disk to which its request is addressed is lost.
     void answerForLostDisk(const Message&);
     void recordLostDisk(const ReplicaKey& responder, const VoteResponse&);
-    // Records that this replica sent a message at `sentAt` that the voter has answered, while
-    // this replica has stored all that was committed.
+    // See VoterContacts. Stores the contacts from time to time while the set of voters is even.
     void recordContact(const ReplicaKey& voter, base::TimePoint sentAt);
-    // Returns the voters whose contact is so recent that none of them can have voted in a half
-    // that is apart from this replica.
-    std::set<ReplicaKey> recentContacts() const;
-    void storeContacts();
-    void loadContacts(const HardState&);
-    // Whether this replica has received nothing from the voter for the separation timeout.
-    bool isApartFrom(const ReplicaKey&) const;
+    bool isApartFrom(const ReplicaKey& voter) const { return contacts_.isApartFrom(voter, now_); }
     bool isApartFromAll(const std::vector<ReplicaKey>&) const;
+    // Ends a separate half whose other half is heard from.
     void recordMessageFrom(const ReplicaKey&);
     // Returns the voters that this replica is apart from if the others may be half of an even
     // set with its tie-breaker.
     std::vector<ReplicaKey> otherHalf() const;
+    // Call when an election, or an inquiry before one, begins.
     void beginSeparateHalf();
     // Returns the last entry that a candidate needs for the vote of this replica.
     Index lastGuardedIndex() const;
@@ -419,11 +415,8 @@
     // The candidate and those that have voted for it as a half that is apart, in this election
     // or in the one that this leader has won. Empty once another voter has been heard from.
     SeparateHalf separateHalf_;
-    base::TimePoint startedAt_;
-    // When the newest message of each replica arrived, within the separation timeout.
-    std::map<ReplicaKey, base::TimePoint> heardAt_;
-    // When this replica sent the newest message that proves contact; see recordContact().
-    std::map<ReplicaKey, base::TimePoint> contactAt_;
+    VoterContacts contacts_;
+    // Those in the hard state.
     std::vector<StoredContact> storedContacts_;
     base::TimePoint contactsStoredAt_;
     // Follower: the log matches that of the current term's leader up to this index.
--- a/src/consensus/ReplicaCore.cpp
+++ b/src/consensus/ReplicaCore.cpp
@@ -66,14 +66,17 @@
     // The promise not to vote while a leader is alive is not persisted, so a restarted
     // replica behaves as if it had just heard from a leader.
     , lastLeaderContact_(now)
-    , startedAt_(now)
+    , contacts_(settings.self, settings.separationTimeout, now)
 {
     for (Entry& entry : state.entries)
         log_.append(std::move(entry));
     persistedIndex_ = log_.lastIndex();
     commitIndex_ = appliedIndex_ = log_.compactedIndex();
     electionDeadline_ = now + randomBetween(settings_.electionTimeoutMin, settings_.electionTimeoutMax);
-    loadContacts(state.hardState);
+    if (!settings_.boot.empty() && state.hardState.boot == settings_.boot) {
+        storedContacts_ = state.hardState.contacts;
+        contacts_.load(storedContacts_, now);
+    }
 }
 
 Output ReplicaCore::step(const Input& input, base::TimePoint now)
--- a/src/consensus/ReplicaCoreElections.cpp
+++ b/src/consensus/ReplicaCoreElections.cpp
@@ -14,8 +14,6 @@
 constexpr std::chrono::milliseconds voteRetryMin(200);
 constexpr std::chrono::milliseconds voteRetryMax(500);
 
-// The clocks of two replicas differ by less during a separation timeout.
-constexpr int maxSeparationDriftPercent = 10;
 // Contacts are stored this often in a separation timeout, while that matters.
 constexpr int contactWritesPerSeparation = 32;
 
@@ -126,24 +124,18 @@
     if (lost == responder || !isVoter || role_ == Role::Leader)
         return;
     // The disk was lost by now. Contacts at an earlier answer hold as well.
-    lostVoters_[lost].merge(recentContacts());
+    lostVoters_[lost].merge(contacts_.recentContacts(now_));
     if (role_ == Role::PreCandidate)
         countVotes();
 }
 
 void ReplicaCore::recordMessageFrom(const ReplicaKey& sender)
 {
-    heardAt_[sender] = now_;
+    contacts_.recordMessageFrom(sender, now_);
     if (separateHalf_.others.count(sender))
         separateHalf_ = {};
 }
 
-bool ReplicaCore::isApartFrom(const ReplicaKey& voter) const
-{
-    auto heard = heardAt_.find(voter);
-    return voter != settings_.self && now_ >= std::max(startedAt_, heard == heardAt_.end() ? startedAt_ : heard->second) + settings_.separationTimeout;
-}
-
 bool ReplicaCore::isApartFromAll(const std::vector<ReplicaKey>& voters) const
 {
     return std::all_of(voters.begin(), voters.end(), [this](const ReplicaKey& voter) { return isApartFrom(voter); });
@@ -165,60 +157,25 @@
 
 void ReplicaCore::beginSeparateHalf()
 {
-    for (auto it = heardAt_.begin(); it != heardAt_.end();)
-        it = now_ >= it->second + settings_.separationTimeout ? heardAt_.erase(it) : std::next(it);
-    const auto recent = recentContacts();
-    for (auto it = contactAt_.begin(); it != contactAt_.end();)
-        it = recent.count(it->first) ? std::next(it) : contactAt_.erase(it);
+    contacts_.forgetOld(now_);
     separateHalf_ = {};
     if (const auto others = otherHalf(); !others.empty())
         separateHalf_ = { { settings_.self }, { others.begin(), others.end() } };
 }
 
+// A replica that was restarted after the loss of a disk would otherwise know of no contact.
 void ReplicaCore::recordContact(const ReplicaKey& voter, base::TimePoint sentAt)
 {
-    auto [contact, isNew] = contactAt_.emplace(voter, sentAt);
-    contact->second = std::max(contact->second, sentAt);
+    contacts_.recordContact(voter, sentAt);
     const auto inForce = configurationsInForce();
     const bool isAnyEven = std::any_of(inForce.begin(), inForce.end(), [](const Configuration* configuration) { return configuration->voters.size() % 2 == 0; });
-    if (isAnyEven && now_ >= contactsStoredAt_ + settings_.separationTimeout / contactWritesPerSeparation)
-        storeContacts();
-}
-
-// A replica that was restarted after the loss of a disk would otherwise know of no contact.
-void ReplicaCore::storeContacts()
-{
-    if (settings_.boot.empty())
+    if (settings_.boot.empty() || !isAnyEven || now_ < contactsStoredAt_ + settings_.separationTimeout / contactWritesPerSeparation)
         return;
     contactsStoredAt_ = now_;
-    storedContacts_.clear();
-    for (const ReplicaKey& voter : recentContacts())
-        storedContacts_.push_back({ voter, contactAt_.at(voter).time_since_epoch().count() });
+    storedContacts_ = contacts_.store(now_);
     output_.hardState = hardState();
 }
 
-void ReplicaCore::loadContacts(const HardState& stored)
-{
-    if (settings_.boot.empty() || stored.boot != settings_.boot)
-        return;
-    storedContacts_ = stored.contacts;
-    for (const StoredContact& contact : stored.contacts) {
-        if (const base::TimePoint sentAt(std::chrono::nanoseconds(contact.sentAt)); sentAt <= now_)
-            contactAt_[contact.voter] = sentAt;
-    }
-}
-
-std::set<ReplicaKey> ReplicaCore::recentContacts() const
-{
-    const auto lifetime = settings_.separationTimeout * (100 - maxSeparationDriftPercent) / 100;
-    std::set<ReplicaKey> result;
-    for (const auto& [voter, sentAt] : contactAt_) {
-        if (now_ < sentAt + lifetime)
-            result.insert(voter);
-    }
-    return result;
-}
-
 // A replica that knows of its removal is asked only by candidates that do not know it to be
 // committed. Later entries do not depend on its vote, and nobody else may have them.
 Index ReplicaCore::lastGuardedIndex() const
