Departures of upstreams taken out of ControlNode

DepartureCommitter has them committed, through the leader if need be, and old ones forgotten. No change of behaviour.

--- a/src/node/ControlNode.cpp
+++ b/src/node/ControlNode.cpp
@@ -30,11 +30,6 @@
 static constexpr std::chrono::milliseconds proposalTimeout(1500);
 static constexpr std::chrono::milliseconds confirmationTimeout(1500);
 static constexpr std::chrono::milliseconds readTimeout(800);
-// The name under which departures of upstreams are committed.
-static constexpr const char* departureAuthor = "control";
-static constexpr std::chrono::seconds forgettingInterval(1);
-// An upstream waits one second for its answer.
-static constexpr std::chrono::milliseconds departureTimeout(600);
 static constexpr std::chrono::milliseconds changeTimeout(3000);
 static constexpr std::size_t frameWorkerCount = 1;
 static constexpr double bytesPerMegabit = 125'000;
@@ -83,6 +78,7 @@
     , answerTimer_(context, fleet::FleetPollServer::answerInterval, [this] { answerPolls(); })
     , heartbeatMonitor_(net::ipText(options_.ip), options_.heartbeatInterval)
     , engineClient_(context, codec_, registry_, net::ipText(options_.ip), [this] { answerPendingPolls(clock_.now()); })
+    , departures_(context, registry_, links_, [this](state::CommandBody body, std::chrono::milliseconds timeout, StoreCallback done) { propose(std::move(body), timeout, std::move(done)); })
     , layerPlacer_(clock_, codec_, registry_, engineClient_, [this](std::uint64_t revision, std::string plan, StoreCallback done) { propose(state::SetLayerPlan { revision, std::move(plan) }, changeTimeout, std::move(done)); })
 {
 }
@@ -214,7 +210,7 @@
         return std::nullopt;
     case FrameKind::UpstreamDeparture:
         if (auto process = fleet::decode<fleet::UpstreamProcess>(frame.body))
-            boost::asio::post(context_, [this, process = process.value(), reply] { handleDeparture(process, reply); });
+            boost::asio::post(context_, [this, process = process.value(), reply] { departures_.handleRequest(process, isLeader(), reply); });
         return std::nullopt;
     case FrameKind::ReplicaLeave:
         if (auto leave = fleet::decode<fleet::LeaveRequest>(frame.body))
@@ -448,51 +444,7 @@
     return registry_.latestStart(id);
 }
 
-void ControlNode::commitDeparture(const fleet::UpstreamProcess& process, StoreCallback done)
-{
-    if (auto leader = remoteLeaderIp())
-        forwardDeparture(*leader, process, std::move(done));
-    else
-        propose(state::SetDrain { departureAuthor, fleet::departureName(process), true }, proposalTimeout, std::move(done));
-}
-
-void ControlNode::forwardDeparture(std::uint32_t leaderIp, const fleet::UpstreamProcess& process, StoreCallback done)
-{
-    auto* link = links_.link(leaderIp);
-    if (!link) {
-        done(makeError(ErrorKind::NoQuorum, "the leader cannot be reached"));
-        return;
-    }
-    link->request(static_cast<std::uint8_t>(FrameKind::UpstreamDeparture), fleet::encode(process), std::chrono::steady_clock::now() + departureTimeout, [&context = context_, done = std::move(done)](const Result<std::string>& answer) {
-        auto decoded = answer ? fleet::decode<fleet::DepartureAnswer>(answer.value()) : Result<fleet::DepartureAnswer>(answer.error());
-        Result<void> result = base::outcome::success();
-        if (!decoded || !decoded.value().isCommitted)
-            result = makeError(ErrorKind::NoQuorum, "the leader did not commit the departure");
-        boost::asio::post(context, [done, result] { done(result); });
-    });
-}
-
-void ControlNode::handleDeparture(const fleet::UpstreamProcess& process, const transport::FrameServer::Reply& reply)
-{
-    if (!isLeader()) {
-        reply(fleet::encode(fleet::DepartureAnswer { false }));
-        return;
-    }
-    commitDeparture(process, [reply](const Result<void>& result) { reply(fleet::encode(fleet::DepartureAnswer { result.has_value() })); });
-}
-
-void ControlNode::forgetOldDepartures(base::TimePoint now)
-{
-    if (now < nextForgettingAt_)
-        return;
-    nextForgettingAt_ = now + forgettingInterval;
-    for (const auto& name : registry_.departures().takeExpired(now)) {
-        propose(state::SetDrain { departureAuthor, name, false }, changeTimeout, [name](const Result<void>& result) {
-            if (!result)
-                logger.info("An old departure is not forgotten yet.", { { "process", name }, { "reason", result.error().detail } });
-        });
-    }
-}
+void ControlNode::commitDeparture(const fleet::UpstreamProcess& process, StoreCallback done) { departures_.commit(process, remoteLeaderIp(), std::move(done)); }
 
 void ControlNode::setSeeds(const std::vector<std::uint32_t>& ips) { fleetPoller_.setSeeds(ips); }
 
@@ -509,7 +461,7 @@
     engineClient_.pollEngines(now);
     if (isLeader() && isCurrent()) {
         layerPlacer_.tick({ replicaView_.routesVersion, *routesDocument_, replicaView_.planRevision, replicaView_.status.term }, now);
-        forgetOldDepartures(now);
+        departures_.forgetOld(now);
     }
     engineClient_.endOverdueCalls();
     answerPendingPolls(now);
--- a/src/node/ControlNode.h
+++ b/src/node/ControlNode.h
@@ -10,6 +10,7 @@
 #include "include/http1/ServerConnection.h"
 #include "include/net/RepeatingTimer.h"
 #include "include/transport/FrameServer.h"
+#include "src/node/DepartureCommitter.h"
 #include "src/node/EngineClient.h"
 #include "src/node/LayerPlacer.h"
 #include "src/node/PlatformCodec.h"
@@ -135,9 +136,6 @@
     void reportActivity(base::TimePoint now);
     // Proposes a command and calls `done` on the event loop with its outcome.
     void propose(state::CommandBody, std::chrono::milliseconds timeout, StoreCallback done);
-    void forgetOldDepartures(base::TimePoint now);
-    void forwardDeparture(std::uint32_t leaderIp, const fleet::UpstreamProcess&, StoreCallback);
-    void handleDeparture(const fleet::UpstreamProcess&, const transport::FrameServer::Reply&);
     std::string encodeIntroduction() const;
     std::string encodeCommand(state::CommandBody) const;
     // Whether this replica knows that this version or a higher one is committed.
@@ -162,7 +160,6 @@
     base::LatenessMeter tickLateness_;
     base::TimePoint tickDueAt_;
     base::TimePoint nextReportAt_;
-    base::TimePoint nextForgettingAt_;
 
     // The last published view and its route document; accessed on the event loop only.
     ReplicaView replicaView_;
@@ -181,6 +178,7 @@
     };
     std::vector<Confirmation> confirmations_;
     EngineClient engineClient_;
+    DepartureCommitter departures_;
     LayerPlacer layerPlacer_;
 };
 
