A departure without a start that may mean two processes is refused

Cause: a departure without a start was taken for one of the latest process.

Change: if that one has not announced its leave, but the departure of an earlier process of the id is committed, the call is refused (503), as it may mean either.

Ruled out: to acknowledge it as the earlier one's; if the latest leaves without draining, requests would reach it after an acknowledgement.

Test: UpstreamRegistryTest/LateDepartureWithoutAStartRemovesNoLaterProcess.

--- a/include/fleet/DepartureTable.h
+++ b/include/fleet/DepartureTable.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -29,6 +30,10 @@
     void setNames(std::shared_ptr<const Names> names) { names_ = std::move(names); }
     bool contains(const UpstreamProcess& process) const { return !names_->empty() && names_->count(departureName(process)); }
 
+    // Returns the latest start of the upstream whose departure is committed, in Unix
+    // milliseconds; nullopt if there is none.
+    std::optional<std::int64_t> latestStart(const std::string& id) const;
+
     // Returns some departures that this VM has known for longer than the retention, to be
     // forgotten. Call about once a second on the leader only, so that a new leader grants
     // them the full time again.
--- a/include/fleet/UpstreamRegistry.h
+++ b/include/fleet/UpstreamRegistry.h
@@ -68,6 +68,10 @@
     void forgetLearnedProcesses() { learnedStarts_.clear(); }
     // Returns the latest start of the upstream that is known, in Unix milliseconds, or 0.
     std::int64_t latestStart(const std::string& id) const;
+    // Returns the start of the process that a departure means which states none, in Unix
+    // milliseconds: the latest that is known, or 0. Returns nullopt if that one has not announced
+    // its leave but an earlier one has: the departure may have been held up since.
+    std::optional<std::int64_t> departingStart(const std::string& id) const;
     // Marks an upstream as gone. An unknown upstream is stored as gone, so that a late
     // heartbeat does not restore it. Does nothing if a newer incarnation is known.
     // `startedAtMilliseconds` is 0 if unknown.
--- a/src/fleet/DepartureTable.cpp
+++ b/src/fleet/DepartureTable.cpp
@@ -4,6 +4,9 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <charconv>
+
 namespace arbutus::fleet {
 
 static constexpr std::size_t maxIdBytes = 44;
@@ -11,10 +14,25 @@
 // Each is a command, so they are spread over time.
 static constexpr std::size_t maxExpiredAtOnce = 16;
 
-std::string departureName(const UpstreamProcess& process)
+// What the names of all processes of an upstream begin with.
+static std::string namePrefix(const std::string& id)
+{
+    return (id.size() <= maxIdBytes ? id : base::sha256Hex(id).substr(0, digestDigits)) + '@';
+}
+
+std::string departureName(const UpstreamProcess& process) { return fmt::format("{}{}", namePrefix(process.id), process.startedAtMilliseconds); }
+
+std::optional<std::int64_t> DepartureTable::latestStart(const std::string& id) const
 {
-    auto id = process.id.size() <= maxIdBytes ? process.id : base::sha256Hex(process.id).substr(0, digestDigits);
-    return fmt::format("{}@{}", id, process.startedAtMilliseconds);
+    std::optional<std::int64_t> latest;
+    const auto prefix = namePrefix(id);
+    for (auto name = names_->lower_bound(prefix); name != names_->end() && name->compare(0, prefix.size(), prefix) == 0; ++name) {
+        std::int64_t start = 0;
+        const char* end = name->data() + name->size();
+        if (auto [parsedEnd, error] = std::from_chars(name->data() + prefix.size(), end, start); error == std::errc() && parsedEnd == end)
+            latest = std::max(latest.value_or(start), start);
+    }
+    return latest;
 }
 
 std::vector<std::string> DepartureTable::takeExpired(base::TimePoint now)
--- a/src/fleet/UpstreamRegistry.cpp
+++ b/src/fleet/UpstreamRegistry.cpp
@@ -298,6 +298,17 @@
     return std::max(learned == learnedStarts_.end() ? 0 : learned->second, record ? record->startedAtMilliseconds : 0);
 }
 
+std::optional<std::int64_t> UpstreamRegistry::departingStart(const std::string& id) const
+{
+    const auto latest = latestStart(id);
+    const auto departed = departures_.latestStart(id);
+    const auto* record = find(id);
+    const bool isLatestLeaving = record && record->startedAtMilliseconds == latest && record->isLeaving;
+    if (departed && *departed < latest && !isLatestLeaving)
+        return std::nullopt;
+    return latest;
+}
+
 void UpstreamRegistry::deregister(const std::string& id, std::int64_t startedAtMilliseconds, const std::string& registrar, base::TimePoint now)
 {
     auto found = upstreams_.find(id);
--- a/src/node/ControlNode.cpp
+++ b/src/node/ControlNode.cpp
@@ -441,7 +441,9 @@
         return statedMilliseconds;
     if (!fleetPollServer_.hasLearnedProcesses(clock_.now()))
         return makeError(ErrorKind::NoQuorum, "the entry VMs have not told yet which upstreams they know");
-    return registry_.latestStart(id);
+    if (auto start = registry_.departingStart(id))
+        return *start;
+    return makeError(ErrorKind::NoQuorum, "the departure states no start, and an earlier process of the upstream has left");
 }
 
 void ControlNode::commitDeparture(const fleet::UpstreamProcess& process, StoreCallback done) { departures_.commit(process, remoteLeaderIp(), std::move(done)); }
--- a/src/node/ControlNode.h
+++ b/src/node/ControlNode.h
@@ -85,8 +85,8 @@
     // `startedAtMilliseconds` is its start in Unix milliseconds, or 0 if unknown.
     void deregister(const std::string& id, std::int64_t startedAtMilliseconds);
     // Returns the start of the process that a departure means, in Unix milliseconds: the one
-    // that it states, otherwise the latest that this VM or an entry VM knows, 0 if there is
-    // none. Fails with NoQuorum until the entry VMs have been heard.
+    // that it states, otherwise as UpstreamRegistry::departingStart() finds. Fails with NoQuorum
+    // until the entry VMs have been heard, and while it may mean either of two processes.
     base::Result<std::int64_t> departingStart(const std::string& id, std::int64_t statedMilliseconds) const;
     // Whether the departure of this process is committed.
     bool isDepartureCommitted(const fleet::UpstreamProcess& process) const { return registry_.departures().contains(process); }
--- a/tests/UpstreamRegistryTest.cpp
+++ b/tests/UpstreamRegistryTest.cpp
@@ -531,3 +531,39 @@
         registry.applyHeartbeat(makeRecord("a", 100, sequence), "c1", clock.now());
     BOOST_TEST((stateOf(registry, "a") == UpstreamState::Gone));
 }
+
+static std::shared_ptr<const DepartureTable::Names> departures(const std::vector<UpstreamProcess>& processes)
+{
+    DepartureTable::Names names;
+    for (const auto& process : processes)
+        names.insert(departureName(process));
+    return std::make_shared<const DepartureTable::Names>(std::move(names));
+}
+
+// Guards against a departure of an earlier process, held up on its way, that removes the one that
+// has started since under the same id (review/13).
+BOOST_AUTO_TEST_CASE(LateDepartureWithoutAStartRemovesNoLaterProcess)
+{
+    base::VirtualClock clock;
+    const std::string longId(60, 'x');
+    for (const auto& id : { std::string("a"), longId }) {
+        UpstreamRegistry registry;
+        BOOST_TEST(registry.departingStart(id).value() == 0);
+        registry.applyHeartbeat(makeRecord(id, 1000, 5), "c1", clock.now());
+        BOOST_TEST(registry.departingStart(id).value() == 1000);
+        registry.setDepartures(departures({ { id, 900 }, { id, 1000 }, { id + "b", 5000 } }), clock.now());
+        BOOST_TEST(registry.departingStart(id).value() == 1000);
+        registry.applyHeartbeat(makeRecord(id, 2000, 1), "c1", clock.now());
+        BOOST_TEST(!registry.departingStart(id));
+        // The next one announces its leave as well, before its own departure.
+        auto leaving = makeRecord(id, 2000, 2);
+        leaving.state = UpstreamState::Draining;
+        registry.applyHeartbeat(leaving, "c1", clock.now());
+        BOOST_TEST(registry.departingStart(id).value() == 2000);
+    }
+    // One that never announces its leave: its departure means itself.
+    UpstreamRegistry registry;
+    registry.applyHeartbeat(makeRecord("c", 1000, 5), "c1", clock.now());
+    registry.applyHeartbeat(makeRecord("c", 2000, 5), "c1", clock.now());
+    BOOST_TEST(registry.departingStart("c").value() == 2000);
+}
