--- a/src/fleet/UpstreamRegistry.cpp
+++ b/src/fleet/UpstreamRegistry.cpp
@@ -102,7 +102,9 @@
 
 bool UpstreamRegistry::apply(UpstreamRecord record, base::TimePoint now)
 {
-    bool isChanged = isNamed(record) ? applyNamed(std::move(record), now) : applyUnnamed(std::move(record), now);
+    // A VM that takes the departure of an upstream that it does not know can't tell its service.
+    const bool isBareDeparture = record.service.empty() && isGoneForGood(record);
+    bool isChanged = isNamed(record) || isBareDeparture ? applyNamed(std::move(record), now) : applyUnnamed(std::move(record), now);
     restoreReturning(now);
     return isChanged;
 }
--- a/tests/UpstreamRegistryTest.cpp
+++ b/tests/UpstreamRegistryTest.cpp
@@ -567,3 +567,24 @@
     registry.applyHeartbeat(makeRecord("c", 2000, 5), "c1", clock.now());
     BOOST_TEST(registry.departingStart("c").value() == 2000);
 }
+
+// Guards against a departure that does not reach entry VMs because the control VM that took it had
+// been restarted and knows no service of the upstream (review/7).
+BOOST_AUTO_TEST_CASE(DepartureOfAnUpstreamWithoutAKnownServiceIsTaken)
+{
+    base::VirtualClock clock;
+    UpstreamRegistry entry;
+    UpstreamRegistry restarted;
+    for (auto* registry : { &entry, &restarted })
+        registry->setServices({ "scriba" }, clock.now());
+    entry.applyHeartbeat(makeRecord("a", 100, 5), "c1", clock.now());
+    restarted.learnProcess({ "a", 100 });
+    restarted.deregister("a", restarted.departingStart("a").value(), "c1", clock.now());
+    for (const auto& record : restarted.changesSince(0))
+        entry.apply(record, clock.now());
+    for (auto* registry : { &entry, &restarted }) {
+        BOOST_TEST((stateOf(*registry, "a") == UpstreamState::Gone));
+        registry->applyHeartbeat(makeRecord("a", 100, 6), "c1", clock.now());
+        BOOST_TEST((stateOf(*registry, "a") == UpstreamState::Gone));
+    }
+}
