--- a/tests/ConfigurationProofTest.cpp
+++ b/tests/ConfigurationProofTest.cpp
@@ -40,8 +40,9 @@
 BOOST_AUTO_TEST_CASE(ReplacedVersionStaysProvedUpToItsReplacement)
 {
     ConfigurationProof proof(applyTime);
-    for (int i = 0; i < 10; ++i)
-        proof.record(1, current(static_cast<std::uint64_t>(5 + i), 0), at(200 * i));
+    std::uint64_t version = 5;
+    for (int milliseconds : { 0, 200, 400, 600, 800, 1000, 1200, 1400, 1600, 1800 })
+        proof.record(1, current(version++, 0), at(milliseconds));
     BOOST_TEST((proof.provenAt(5) == at(0)));
     BOOST_TEST((proof.provenAt(13) == at(1600)));
     BOOST_TEST((proof.provenAt(20) == at(1800)));
