--- a/src/consensus/Quorum.cpp
+++ b/src/consensus/Quorum.cpp
@@ -6,6 +6,9 @@
 
 namespace arbutus::consensus {
 
+// Half of a smaller set is one voter, whose disk alone would hold what it commits.
+static constexpr std::size_t minVotersOfHalves = 4;
+
 static bool hasEvenSize(const Configuration& configuration) { return configuration.voters.size() % 2 == 0; }
 
 bool QuorumRule::isHalfBesideLostVoter(const Configuration& configuration, const std::set<ReplicaKey>& acted) const
@@ -22,7 +25,7 @@
 {
     const auto& [members, others] = separateHalf_;
     auto isOnItsSide = [&, &members = members, &others = others](const ReplicaKey& voter) { return acted.count(voter) ? members.count(voter) : others.count(voter); };
-    return acted.count(configuration.tieBreaker()) && std::all_of(configuration.voters.begin(), configuration.voters.end(), isOnItsSide);
+    return configuration.voters.size() >= minVotersOfHalves && acted.count(configuration.tieBreaker()) && std::all_of(configuration.voters.begin(), configuration.voters.end(), isOnItsSide);
 }
 
 bool QuorumRule::isReachedIn(const Configuration& configuration, const HasActed& hasActed) const
